croftctl and the first failure scripts

Cause: there were no operators' commands and no test that brings failures about. Change: croftctl (apply, diff, get, teams, history, outcome, status, watch, why, drain; exit codes by kind of failure); croftload/proofs, testscript scripts on real processes that count at the far ends.

--- /dev/null
+++ b/croftctl/client/client.go
@@ -0,0 +1,121 @@
+// Package client speaks to the administration API of entry instances.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/httpc"
+	"croftmoor.dev/kernel/ident"
+)
+
+// Kind classifies the errors of this package. The kinds are those of the
+// API's refusals and Unreachable.
+type Kind string
+
+// Kinds of errors.
+const (
+	// Unreachable means that no instance answered.
+	Unreachable Kind = "Unreachable"
+	// NotRun means that the request certainly had no effect.
+	NotRun Kind = "NotRun"
+	// OutcomeUnknown means that the request may have had its effect.
+	OutcomeUnknown Kind = "OutcomeUnknown"
+	// Invalid means that the request was at fault.
+	Invalid Kind = "Invalid"
+	// Denied means that the token does not allow the request.
+	Denied Kind = "Denied"
+	// Conflict means that another change came first.
+	Conflict Kind = "Conflict"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Client asks the first of its instances that answers. Set the fields before use.
+type Client struct {
+	Admins []ident.Address
+	Token  string
+
+	http httpc.Client
+}
+
+const callTerm = 12 * clock.Second
+
+// refusalWire is the API's refusal.
+type refusalWire struct {
+	Kind string
+	What string
+	Do   string
+}
+
+// Get reads JSON from the first instance that answers.
+func (c *Client) Get(ctx context.Context, path string, into any) error {
+	var last error
+	for _, admin := range c.Admins {
+		if last = c.GetFrom(ctx, admin, path, into); fault.KindOf[Kind](last) != Unreachable {
+			return last
+		}
+	}
+	return last
+}
+
+// GetFrom reads JSON from one instance.
+func (c *Client) GetFrom(ctx context.Context, admin ident.Address, path string, into any) error {
+	return c.call(ctx, &httpc.Call{Address: admin, Method: http.MethodGet, Path: path}, into)
+}
+
+// Post sends JSON to the first instance that can be connected to. A request
+// whose answer was lost is not sent elsewhere: its outcome is unknown.
+func (c *Client) Post(ctx context.Context, path string, body, into any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return fault.Wrap("client.Post", Invalid, err, "unencodable request")
+	}
+	var last error
+	for _, admin := range c.Admins {
+		last = c.call(ctx, &httpc.Call{Address: admin, Method: http.MethodPost, Path: path, Body: data, Fresh: true}, into)
+		if fault.KindOf[Kind](last) != Unreachable {
+			return last
+		}
+	}
+	return last
+}
+
+func (c *Client) call(ctx context.Context, call *httpc.Call, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTerm.Duration())
+	defer cancel()
+	if c.Token != "" {
+		call.Headers = append(call.Headers, httpc.Header{Name: "Authorization", Value: "Bearer " + c.Token})
+	}
+	answer, err := c.http.Do(ctx, call)
+	if fault.KindOf[httpc.Kind](err) == httpc.NotSent {
+		e := fault.Wrap("client.call", Unreachable, err, "no instance at "+string(call.Address))
+		e.Do = "check --admin, and that the instance runs"
+		return e
+	}
+	if err != nil {
+		return fault.Wrap("client.call", OutcomeUnknown, err, "the answer of "+string(call.Address)+" was lost")
+	}
+	if answer.Status < http.StatusMultipleChoices {
+		return read(answer.Body, into)
+	}
+	var w refusalWire
+	if json.Unmarshal(answer.Body, &w) != nil || w.Kind == "" {
+		return fault.New("client.call", Invalid, string(call.Address)+" answered "+http.StatusText(answer.Status))
+	}
+	return &Error{Op: "croftctl", Kind: Kind(w.Kind), What: w.What, Do: w.Do}
+}
+
+func read(body []byte, into any) error {
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return fault.Wrap("client.read", Invalid, err, "the answer is not the JSON that is expected")
+	}
+	return nil
+}
--- /dev/null
+++ b/croftctl/cmds/cmds.go
@@ -0,0 +1,127 @@
+// Package cmds is croftctl's commands. Each prints text or JSON; the exit code
+// tells how it ended (see ExitCode).
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"croftmoor.dev/croftctl/client"
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/ident"
+)
+
+// Exit codes.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitConflict    = 3
+	ExitInvalid     = 4
+	ExitUnknown     = 5
+	ExitNotRun      = 6
+	ExitDenied      = 7
+	ExitUnreachable = 8
+)
+
+// ExitCode maps an error to the process's exit code.
+func ExitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	switch fault.KindOf[client.Kind](err) {
+	case client.Conflict:
+		return ExitConflict
+	case client.Invalid:
+		return ExitInvalid
+	case client.OutcomeUnknown:
+		return ExitUnknown
+	case client.NotRun:
+		return ExitNotRun
+	case client.Denied:
+		return ExitDenied
+	case client.Unreachable:
+		return ExitUnreachable
+	default:
+		return ExitFailed
+	}
+}
+
+// Options are the flags that all commands share.
+type Options struct {
+	Admin  []string `long:"admin" env:"CROFT_ADMIN" env-delim:"," required:"true" description:"administration address of an instance; may be given several times"`
+	Token  string   `long:"token" env:"CROFT_TOKEN" description:"operator's token"`
+	Output string   `long:"output" choice:"text" choice:"json" default:"text" description:"form of what is printed"` //nolint:staticcheck // go-flags takes repeated choices
+}
+
+// Base is what every command embeds. Out takes what it prints.
+type Base struct {
+	Options *Options
+	Out     io.Writer
+	Clock   *clock.Clock
+}
+
+func (b *Base) client() *client.Client {
+	c := &client.Client{Token: b.Options.Token}
+	for _, admin := range b.Options.Admin {
+		c.Admins = append(c.Admins, ident.Address(admin))
+	}
+	return c
+}
+
+// print writes value as JSON, or calls text.
+func (b *Base) print(value any, text func(w io.Writer)) error {
+	if b.Options.Output == "json" {
+		data, err := json.MarshalIndent(value, "", "  ")
+		if err != nil {
+			return fault.Wrap("cmds.print", client.Invalid, err, "unprintable")
+		}
+		_, err = fmt.Fprintln(b.Out, string(data))
+		return err
+	}
+	table := tabwriter.NewWriter(b.Out, 0, 0, 2, ' ', 0)
+	text(table)
+	return table.Flush()
+}
+
+func line(w io.Writer, cells ...any) {
+	texts := make([]string, len(cells))
+	for i, cell := range cells {
+		texts[i] = fmt.Sprint(cell)
+	}
+	_, _ = fmt.Fprintln(w, strings.Join(texts, "\t"))
+}
+
+// instance is one instance's status, or why there is none.
+type instance struct {
+	Name   string
+	Zone   string
+	Status *client.Status
+	Error  string
+}
+
+// everyone asks each listed instance for its status.
+func (b *Base) everyone(ctx context.Context) ([]instance, error) {
+	c := b.client()
+	var first client.Status
+	if err := c.Get(ctx, "/v1/status", &first); err != nil {
+		return nil, err
+	}
+	var list []instance
+	for _, entry := range first.Entries {
+		one := instance{Name: entry.Name, Zone: entry.Zone}
+		var s client.Status
+		if err := c.GetFrom(ctx, ident.Address(entry.Admin), "/v1/status", &s); err != nil {
+			one.Error = err.Error()
+		} else {
+			one.Status = &s
+		}
+		list = append(list, one)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/croftctl/cmds/status.go
@@ -0,0 +1,167 @@
+package cmds
+
+import (
+	"context"
+	"io"
+	"slices"
+
+	"croftmoor.dev/croftctl/client"
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
+)
+
+// Status shows every instance.
+type Status struct {
+	Base
+	Backends bool `long:"backends" description:"show the backend servers as the first instance sees them"`
+	Steps    bool `long:"steps" description:"show the trainers' open steps"`
+}
+
+// Execute shows the status once.
+func (s *Status) Execute([]string) error {
+	return s.once(context.Background())
+}
+
+func (s *Status) once(ctx context.Context) error {
+	list, err := s.everyone(ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(list, func(w io.Writer) {
+		instances(w, list)
+		if s.Backends {
+			backends(w, list)
+		}
+		if s.Steps {
+			openSteps(w, list)
+		}
+	})
+}
+
+func instances(w io.Writer, list []instance) {
+	line(w, "INSTANCE", "ZONE", "REVISION", "LOG SILENT MS", "IN FLIGHT", "LEADS", "BACKS UP", "STATE")
+	for _, one := range list {
+		if one.Status == nil {
+			line(w, one.Name, one.Zone, "-", "-", "-", "-", "-", "no answer: "+one.Error)
+			continue
+		}
+		state := "ready"
+		if one.Status.NotReady != "" {
+			state = one.Status.NotReady
+		}
+		s := one.Status
+		line(w, s.Instance, s.Zone, s.Revision, s.LogSilenceMillis, s.InFlight, s.ShardsLed, s.ShardsBackedUp, state)
+	}
+}
+
+func backends(w io.Writer, list []instance) {
+	line(w)
+	line(w, "BACKEND SERVER", "SERVICE", "ZONE", "STATE", "IN FLIGHT", "BELIEVED", "REPORTED", "VERSIONS")
+	for _, one := range list {
+		if one.Status == nil {
+			continue
+		}
+		for _, b := range one.Status.Backends {
+			line(w, b.Name, b.Service, b.Zone, b.State, b.InFlight, b.BelievedLoad, b.ReportedLoad, b.Versions)
+		}
+		return
+	}
+}
+
+func openSteps(w io.Writer, list []instance) {
+	line(w)
+	line(w, "TRAINER", "STEP", "NEWEST", "MISSING", "RUNNING", "READY", "HELD", "DROPPED STALE", "OWNER")
+	for _, one := range list {
+		if one.Status == nil {
+			continue
+		}
+		for _, s := range one.Status.Steps {
+			line(w, s.Trainer, s.Step, s.Newest, s.Missing, s.Running, s.Ready, s.Held, s.Stale, one.Name)
+		}
+	}
+}
+
+// Watch shows the status again and again.
+type Watch struct {
+	Status
+	Times int `long:"times" description:"how often; 0 goes on until interrupted"`
+}
+
+const (
+	watchPause  = 1 * clock.Second
+	clearScreen = "\x1b[H\x1b[2J"
+)
+
+// Execute shows the status each second.
+func (w *Watch) Execute([]string) error {
+	ctx := context.Background()
+	for n := 0; w.Times == 0 || n < w.Times; n++ {
+		if w.Options.Output == "text" && w.Times == 0 {
+			_, _ = io.WriteString(w.Out, clearScreen)
+		}
+		if err := w.once(ctx); err != nil {
+			return err
+		}
+		if w.Times != n+1 {
+			w.Clock.Sleep(ctx, watchPause)
+		}
+	}
+	return nil
+}
+
+// Why shows the decisions about a request, a sample or a step, as all
+// instances remember them.
+type Why struct {
+	Base
+	Args idArg `positional-args:"true"`
+}
+
+// Execute shows the trail.
+func (y *Why) Execute([]string) error {
+	ctx := context.Background()
+	c := y.client()
+	var first client.Status
+	if err := c.Get(ctx, "/v1/status", &first); err != nil {
+		return err
+	}
+	var trail []located
+	for _, entry := range first.Entries {
+		var list []client.Decision
+		// An instance that does not answer has nothing to add.
+		_ = c.GetFrom(ctx, ident.Address(entry.Admin), "/v1/why/"+y.Args.ID, &list)
+		for _, d := range list {
+			trail = append(trail, located{Instance: entry.Name, Decision: d})
+		}
+	}
+	if len(trail) == 0 {
+		return &client.Error{Op: "croftctl why", Kind: client.Invalid, What: "no instance remembers a decision about " + y.Args.ID,
+			Do: "check the id; instances remember the latest decisions only"}
+	}
+	slices.SortStableFunc(trail, func(a, b located) int { return int(a.Decision.At - b.Decision.At) })
+	return y.print(trail, func(w io.Writer) {
+		line(w, "TIME", "INSTANCE", "ACTION", "CHOICE", "RUNNER-UP", "REASON")
+		for _, d := range trail {
+			at := clock.Millis(d.Decision.At).Time().UTC().Format("15:04:05.000")
+			line(w, at, d.Instance, d.Decision.Action, d.Decision.Choice, d.Decision.RunnerUp, d.Decision.Reason)
+		}
+	})
+}
+
+// located is a decision and where it was made.
+type located struct {
+	Instance string
+	Decision client.Decision
+}
+
+// Drain starts the planned stop of the instance at --admin.
+type Drain struct {
+	Base
+}
+
+// Execute starts the stop.
+func (d *Drain) Execute([]string) error {
+	if err := d.client().Post(context.Background(), "/v1/drain", struct{}{}, nil); err != nil {
+		return err
+	}
+	return d.print(struct{ Draining bool }{true}, func(w io.Writer) { line(w, "the instance is stopping; it ends once nothing is in flight") })
+}
--- a/croftload/bench/cluster.go
+++ b/croftload/bench/cluster.go
@@ -104,7 +104,12 @@
 			}
 		}
 	}
-	return c.Until(ctx, startTerm, "all instances ready", func() bool { return c.allReady(ctx) })
+	return c.Ready(ctx, startTerm)
+}
+
+// Ready waits until all running instances are ready.
+func (c *Cluster) Ready(ctx context.Context, most clock.Millis) error {
+	return c.Until(ctx, most, "all instances ready", func() bool { return c.allReady(ctx) })
 }
 
 func (c *Cluster) startPlatform() error {
