State machine tests, hand-over of steps on a planned stop

Cause: planned_stop failed: a stopping instance still let pulls in, so it never got idle, and the trainers' ready samples would have died with it.

--- a/croftctl/cmds/cmds.go
+++ b/croftctl/cmds/cmds.go
@@ -61,9 +61,9 @@
 
 // Base is what every command embeds. Out takes what it prints.
 type Base struct {
-	Options *Options
-	Out     io.Writer
-	Clock   *clock.Clock
+	Options *Options     `no-flag:"true"`
+	Out     io.Writer    `no-flag:"true"`
+	Clock   *clock.Clock `no-flag:"true"`
 }
 
 func (b *Base) client() *client.Client {
--- a/croftload/bench/cluster.go
+++ b/croftload/bench/cluster.go
@@ -358,11 +358,21 @@
 func (c *Cluster) Callers() []ident.Address {
 	var addresses []ident.Address
 	for _, name := range c.Instances() {
-		addresses = append(addresses, ident.Address(c.Proc(name).Callers))
+		if !c.listedLeaving(name) {
+			addresses = append(addresses, ident.Address(c.Proc(name).Callers))
+		}
 	}
 	return addresses
 }
 
+func (c *Cluster) listedLeaving(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.members, func(m fleet.MemberWire) bool {
+		return m.Name == name && m.State == string(fleet.Leaving)
+	})
+}
+
 func (c *Cluster) allReady(ctx context.Context) bool {
 	for _, name := range c.Instances() {
 		answer, err := c.client.Do(ctx, &httpc.Call{Address: ident.Address(c.Proc(name).Admin), Method: http.MethodGet, Path: "/readyz"})
--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -127,7 +127,7 @@
 	}
 }
 
-func cmdKill(ts *testscript.TestScript, _ bool, words []string) {
+func cmdCrash(ts *testscript.TestScript, _ bool, words []string) {
 	w := worldOf(ts)
 	for _, name := range words {
 		w.cluster.Proc(name).Kill()
@@ -238,8 +238,8 @@
 	}
 }
 
-// stop ends the load and waits for what is on its way.
-func cmdStop(ts *testscript.TestScript, _ bool, _ []string) {
+// finish ends the load and waits for what is on its way.
+func cmdFinish(ts *testscript.TestScript, _ bool, _ []string) {
 	w := worldOf(ts)
 	if w.cancel == nil {
 		ts.Fatalf("no load runs")
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -144,6 +144,10 @@
 func (w *world) holdsTrue(ts *testscript.TestScript, words []string) (bool, float64) {
 	got := w.measure(ts, words[0])
 	wantText := words[2]
+	if words[1] == "as" {
+		w.seen[wantText] = int64(got)
+		return true, got
+	}
 	want, ok := w.remembered(wantText)
 	if !ok {
 		var err error
@@ -157,9 +161,6 @@
 		return got <= want, got
 	case ">=":
 		return got >= want, got
-	case "as":
-		w.seen[wantText] = int64(got)
-		return true, got
 	}
 	ts.Fatalf("no comparison named %s", words[1])
 	return false, 0
@@ -226,4 +227,3 @@
 	}
 	return true
 }
-
--- a/croftload/proofs/world_test.go
+++ b/croftload/proofs/world_test.go
@@ -68,8 +68,8 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"cluster": cmdCluster, "apply": cmdApply, "ctl": cmdCtl, "load": cmdLoad, "stop": cmdStop,
-			"kill": cmdKill, "freeze": cmdFreeze, "thaw": cmdThaw, "term": cmdTerm, "start": cmdStart,
+			"cluster": cmdCluster, "apply": cmdApply, "ctl": cmdCtl, "load": cmdLoad, "finish": cmdFinish,
+			"crash": cmdCrash, "freeze": cmdFreeze, "thaw": cmdThaw, "term": cmdTerm, "start": cmdStart,
 			"cut": cmdCut, "heal": cmdHeal, "fault": cmdFault, "leave": cmdLeave, "pass": cmdPass,
 			"within": cmdWithin, "count": cmdCount, "ask": cmdAsk, "asked": cmdAsked, "race": cmdRace,
 		},
--- a/croftmoor/feed/book.go
+++ b/croftmoor/feed/book.go
@@ -42,6 +42,7 @@
 	number := open.Spec.Step
 	if s, ok := b.steps[number]; ok {
 		s.ledger.Hand(open.Have, b.newest, 0)
+		s.put(open.Ready)
 		return
 	}
 	b.closeOld(number)
@@ -52,6 +53,7 @@
 		changed: make(chan struct{}), cancel: cancel,
 	}
 	s.ledger.Publish(b.newest)
+	s.put(open.Ready)
 	b.steps[number] = s
 	f.Trail.Add(trail.Decision{
 		ID: stepID(b.trainer, number), Action: trail.Place, Choice: string(f.Self),
@@ -74,6 +76,15 @@
 	return fmt.Sprintf("%s/%d", trainer, number)
 }
 
+func (s *step) put(samples []*steps.Sample) {
+	for _, sample := range samples {
+		s.ledger.Put(sample)
+	}
+	if len(samples) > 0 {
+		s.notify()
+	}
+}
+
 func (s *step) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -97,7 +108,6 @@
 
 // hand is one try at a pull.
 func (b *book) hand(pull peers.Pull) (peers.Pulled, chan struct{}, error) {
-	draining := b.feed.isDraining()
 	trainer, _, declared := b.declared()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -111,9 +121,6 @@
 	b.publishLocked(pull.Version)
 	samples := s.ledger.Hand(pull.Have, b.newest, pull.Most)
 	missing, running, ready, held := s.ledger.Counts()
-	if draining && running == 0 && ready == 0 && missing > 0 {
-		return peers.Pulled{}, nil, unknownStep()
-	}
 	for _, sample := range samples {
 		b.feed.Trail.Add(trail.Decision{
 			ID: sample.ID, Action: trail.Hand, Choice: string(b.trainer),
@@ -215,16 +222,21 @@
 	}
 }
 
-func (b *book) busy() bool {
+// leave closes the open steps and returns what their next owner needs.
+func (b *book) leave() []peers.Open {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, s := range b.steps {
-		_, running, ready, _ := s.ledger.Counts()
-		if running > 0 || ready > 0 {
-			return true
+	var opens []peers.Open
+	for number, s := range b.steps {
+		s.cancel()
+		delete(b.steps, number)
+		if s.ledger.Complete() {
+			continue
 		}
+		have, samples := s.ledger.Leave()
+		opens = append(opens, peers.Open{Spec: s.ledger.Spec, Have: have, Version: b.newest, Ready: samples})
 	}
-	return false
+	return opens
 }
 
 func (b *book) statuses() []Status {
--- a/croftmoor/feed/feed.go
+++ b/croftmoor/feed/feed.go
@@ -81,21 +81,24 @@
 	f.group.Wait()
 }
 
-// Drain starts no more attempts. Busy tells when the rest is done.
-func (f *Feed) Drain() {
+// Drain opens no more steps and hands the open ones, with the samples that are
+// ready, on to their next owners. Attempts under way are given up; the next
+// owner makes their samples.
+func (f *Feed) Drain(ctx context.Context) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.draining = true
-}
-
-// Busy tells whether attempts run or samples wait to be pulled.
-func (f *Feed) Busy() bool {
+	f.mu.Unlock()
 	for _, b := range f.allBooks() {
-		if b.busy() {
-			return true
+		for _, open := range b.leave() {
+			owner := f.owner(open.Spec.Trainer)
+			if owner == f.Self {
+				continue
+			}
+			// If this fails, the trainer opens the step again, and the samples
+			// that were ready are made again.
+			_ = f.Caller.Open(ctx, owner, open)
 		}
 	}
-	return false
 }
 
 func (f *Feed) allBooks() []*book {
--- a/croftmoor/front/front.go
+++ b/croftmoor/front/front.go
@@ -94,25 +94,17 @@
 	return f.inFlight.Load()
 }
 
-// track counts requests in flight and refuses new ones while draining. A pull
-// is let in, since it empties what this instance still holds.
+// track counts requests in flight and refuses new ones while draining.
 func (f *Front) track(c fiber.Ctx) error {
 	if f.draining.Load() {
 		c.Set(fiber.HeaderConnection, "close")
-		if !isPull(c.Path()) {
-			return refuse.After("front", refuse.NotRun, "this instance is stopping", drainRetry)
-		}
+		return refuse.After("front", refuse.NotRun, "this instance is stopping", drainRetry)
 	}
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	return c.Next()
 }
 
-func isPull(path string) bool {
-	const suffix = "/pull"
-	return len(path) > len(suffix) && path[len(path)-len(suffix):] == suffix
-}
-
 // head is what every request carries, with defaults.
 type head struct {
 	id       ident.RequestID
--- a/croftmoor/peers/peers.go
+++ b/croftmoor/peers/peers.go
@@ -55,6 +55,8 @@
 	Spec    steps.Spec
 	Have    steps.Set
 	Version ident.Version
+	// Ready are samples that an owner which is stopping hands on.
+	Ready []*steps.Sample
 }
 
 // Pull asks for samples.
--- a/croftmoor/peers/wire.go
+++ b/croftmoor/peers/wire.go
@@ -77,6 +77,7 @@
 	Bound     int64
 	Have      string
 	Version   int64
+	Ready     []SampleWire
 }
 
 type pullWire struct {
@@ -212,21 +213,29 @@
 }
 
 func openToWire(o Open) openWire {
-	return openWire{
+	w := openWire{
 		Trainer: string(o.Spec.Trainer), Step: int64(o.Spec.Step), Prompts: o.Spec.Prompts, GroupSize: o.Spec.GroupSize,
 		MaxTokens: int32(o.Spec.MaxTokens), Bound: int64(o.Spec.Bound), Have: o.Have.Text(), Version: int64(o.Version),
 	}
+	for _, s := range o.Ready {
+		w.Ready = append(w.Ready, SampleToWire(s))
+	}
+	return w
 }
 
 func openFromWire(w openWire) (Open, error) {
 	have, err := steps.ParseSet(w.Have)
-	return Open{
+	o := Open{
 		Spec: steps.Spec{
 			Trainer: ident.Trainer(w.Trainer), Step: ident.Step(w.Step), Prompts: w.Prompts, GroupSize: w.GroupSize,
 			MaxTokens: ident.Tokens(w.MaxTokens), Bound: ident.Version(w.Bound),
 		},
 		Have: have, Version: ident.Version(w.Version),
-	}, err
+	}
+	for _, s := range w.Ready {
+		o.Ready = append(o.Ready, SampleFromWire(s))
+	}
+	return o, err
 }
 
 func pullToWire(p Pull) pullWire {
--- a/croftmoor/serve/stop.go
+++ b/croftmoor/serve/stop.go
@@ -33,9 +33,9 @@
 	i.log.Info().Msg("stopping: no new work from now on")
 	i.draining.Store(true)
 	i.front.Drain()
-	i.feed.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), i.Config.DrainTerm.Duration())
 	defer cancel()
+	i.feed.Drain(ctx)
 	for i.busy() {
 		if !i.clock.Sleep(ctx, stopCheck) {
 			i.log.Warn().Int64("InFlight", i.front.InFlight()).Msg("the drain term has passed with work in flight")
@@ -45,7 +45,7 @@
 }
 
 func (i *Instance) busy() bool {
-	if i.front.InFlight() > 0 || i.feed.Busy() {
+	if i.front.InFlight() > 0 {
 		return true
 	}
 	leads, backs, _ := i.home.Counts()
--- a/kernel/steps/steps.go
+++ b/kernel/steps/steps.go
@@ -198,6 +198,35 @@
 	return true
 }
 
+// Put fills a missing slot with a sample that another owner of the step made.
+func (l *Ledger) Put(sample *Sample) {
+	if sample.Slot < 0 || int(sample.Slot) >= len(l.slots) || l.tooOld(sample.Oldest()) {
+		return
+	}
+	s := &l.slots[sample.Slot]
+	if s.phase != missing {
+		return
+	}
+	s.sample = sample
+	s.tokens = count(sample.Spans)
+	l.move(s, ready)
+}
+
+// Leave returns what a next owner needs: the slots that the trainer holds and
+// the samples that are ready.
+func (l *Ledger) Leave() (have Set, samples []*Sample) {
+	for i := range l.slots {
+		switch s := &l.slots[i]; s.phase {
+		case held:
+			have.Add(ident.Slot(i))
+		case ready:
+			samples = append(samples, s.sample)
+		case missing, running:
+		}
+	}
+	return have, samples
+}
+
 // Fail makes the attempt's slot missing again.
 func (l *Ledger) Fail(a Attempt) {
 	s, ok := l.current(a)
--- /dev/null
+++ b/kernel/steps/steps_test.go
@@ -0,0 +1,147 @@
+package steps
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"croftmoor.dev/kernel/ident"
+)
+
+func spec() Spec {
+	return Spec{Trainer: "t", Step: 1, Prompts: []string{"p", "q"}, GroupSize: 2, MaxTokens: 10, Bound: 1}
+}
+
+func noGuess(string) ident.Tokens { return 0 }
+
+func sampleOf(a Attempt, version ident.Version) *Sample {
+	return &Sample{ID: "s", Slot: a.Slot, Spans: []Span{{Version: version, Tokens: 5}}}
+}
+
+// trainerModel is a trainer with two owners of the same step, one of them
+// stale: pulls go to either, answers are lost, versions are published.
+type trainerModel struct {
+	owners   []*Ledger
+	attempts [][]Attempt
+	have     Set
+	got      map[ident.Slot]int
+	version  ident.Version
+}
+
+func (m *trainerModel) owner(t *rapid.T) int {
+	return rapid.IntRange(0, len(m.owners)-1).Draw(t, "owner")
+}
+
+func (m *trainerModel) start(t *rapid.T) {
+	o := m.owner(t)
+	if a, ok := m.owners[o].Next(); ok {
+		m.attempts[o] = append(m.attempts[o], a)
+	}
+}
+
+func (m *trainerModel) fill(t *rapid.T) {
+	o := m.owner(t)
+	if len(m.attempts[o]) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.attempts[o])-1).Draw(t, "attempt")
+	version := ident.Version(rapid.IntRange(1, int(m.version)).Draw(t, "version"))
+	// An attempt may end twice, as when its answer comes late.
+	m.owners[o].Fill(m.attempts[o][i], sampleOf(m.attempts[o][i], version))
+}
+
+func (m *trainerModel) fail(t *rapid.T) {
+	o := m.owner(t)
+	if n := len(m.attempts[o]); n > 0 {
+		m.owners[o].Fail(m.attempts[o][n-1])
+	}
+}
+
+func (m *trainerModel) publish(*rapid.T) { m.version++ }
+
+func (m *trainerModel) pull(t *rapid.T) {
+	samples := m.owners[m.owner(t)].Hand(m.have, m.version, rapid.IntRange(1, 4).Draw(t, "most"))
+	if rapid.Bool().Draw(t, "answer lost") {
+		return
+	}
+	for _, s := range samples {
+		m.got[s.Slot]++
+		m.have.Add(s.Slot)
+		if m.version-s.Oldest() > 1 {
+			t.Fatalf("slot %d is %d versions old", s.Slot, m.version-s.Oldest())
+		}
+	}
+}
+
+func (m *trainerModel) check(t *rapid.T) {
+	for slot, n := range m.got {
+		if n > 1 {
+			t.Fatalf("slot %d was handed over %d times", slot, n)
+		}
+	}
+	for _, l := range m.owners {
+		missing, running, ready, held := l.Counts()
+		if missing < 0 || running < 0 || ready < 0 || missing+running+ready+held != l.Spec.Slots() {
+			t.Fatalf("the counts don't add up: %d %d %d %d", missing, running, ready, held)
+		}
+	}
+}
+
+func TestEachSlotIsHandedOverOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &trainerModel{got: map[ident.Slot]int{}, version: 1, attempts: make([][]Attempt, 2)}
+		m.owners = []*Ledger{Open(spec(), Set{}, noGuess, 0), Open(spec(), Set{}, noGuess, 0)}
+		t.Repeat(map[string]func(*rapid.T){
+			"start": m.start, "fill": m.fill, "fail": m.fail, "publish": m.publish, "pull": m.pull, "": m.check,
+		})
+	})
+}
+
+func TestLedger(t *testing.T) {
+	t.Run("the slots expected longest start first", func(t *testing.T) {
+		l := Open(spec(), Set{}, func(p string) ident.Tokens {
+			if p == "q" {
+				return 9
+			}
+			return 1
+		}, 0)
+		if a, _ := l.Next(); a.Prompt != "q" {
+			t.Fatalf("started %q first", a.Prompt)
+		}
+	})
+	t.Run("an attempt that gets too old is given up early", func(t *testing.T) {
+		l := Open(spec(), Set{}, noGuess, 0)
+		a, _ := l.Next()
+		if !l.Progress(a, 3, 1) {
+			t.Fatal("given up within the bound")
+		}
+		l.Publish(3)
+		if l.Progress(a, 4, 1) || l.Waste.Stale == 0 {
+			t.Fatal("kept beyond the bound")
+		}
+	})
+	t.Run("version 0 is a version", func(t *testing.T) {
+		l := Open(spec(), Set{}, noGuess, 0)
+		l.Publish(2)
+		a, _ := l.Next()
+		if l.Fill(a, sampleOf(a, 0)) {
+			t.Fatal("a sample of unpublished weights was taken as fresh")
+		}
+	})
+	t.Run("a next owner gets what is ready and held", func(t *testing.T) {
+		l := Open(spec(), Set{}, noGuess, 0)
+		a, _ := l.Next()
+		l.Fill(a, sampleOf(a, 1))
+		var have Set
+		have.Add(3)
+		l.Hand(have, 1, 0)
+		held, ready := l.Leave()
+		next := Open(spec(), held, noGuess, 0)
+		for _, s := range ready {
+			next.Put(s)
+		}
+		if _, _, r, h := next.Counts(); r != 1 || h != 1 {
+			t.Fatalf("ready %d, held %d", r, h)
+		}
+	})
+}
