Speeds, moves, carriers of weights and shorter waits for leases

Seen in the decisions: whole steps were made again because they were too old; the keeper of the weights had waited a whole term after each move of its shard, and every trainer's weights were ordered onto every engine, at the limit of the weight store. config_lost_answer's rare failure: the stand-in log kept a stream's name in memory that the HTTP server uses again, so records went to another stream. labels_partial_swap counted on a sample to span a swap within a fixed time.

--- a/croftfake/logsvc/logsvc.go
+++ b/croftfake/logsvc/logsvc.go
@@ -7,6 +7,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/gofiber/fiber/v3"
@@ -82,7 +83,7 @@
 	if !s.faults.Before(c.Context()) {
 		return stand.RefuseNotRun(c, "the log is out")
 	}
-	offset, ok := s.append(c.Params("stream"), slices.Clone(c.Body()))
+	offset, ok := s.append(streamOf(c), slices.Clone(c.Body()))
 	if !ok {
 		return c.Status(fiber.StatusTooManyRequests).SendString("over the append rate")
 	}
@@ -92,6 +93,12 @@
 	return c.JSON(appended{Offset: offset})
 }
 
+// streamOf copies the stream's name out of the request, whose memory is used
+// again for the next one.
+func streamOf(c fiber.Ctx) string {
+	return strings.Clone(c.Params("stream"))
+}
+
 func (s *Service) append(name string, data []byte) (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,13 +137,14 @@
 	}
 	from, _ := strconv.ParseInt(c.Query("From"), 10, 64)
 	wait, _ := strconv.ParseInt(c.Query("Wait"), 10, 64)
-	answer, grown := s.read(c.Params("stream"), from)
+	name := streamOf(c)
+	answer, grown := s.read(name, from)
 	if len(answer.Records) == 0 && wait > 0 {
 		select {
 		case <-grown:
 		case <-s.Clock.After(clock.Millis(wait)):
 		}
-		answer, _ = s.read(c.Params("stream"), from)
+		answer, _ = s.read(name, from)
 	}
 	if s.faults.Now().Out {
 		return stand.RefuseNotRun(c, "the log is out")
--- a/croftload/drive/trainer.go
+++ b/croftload/drive/trainer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 
@@ -111,7 +112,12 @@
 		}
 		idle := t.Clock.Mono()
 		whole := t.collect(ctx, step)
-		t.add(func(r *TrainerReport) { r.IdleMillis += int64(t.Clock.Mono() - idle) })
+		if step > firstStep {
+			t.add(func(r *TrainerReport) { r.IdleMillis += int64(t.Clock.Mono() - idle) })
+		} else {
+			// Nothing could be made before the first step was opened.
+			began = t.Clock.Mono()
+		}
 		if !whole {
 			break
 		}
@@ -142,7 +148,7 @@
 func (t *Trainer) Labels() map[string][]steps.Span {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.got
+	return maps.Clone(t.got)
 }
 
 // publish puts the next version into the weight store and tells croftmoor.
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -121,6 +121,8 @@
 	liveTerm   = 1500 * clock.Millis(1)
 	checkTerm  = 1000 * clock.Millis(1)
 	warmUp     = 2 * clock.Second
+	// settleTerm lets shards and leases settle before the load begins.
+	settleTerm = 8 * clock.Second
 )
 
 // Measure runs the deployment under load and returns what the far ends saw.
@@ -185,7 +187,11 @@
 	if _, err := c.InForce(ctx, v.Revision, settleMost); err != nil {
 		return err
 	}
-	return c.Led(ctx, views.Shards, settleMost)
+	if err := c.Led(ctx, views.Shards, settleMost); err != nil {
+		return err
+	}
+	r.Clock.Sleep(ctx, settleTerm)
+	return nil
 }
 
 var trainerNames = []string{"fraud", "coach", "hints"}
--- a/croftmoor/feed/try.go
+++ b/croftmoor/feed/try.go
@@ -13,6 +13,7 @@
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/conf"
 	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/place"
 	"croftmoor.dev/kernel/steps"
 	"croftmoor.dev/kernel/trail"
 )
@@ -70,7 +71,7 @@
 	answer, err := f.Gen.Generate(ctx, gener.Request{
 		ID: ident.RequestID(t.id()), Service: t.service, Adapter: t.book.trainer, Prompt: t.attempt.Prompt,
 		Seed: fmt.Sprintf("%d.%d", spec.Step, t.attempt.Slot), Most: spec.MaxTokens,
-		Priority: t.priority, First: t.first, Part: t.progress,
+		Priority: t.priority, First: t.first, Part: t.progress, Move: t.move,
 	})
 	if err != nil {
 		return nil, err
@@ -92,6 +93,35 @@
 	return t.step.ledger.Progress(t.attempt, t.tokens, sample.Oldest())
 }
 
+// move tells whether the rest of the sample is expected sooner on another
+// engine. Lengths are long-tailed: an answer that has outgrown what was
+// expected is taken to be about half done.
+func (t *try) move(s gener.Standing) bool {
+	b := t.book
+	b.mu.Lock()
+	last := t.step.ledger.Missing() == 0
+	b.mu.Unlock()
+	if !last {
+		return false
+	}
+	f := b.feed
+	spec := &t.step.ledger.Spec
+	left := f.lengths.Expect(t.attempt.Prompt) - s.Tokens
+	if left < s.Tokens/2 {
+		left = min(s.Tokens, spec.MaxTokens-s.Tokens)
+	}
+	query := b.query(b.policy(), t.trainer, t.service)
+	moving := place.Moving{Last: last, Left: left, Rate: s.Rate, Other: f.Pool.BestRate(query, s.Server), Moves: s.Moves}
+	if !b.policy().Move(moving) {
+		return false
+	}
+	f.Trail.Add(trail.Decision{
+		ID: t.id(), Action: trail.Place, Choice: "elsewhere", RunnerUp: string(s.Server.Name),
+		Reason: fmt.Sprintf("about %d tokens left, %.0f/s here, %.0f/s elsewhere", left, s.Rate, moving.Other),
+	})
+	return true
+}
+
 // questionWire and gradeWire are the JSON forms of grading.
 type questionWire struct {
 	ID     string
--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -22,8 +22,13 @@
 // Kind classifies the errors of this package.
 type Kind string
 
-// Unwanted means that the receiver gave the request up.
-const Unwanted Kind = "Unwanted"
+// Kinds of errors.
+const (
+	// Unwanted means that the receiver gave the request up.
+	Unwanted Kind = "Unwanted"
+	// Moved means that the rest is to be made on another engine.
+	Moved Kind = "Moved"
+)
 
 // LivePriority is the priority of live requests at the engines, above all
 // priorities of rollouts.
@@ -45,6 +50,18 @@
 	First *pool.Server
 	// Part is called with each run of tokens; false gives the request up.
 	Part func(Part) bool
+	// Move is asked after each part whether the rest is better made elsewhere;
+	// it may be nil.
+	Move func(Standing) bool
+}
+
+// Standing is how far an answer is.
+type Standing struct {
+	Server *pool.Server
+	Tokens ident.Tokens
+	// Rate is the tokens a second that this server gave lately; 0 if not known.
+	Rate  float64
+	Moves int
 }
 
 // Part is a run of tokens of one version.
@@ -75,6 +92,8 @@
 	// stallTerm is how long a started answer may be silent.
 	stallTerm = 8 * clock.Second
 	tryPause  = 20 * clock.Millis(1)
+	// rateSpan is the least span over which a rate is taken.
+	rateSpan  = 150 * clock.Millis(1)
 	retryTerm = 500 * clock.Millis(1)
 )
 
@@ -86,13 +105,18 @@
 	answer  Answer
 	tried   []ident.BackendName
 	started bool
+	moves   int
+	// since and base are when the server's first part came and how many tokens
+	// there were then.
+	since clock.Millis
+	base  ident.Tokens
 }
 
 // Generate returns the whole answer, or a refusal.
 func (g *Generator) Generate(ctx context.Context, request Request) (Answer, error) {
 	r := &run{Generator: g, request: request}
 	var last error
-	for try := range maxTries {
+	for try := range maxTries + r.maxMoves() {
 		server, ok := r.pick(try)
 		if !ok {
 			break
@@ -145,7 +169,7 @@
 	done, err = r.read(readCtx, cancel, server)
 	now := r.Clock.Mono()
 	server.Release(now, now-began, done)
-	givenUp := ctx.Err() != nil || fault.KindOf[Kind](err) == Unwanted
+	givenUp := ctx.Err() != nil || fault.KindOf[Kind](err) != ""
 	if !done && !givenUp {
 		r.tried = append(r.tried, server.Name)
 		if server.Breaker.Failed(now) {
@@ -155,6 +179,14 @@
 	return done, err
 }
 
+// maxMoves is how many tries may be moves; they are on top of the failures.
+func (r *run) maxMoves() int {
+	if r.request.Move == nil {
+		return 0
+	}
+	return maxTries
+}
+
 func (r *run) read(ctx context.Context, cancel context.CancelFunc, server *pool.Server) (bool, error) {
 	events, err := r.Engine.Complete(ctx, server.Address(), engine.Completion{
 		ID: r.request.ID, Adapter: r.request.Adapter, Prompt: r.request.Prompt, Seed: r.request.Seed,
@@ -165,6 +197,7 @@
 	}
 	defer events.Close()
 	r.started = true
+	r.since = 0
 	stall := r.Clock.AfterFunc(stallTerm, cancel)
 	defer stall.Stop()
 	for {
@@ -205,7 +238,31 @@
 	if r.request.Part != nil && !r.request.Part(part) {
 		return false, fault.New("gener.take", Unwanted, "given up by the receiver")
 	}
-	return false, nil
+	return false, r.considerMove(server)
+}
+
+// considerMove notes the server's speed and asks the receiver whether the rest
+// is better made elsewhere.
+func (r *run) considerMove(server *pool.Server) error {
+	now := r.Clock.Mono()
+	if r.since == 0 {
+		r.since, r.base = now, r.answer.Tokens
+		return nil
+	}
+	span := now - r.since
+	if span < rateSpan {
+		return nil
+	}
+	got := r.answer.Tokens - r.base
+	server.NoteSpeed(got, span, r.request.Service.Slots)
+	r.since, r.base = now, r.answer.Tokens
+	standing := Standing{Server: server, Tokens: r.answer.Tokens, Rate: float64(got) / span.Duration().Seconds(), Moves: r.moves}
+	if r.request.Move == nil || !r.request.Move(standing) {
+		return nil
+	}
+	r.moves++
+	r.tried = append(r.tried, server.Name)
+	return fault.New("gener.considerMove", Moved, "the rest is expected sooner elsewhere")
 }
 
 // addSpan joins an event's tokens to the spans so far.
--- a/croftmoor/home/home.go
+++ b/croftmoor/home/home.go
@@ -57,10 +57,13 @@
 type cell struct {
 	mu    sync.Mutex
 	shard once.Shard
-	// leads is since when this instance leads the shard, and leased when the
-	// backup last confirmed it, both on the monotonic clock.
-	leads  clock.Millis
+	// The times below are on the monotonic clock. yields is when the primary
+	// before may last have had its lease confirmed, leased when the backup last
+	// confirmed this instance's own, acked when this instance last confirmed
+	// its primary's or got its state.
+	yields clock.Millis
 	leased clock.Millis
+	acked  clock.Millis
 }
 
 const (
@@ -90,15 +93,26 @@
 	for i := range h.shards {
 		c := &h.shards[i]
 		c.mu.Lock()
-		led := c.shard.View().Primary == h.Self
+		before := c.shard.View()
+		hadState := c.shard.HasState()
 		c.shard.OnView(state.Views.Views[i], now)
-		if !led && c.shard.View().Primary == h.Self {
-			c.leads = h.Clock.Mono()
+		if before.Primary != h.Self && c.shard.View().Primary == h.Self {
+			c.yields = h.lastLease(c, before, hadState)
 		}
 		c.mu.Unlock()
 	}
 }
 
+// lastLease returns when the primary before may last have had its lease
+// confirmed: by this instance, if it was the backup and had the state, since
+// the primary then asked nobody else; else up to now.
+func (h *Home) lastLease(c *cell, before views.View, hadState bool) clock.Millis {
+	if before.Backup == h.Self && hadState {
+		return c.acked
+	}
+	return h.Clock.Mono()
+}
+
 // NewFlight numbers a try of this instance's.
 func (h *Home) NewFlight() int64 {
 	return h.flights.Add(1)
@@ -199,6 +213,7 @@
 	c := &h.shards[record.Shard]
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.acked = h.Clock.Mono()
 	return c.shard.Record(record.Op, record.From)
 }
 
@@ -210,6 +225,7 @@
 	c := &h.shards[install.Snapshot.Shard]
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.acked = h.Clock.Mono()
 	return c.shard.Install(install.Snapshot, install.From)
 }
 
--- a/croftmoor/home/lease.go
+++ b/croftmoor/home/lease.go
@@ -16,7 +16,7 @@
 // platform's log is out:
 //
 //	primary: confirms with the backup at time t; may act until t + Term - Longest
-//	backup:  promoted at time u; acts from u + Term on
+//	backup:  last confirmed at time u; once promoted, acts from u + Term on
 //
 // Every act ends within Longest, so the two never overlap as long as both
 // clocks run at about the same rate. The epoch of the view is the fencing
@@ -40,10 +40,10 @@
 	c.mu.Lock()
 	view := c.shard.View()
 	able := view.Primary == h.Self && c.shard.HasState() && !c.shard.NeedsInstall()
-	leads, leased := c.leads, c.leased
+	yields, leased := c.yields, c.leased
 	c.mu.Unlock()
 	now := h.Clock.Mono()
-	if !able || now < leads+LeaseTerm {
+	if !able || now < yields+LeaseTerm {
 		return 0, false
 	}
 	if now-leased >= renewBefore {
--- a/croftmoor/keeper/keeper.go
+++ b/croftmoor/keeper/keeper.go
@@ -22,6 +22,7 @@
 	"croftmoor.dev/kernel/fold"
 	"croftmoor.dev/kernel/httpc"
 	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/place"
 	"croftmoor.dev/kernel/trail"
 )
 
@@ -58,6 +59,7 @@
 	mu     sync.Mutex
 	orders map[target]clock.Millis
 	newest map[ident.Trainer]ident.Version
+	rounds int
 }
 
 // target is one adapter on one engine.
@@ -88,7 +90,12 @@
 		return
 	}
 	asked := false
-	for _, trainer := range state.Conf.Trainers() {
+	trainers := state.Conf.Trainers()
+	k.rounds++
+	for i := range trainers {
+		// Each round begins with another trainer, so that none waits for ever
+		// while the orders under way are at their limit.
+		trainer := trainers[(i+k.rounds)%len(trainers)]
 		role := rolePrefix + string(trainer.Service)
 		fence, held := k.Leaser.Lease(ctx, role)
 		service, ok := state.Conf.Service(trainer.Service)
@@ -99,17 +106,33 @@
 			k.askStore(ctx)
 			asked = true
 		}
-		k.reconcile(ctx, trainer.Name, service, role, fence)
+		policy, err := place.Policies.New(trainer.Placement)
+		if err != nil {
+			continue
+		}
+		count := policy.Carriers(len(k.Pool.Servers(service.Name)), sharing(trainers, service.Name))
+		k.reconcile(ctx, trainer.Name, service, role, fence, count)
+	}
+}
+
+// sharing counts the trainers of a service.
+func sharing(trainers []conf.Trainer, service ident.Service) int {
+	n := 0
+	for _, t := range trainers {
+		if t.Service == service {
+			n++
+		}
 	}
+	return n
 }
 
-// reconcile orders the newest version where an engine runs an older one, at
-// no more engines at once than the service allows.
-func (k *Keeper) reconcile(ctx context.Context, trainer ident.Trainer, service conf.Service, role string, fence ident.Fence) {
+// reconcile orders the newest version where a carrier of the trainer's weights
+// runs an older one, at no more engines at once than the service allows.
+func (k *Keeper) reconcile(ctx context.Context, trainer ident.Trainer, service conf.Service, role string, fence ident.Fence, count int) {
 	want := k.wanted(trainer)
 	now := k.Clock.Mono()
-	for _, server := range k.Pool.Servers(service.Name) {
-		if want == 0 || server.Version(trainer) >= want || !server.Usable(now) {
+	for _, server := range k.Pool.Carriers(service.Name, trainer, count) {
+		if want == 0 || server.Version(trainer) >= want {
 			continue
 		}
 		if !k.begin(target{server.Name, trainer}, service.SwapsAtOnce, now) {
--- a/croftmoor/pool/pool.go
+++ b/croftmoor/pool/pool.go
@@ -4,6 +4,7 @@
 package pool
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -52,7 +53,9 @@
 	report   Report
 	received clock.Millis
 	work     float64
-	seen     map[ident.Trainer]sighting
+	// speed is the tokens a second that one sequence would get alone.
+	speed float64
+	seen  map[ident.Trainer]sighting
 }
 
 // Pool holds the servers of all services. Set the exported fields before Run.
@@ -233,6 +236,7 @@
 			usable = append(usable, s)
 		}
 	}
+	relateSpeeds(candidates)
 	policy := p.policy(q.Service.Policy)
 	request := route.Request{ID: q.ID, Zone: p.Zone, Work: meanWork(usable), Crossing: p.Crossing}
 	choice := policy.Pick(request, candidates, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
@@ -247,6 +251,38 @@
 	return server, runnerUp, choice.Reason
 }
 
+// BestRate returns the highest rate that one more sequence is expected to get
+// at a server that the query allows, other than the given one.
+func (p *Pool) BestRate(q Query, not *Server) float64 {
+	best := 0.0
+	now := p.Clock.Mono()
+	for _, s := range p.Servers(q.Service.Name) {
+		if s == not || p.Fleet.MarkedLeaving(string(s.Name)) {
+			continue
+		}
+		if _, ok := s.candidate(q, now); ok {
+			best = max(best, s.Rate(q.Service.Slots))
+		}
+	}
+	return best
+}
+
+// Carriers returns the servers that carry a trainer's weights: so many of the
+// usable ones by rendezvous hashing, so that instances agree without asking.
+func (p *Pool) Carriers(service ident.Service, trainer ident.Trainer, count int) []*Server {
+	now := p.Clock.Mono()
+	var usable []*Server
+	for _, s := range p.Servers(service) {
+		if s.Usable(now) {
+			usable = append(usable, s)
+		}
+	}
+	slices.SortFunc(usable, func(a, b *Server) int {
+		return cmp.Compare(ident.Hash(string(trainer), string(b.Name)), ident.Hash(string(trainer), string(a.Name)))
+	})
+	return usable[:min(count, len(usable))]
+}
+
 func (p *Pool) policy(name string) route.Policy {
 	if known, ok := p.policies.Load(name); ok {
 		policy, _ := known.(route.Policy)
@@ -261,6 +297,22 @@
 	return policy
 }
 
+// relateSpeeds divides the known speeds by their mean.
+func relateSpeeds(candidates []route.Candidate) {
+	sum, n := 0.0, 0.0
+	for _, c := range candidates {
+		if c.Speed > 0 {
+			sum += c.Speed
+			n++
+		}
+	}
+	for i := range candidates {
+		if n > 0 {
+			candidates[i].Speed /= sum / n
+		}
+	}
+}
+
 func meanWork(servers []*Server) clock.Millis {
 	sum, n := 0.0, 0.0
 	for _, s := range servers {
--- a/croftmoor/pool/server.go
+++ b/croftmoor/pool/server.go
@@ -59,7 +59,7 @@
 	c := route.Candidate{
 		Name: s.Name, Zone: s.Zone, Own: s.own, Slots: q.Service.Slots, Weight: weight,
 		Reported: s.report.Running + s.report.Waiting, OwnThen: s.ownThen,
-		ReportAge: now - s.received, HasReport: s.received > 0,
+		ReportAge: now - s.received, HasReport: s.received > 0, Speed: s.speed,
 	}
 	if slices.Contains(s.report.Cached, q.Family) {
 		c.Cached = 1
@@ -129,6 +129,33 @@
 	s.seen[trainer] = sighting{version: version, at: now}
 }
 
+// speedBlend weighs a new observation of the speed against the mean so far.
+const speedBlend = 0.1
+
+// NoteSpeed notes that a sequence got so many tokens in a span. What it would
+// have got alone is inferred from the load, since batching shares the engine.
+func (s *Server) NoteSpeed(tokens ident.Tokens, span clock.Millis, slots int) {
+	if span <= 0 || tokens <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	share := 1 + float64(s.believedLoad())/float64(max(slots, 1))
+	alone := float64(tokens) / span.Duration().Seconds() * share
+	if s.speed == 0 {
+		s.speed = alone
+	}
+	s.speed = s.speed*(1-speedBlend) + alone*speedBlend
+}
+
+// Rate returns the tokens a second that one more sequence is expected to get;
+// 0 if nothing is known.
+func (s *Server) Rate(slots int) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.speed / (1 + float64(s.believedLoad()+1)/float64(max(slots, 1)))
+}
+
 // Version returns the version of a trainer's weights that the server is
 // believed to run.
 func (s *Server) Version(trainer ident.Trainer) ident.Version {
--- a/kernel/place/place.go
+++ b/kernel/place/place.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/plug"
@@ -36,6 +37,11 @@
 	Most(l Limits) int
 	// Behind is how many versions an engine may be behind and still get a sample.
 	Behind(l Limits) ident.Version
+	// Carriers is how many of the engines carry one trainer's weights, when so
+	// many trainers share them.
+	Carriers(engines, trainers int) int
+	// Move tells whether an answer is better finished on another engine.
+	Move(m Moving) bool
 	// Priority is the engine priority of samples, given how many open steps of
 	// the trainer come before.
 	Priority(stepsBefore int) int
@@ -57,8 +63,52 @@
 	Policies.Register(Arrival, func() Policy { return arrival{} })
 }
 
+// Moving describes an answer that is being made, and the best other engine.
+type Moving struct {
+	// Last tells that no sample of its step is missing any more, so that the
+	// step ends with the answers that are being made.
+	Last bool
+	// Left is how many more tokens are expected.
+	Left ident.Tokens
+	// Rate is the tokens a second that the answer gets, Other what it would get.
+	Rate  float64
+	Other float64
+	// Moves is how often it was moved before.
+	Moves int
+}
+
+const (
+	// spread is how many times its even share of the engines a trainer's
+	// weights are on. More smooths the load, fewer are swapped sooner.
+	spread = 1.5
+	// leastCarriers keeps a trainer supplied when an engine fails.
+	leastCarriers = 2
+	// moveCost is the time that a move takes, in seconds; moveGain is the share
+	// of the remaining time that it must save; maxMoves bounds moves.
+	moveCost = 0.15
+	moveGain = 0.25
+	maxMoves = 2
+)
+
 type longest struct{}
 
+// Carriers gives each trainer somewhat more than its even share: weights reach
+// fewer engines sooner under the store's rate limit.
+func (longest) Carriers(engines, trainers int) int {
+	even := spread * float64(engines) / float64(max(trainers, 1))
+	return min(engines, max(leastCarriers, int(math.Ceil(even))))
+}
+
+// Move moves the last answers of a step when that is expected to pay.
+func (longest) Move(m Moving) bool {
+	if !m.Last || m.Moves >= maxMoves || m.Rate <= 0 || m.Other <= m.Rate {
+		return false
+	}
+	stay := float64(m.Left) / m.Rate
+	move := float64(m.Left)/m.Other + moveCost
+	return stay-move > moveGain*stay
+}
+
 // Compare puts the longer one first: a step ends with its last sample.
 func (longest) Compare(a, b Slot) int {
 	return cmp.Or(cmp.Compare(b.Expect, a.Expect), cmp.Compare(a.Index, b.Index))
@@ -88,6 +138,12 @@
 
 type arrival struct{}
 
+// Carriers puts the weights on all engines.
+func (arrival) Carriers(engines, _ int) int { return engines }
+
+// Move never moves.
+func (arrival) Move(Moving) bool { return false }
+
 // Compare keeps the order of the slots.
 func (arrival) Compare(a, b Slot) int { return cmp.Compare(a.Index, b.Index) }
 
--- a/kernel/route/balanced.go
+++ b/kernel/route/balanced.go
@@ -72,6 +72,9 @@
 func Cost(request Request, c *Candidate, meanOthers float64) float64 {
 	load := float64(c.Own) + others(c, meanOthers)
 	work := float64(max(request.Work, 1)) * (1 - cacheGain*c.Cached)
+	if c.Speed > 0 {
+		work /= c.Speed
+	}
 	cost := work * (1 + load/float64(max(c.Slots, 1)))
 	if over := load + 1 - float64(c.Slots); over > 0 {
 		cost += work * over / float64(max(c.Slots, 1))
--- a/kernel/route/route.go
+++ b/kernel/route/route.go
@@ -26,6 +26,9 @@
 	Slots int
 	// Weight is 0 for an ejected server and grows to 1 after its return.
 	Weight float64
+	// Speed is the observed speed relative to the mean of all, corrected for
+	// load; 0 means not known.
+	Speed float64
 	// Cached is the believed share of the prompt's prefix in its cache.
 	Cached float64
 }
