Live lanes, loads by the report's own moment, versions with a margin

Whole steps were made twice: they were placed at the edge of the staleness bound, and the trainer published once more before the hand-over; moves ignored the bound. Starts waited for up to 0.5 s because a late load report was compared with the own requests of today. A step that was all made still counted as one before. Change: kernel/lanes keeps live requests on just enough engines; the load of others is taken against the own requests at the report's moment; a sample is placed with a margin of the publications expected before its hand-over; moves keep to the bound; weights are carried by engines outside the live lane; no slot is kept free at an engine, since live requests go first there.

--- a/croftmoor/feed/book.go
+++ b/croftmoor/feed/book.go
@@ -166,8 +166,8 @@
 	}
 }
 
-// needed returns the earliest step with a missing slot, and how many open
-// steps come before it.
+// needed returns the earliest step with a missing slot, and how many steps
+// before it are still being made.
 func (b *book) needed() (s *step, before int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -176,7 +176,7 @@
 		if b.steps[number].ledger.Missing() > 0 {
 			return b.steps[number], before
 		}
-		if !b.steps[number].ledger.Complete() {
+		if b.steps[number].ledger.Running() > 0 {
 			before++
 		}
 	}
@@ -192,7 +192,8 @@
 		return false
 	}
 	policy := b.policy()
-	server, runnerUp, reason := f.Pool.Pick(b.query(policy, trainer, service))
+	query := b.query(policy, trainer, service, before)
+	server, runnerUp, reason := f.Pool.Pick(query)
 	if server == nil {
 		return false
 	}
@@ -203,12 +204,12 @@
 	}
 	b.mu.Unlock()
 	if !ok {
-		server.Release(f.Clock.Mono(), 0, false)
+		server.Release(f.Clock, 0, false)
 		return false
 	}
 	t := &try{
 		book: b, step: s, attempt: attempt, trainer: trainer, service: service, first: server,
-		priority: policy.Priority(before),
+		priority: policy.Priority(before), least: query.Least,
 	}
 	f.Trail.Add(trail.Decision{
 		ID: t.id(), Action: trail.Place, Choice: string(server.Name), RunnerUp: string(runnerUp), Reason: reason,
@@ -240,14 +241,14 @@
 
 // query asks for a server that the policy allows: not too loaded, and fresh
 // enough for the trainer's weighing of idle time against staleness.
-func (b *book) query(policy place.Policy, trainer conf.Trainer, service conf.Service) pool.Query {
+func (b *book) query(policy place.Policy, trainer conf.Trainer, service conf.Service, before int) pool.Query {
 	limits := place.Limits{
 		Slots: service.Slots, Reserve: service.LiveReserve, Bound: trainer.StalenessBound, IdleWeight: trainer.IdleWeight,
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return pool.Query{
-		Service: service, Trainer: b.trainer, Least: max(0, b.newest-policy.Behind(limits)), Most: policy.Most(limits),
+		Service: service, Trainer: b.trainer, Least: max(0, b.newest-policy.Behind(limits, before)), Most: policy.Most(limits),
 	}
 }
 
--- a/croftmoor/feed/try.go
+++ b/croftmoor/feed/try.go
@@ -26,6 +26,8 @@
 	trainer conf.Trainer
 	service conf.Service
 	first   *pool.Server
+	// least is the oldest version that the attempt may be made with.
+	least ident.Version
 	// priority is the attempt's at the engines.
 	priority int
 
@@ -71,7 +73,7 @@
 	answer, err := f.Gen.Generate(ctx, gener.Request{
 		ID: ident.RequestID(t.id()), Service: t.service, Adapter: t.book.trainer, Prompt: t.attempt.Prompt,
 		Seed: fmt.Sprintf("%d.%d", spec.Step, t.attempt.Slot), Most: spec.MaxTokens,
-		Priority: t.priority, First: t.first, Part: t.progress, Move: t.move,
+		Priority: t.priority, Least: t.least, First: t.first, Part: t.progress, Move: t.move,
 	})
 	if err != nil {
 		return nil, err
@@ -110,7 +112,7 @@
 	if left < s.Tokens/2 {
 		left = min(s.Tokens, spec.MaxTokens-s.Tokens)
 	}
-	query := b.query(b.policy(), t.trainer, t.service)
+	query := b.query(b.policy(), t.trainer, t.service, 0)
 	moving := place.Moving{Last: last, Left: left, Rate: s.Rate, Other: f.Pool.BestRate(query, s.Server), Moves: s.Moves}
 	if !b.policy().Move(moving) {
 		return false
--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -115,6 +115,9 @@
 // Generate returns the whole answer, or a refusal.
 func (g *Generator) Generate(ctx context.Context, request Request) (Answer, error) {
 	r := &run{Generator: g, request: request}
+	if request.Priority == LivePriority {
+		defer g.Pool.Live(request.Service.Name)()
+	}
 	var last error
 	for try := range maxTries + r.maxMoves() {
 		server, ok := r.pick(try)
@@ -141,11 +144,11 @@
 	}
 	query := pool.Query{
 		ID: r.request.ID, Service: r.request.Service, Family: guess.Family(r.request.Prompt),
-		Not: r.tried, Trainer: r.request.Adapter, Least: r.request.Least,
+		Not: r.tried, Trainer: r.request.Adapter, Least: r.request.Least, Live: r.request.Priority == LivePriority,
 	}
 	server, runnerUp, reason := r.Pool.Pick(query)
-	if server == nil && (len(r.tried) > 0 || query.Least > 0) {
-		query.Not, query.Least = nil, 0
+	if server == nil && len(r.tried) > 0 {
+		query.Not = nil
 		server, runnerUp, reason = r.Pool.Pick(query)
 	}
 	if server == nil {
@@ -168,7 +171,7 @@
 	defer cancel()
 	done, err = r.read(readCtx, cancel, server)
 	now := r.Clock.Mono()
-	server.Release(now, now-began, done)
+	server.Release(r.Clock, now-began, done)
 	givenUp := ctx.Err() != nil || fault.KindOf[Kind](err) != ""
 	if !done && !givenUp {
 		r.tried = append(r.tried, server.Name)
--- a/croftmoor/pool/pool.go
+++ b/croftmoor/pool/pool.go
@@ -18,6 +18,7 @@
 	"croftmoor.dev/kernel/eject"
 	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/lanes"
 	"croftmoor.dev/kernel/route"
 )
 
@@ -50,6 +51,7 @@
 	leaving  bool
 	own      int
 	ownThen  int
+	past     history
 	report   Report
 	received clock.Millis
 	work     float64
@@ -72,6 +74,8 @@
 	Period clock.Millis
 	// Subset is how many servers of a service this instance uses.
 	Subset int
+	// Instances tells how many instances share the load.
+	Instances func() int
 
 	services sync.Map
 	policies sync.Map
@@ -84,9 +88,13 @@
 	pollersAtOne = 32
 )
 
-// set is the servers of one service.
+// set is the servers of one service. The width of the live lane is guarded by mu.
 type set struct {
 	list atomic.Pointer[[]*Server]
+	live atomic.Int64
+
+	mu    sync.Mutex
+	width lanes.Width
 }
 
 // Run follows the fleet and polls loads until ctx ends.
@@ -217,12 +225,48 @@
 	Least   ident.Version
 	// Most leaves out servers whose load is believed to reach it; 0 is no limit.
 	Most int
+	// Live tells a live request from a rollout.
+	Live bool
 }
 
 // Pick chooses a server by the service's policy and counts the request there.
 // The caller must call Release on it. It returns nil if there is none.
 func (p *Pool) Pick(q Query) (server *Server, runnerUp ident.BackendName, reason string) {
+	policy := p.policy(q.Service.Policy)
 	servers := p.Servers(q.Service.Name)
+	if policy.Lanes() && q.Service.Kind == conf.Model {
+		if server, runnerUp, reason = p.pickFrom(policy, q, p.lane(q, servers)); server != nil {
+			return server, runnerUp, reason
+		}
+	}
+	return p.pickFrom(policy, q, servers)
+}
+
+// lane returns the servers that a request of the query's kind is kept on.
+func (p *Pool) lane(q Query, servers []*Server) []*Server {
+	now := p.Clock.Mono()
+	ranked := p.ranked(q.Service.Name, "lane")
+	s := p.set(q.Service.Name)
+	s.mu.Lock()
+	width := s.width.Engines(int(s.live.Load()), p.Instances(), len(ranked), q.Service.Slots, now)
+	s.mu.Unlock()
+	if len(ranked) == 0 {
+		return servers
+	}
+	if !q.Live {
+		return ranked[width:]
+	}
+	return slices.DeleteFunc(ranked[:width], func(s *Server) bool { return s.full(q.Service.Slots) })
+}
+
+// Live counts a live request of a service until done is called.
+func (p *Pool) Live(service ident.Service) (done func()) {
+	s := p.set(service)
+	s.live.Add(1)
+	return func() { s.live.Add(-1) }
+}
+
+func (p *Pool) pickFrom(policy route.Policy, q Query, servers []*Server) (server *Server, runnerUp ident.BackendName, reason string) {
 	now := p.Clock.Mono()
 	candidates := make([]route.Candidate, 0, len(servers))
 	usable := make([]*Server, 0, len(servers))
@@ -237,7 +281,6 @@
 		}
 	}
 	relateSpeeds(candidates)
-	policy := p.policy(q.Service.Policy)
 	request := route.Request{ID: q.ID, Zone: p.Zone, Work: meanWork(usable), Crossing: p.Crossing}
 	choice := policy.Pick(request, candidates, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	if choice.Index < 0 {
@@ -247,7 +290,7 @@
 		runnerUp = usable[choice.RunnerUp].Name
 	}
 	server = usable[choice.Index]
-	server.acquire()
+	server.acquire(p.Clock.Now())
 	return server, runnerUp, choice.Reason
 }
 
@@ -256,7 +299,11 @@
 func (p *Pool) BestRate(q Query, not *Server) float64 {
 	best := 0.0
 	now := p.Clock.Mono()
-	for _, s := range p.Servers(q.Service.Name) {
+	servers := p.Servers(q.Service.Name)
+	if p.policy(q.Service.Policy).Lanes() {
+		servers = p.lane(q, servers)
+	}
+	for _, s := range servers {
 		if s == not || p.Fleet.MarkedLeaving(string(s.Name)) {
 			continue
 		}
@@ -267,9 +314,27 @@
 	return best
 }
 
-// Carriers returns the servers that carry a trainer's weights: so many of the
+// Carriers returns the servers that carry a trainer's weights: some of the
 // usable ones by rendezvous hashing, so that instances agree without asking.
-func (p *Pool) Carriers(service ident.Service, trainer ident.Trainer, count int) []*Server {
+// Servers that are kept for live requests carry none if there are others. Many
+// tells how many of so many servers are wanted.
+func (p *Pool) Carriers(service conf.Service, trainer ident.Trainer, many func(servers int) int) []*Server {
+	usable := p.ranked(service.Name, string(trainer))
+	if p.policy(service.Policy).Lanes() {
+		others := p.lane(Query{Service: service}, usable)
+		if len(others) >= leastOthers {
+			usable = rank(others, string(trainer))
+		}
+	}
+	return usable[:min(many(len(usable)), len(usable))]
+}
+
+// leastOthers is the least number of servers outside the live lane that are
+// left to carry weights by themselves.
+const leastOthers = 2
+
+// ranked returns the usable servers in an order that depends on the key alone.
+func (p *Pool) ranked(service ident.Service, key string) []*Server {
 	now := p.Clock.Mono()
 	var usable []*Server
 	for _, s := range p.Servers(service) {
@@ -277,10 +342,14 @@
 			usable = append(usable, s)
 		}
 	}
-	slices.SortFunc(usable, func(a, b *Server) int {
-		return cmp.Compare(ident.Hash(string(trainer), string(b.Name)), ident.Hash(string(trainer), string(a.Name)))
+	return rank(usable, key)
+}
+
+func rank(servers []*Server, key string) []*Server {
+	slices.SortFunc(servers, func(a, b *Server) int {
+		return cmp.Compare(ident.Hash(key, string(b.Name)), ident.Hash(key, string(a.Name)))
 	})
-	return usable[:min(count, len(usable))]
+	return servers
 }
 
 func (p *Pool) policy(name string) route.Policy {
--- a/croftmoor/pool/server.go
+++ b/croftmoor/pool/server.go
@@ -38,7 +38,7 @@
 	defer s.mu.Unlock()
 	s.report = report
 	s.received = now
-	s.ownThen = s.own
+	s.ownThen = s.past.at(report.At, s.own)
 }
 
 // candidate describes the server to a policy; it reports false if the server
@@ -72,16 +72,26 @@
 	return s.own + max(s.report.Running+s.report.Waiting-s.ownThen, 0)
 }
 
-func (s *Server) acquire() {
+// full tells whether the server is believed to have no free slot.
+func (s *Server) full(slots int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.believedLoad() >= slots
+}
+
+func (s *Server) acquire(wall clock.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.own++
+	s.past.note(wall, s.own)
 }
 
 // Release ends a request at the server. Took is its time if it succeeded.
-func (s *Server) Release(now, took clock.Millis, ok bool) {
+func (s *Server) Release(c *clock.Clock, took clock.Millis, ok bool) {
+	now := c.Mono()
 	s.mu.Lock()
 	s.own--
+	s.past.note(c.Now(), s.own)
 	if ok {
 		if s.work == 0 {
 			s.work = float64(took)
--- a/kernel/place/place.go
+++ b/kernel/place/place.go
@@ -35,8 +35,9 @@
 	// Most is the load that an engine may be believed to have and still get a
 	// sample; 0 is no limit.
 	Most(l Limits) int
-	// Behind is how many versions an engine may be behind and still get a sample.
-	Behind(l Limits) ident.Version
+	// Behind is how many versions an engine may be behind and still get a
+	// sample, given how many open steps of the trainer come before its step.
+	Behind(l Limits, stepsBefore int) ident.Version
 	// Carriers is how many of the engines carry one trainer's weights, when so
 	// many trainers share them.
 	Carriers(engines, trainers int) int
@@ -114,17 +115,19 @@
 	return cmp.Or(cmp.Compare(b.Expect, a.Expect), cmp.Compare(a.Index, b.Index))
 }
 
-// Most leaves the reserve to live callers and lets no sample queue.
-func (longest) Most(l Limits) int {
-	return max(1, int(float64(l.Slots)*(1-l.Reserve)))
-}
+// Most lets no sample queue at an engine. Live requests need no slot left free,
+// since they go before samples there.
+func (longest) Most(l Limits) int { return l.Slots }
 
 // rounding makes a whole number of the weighed bound.
 const rounding = 0.5
 
-// Behind allows the whole bound at weight 1 and only the newest version at 0.
-func (longest) Behind(l Limits) ident.Version {
-	return ident.Version(float64(l.Bound)*l.IdleWeight + rounding)
+// Behind allows the whole bound at weight 1 and only the newest version at 0,
+// less what the trainer will probably have published by the hand-over: one
+// version, and one for each step before.
+func (longest) Behind(l Limits, stepsBefore int) ident.Version {
+	weighed := ident.Version(float64(l.Bound)*l.IdleWeight + rounding)
+	return max(0, min(weighed, l.Bound-1-ident.Version(stepsBefore)))
 }
 
 // mostPriority is the priority of the step that a trainer waits for; it stays
@@ -151,7 +154,7 @@
 func (arrival) Most(Limits) int { return 0 }
 
 // Behind sets no limit.
-func (arrival) Behind(l Limits) ident.Version { return l.Bound }
+func (arrival) Behind(l Limits, _ int) ident.Version { return l.Bound }
 
 // Priority is the same for all steps.
 func (arrival) Priority(int) int { return 0 }
--- a/kernel/route/balanced.go
+++ b/kernel/route/balanced.go
@@ -111,3 +111,6 @@
 	}
 	return sum / n
 }
+
+// Lanes is true.
+func (balanced) Lanes() bool { return true }
--- a/kernel/route/route.go
+++ b/kernel/route/route.go
@@ -56,6 +56,9 @@
 // Policy chooses among candidates. Implementations are safe for concurrent use.
 type Policy interface {
 	Pick(request Request, candidates []Candidate, random *rand.Rand) Choice
+	// Lanes tells whether live requests and rollouts are kept on engines of
+	// their own as far as there is room (see package lanes).
+	Lanes() bool
 }
 
 // Policies holds the policies by the name that configuration uses.
--- a/kernel/steps/steps.go
+++ b/kernel/steps/steps.go
@@ -137,6 +137,11 @@
 	return l.missing
 }
 
+// Running returns how many slots have an attempt running.
+func (l *Ledger) Running() int {
+	return l.running
+}
+
 // Complete tells whether the trainer holds every slot.
 func (l *Ledger) Complete() bool {
 	return l.held == len(l.slots)
