--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LINT_VERSION := v2.12.2
 LINT := $(CURDIR)/.tools/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build test race lint demo fuzz clean
+.PHONY: build test race models fuzz lint demo bench experiment experiment-short clean
 
 build:
 	@mkdir -p bin
@@ -25,8 +25,27 @@
 	@test -z "$$(gofmt -l $(MODULES))" || { echo "not formatted:"; gofmt -l $(MODULES); exit 1; }
 	@for m in $(MODULES); do (cd $$m && $(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
+# Longer runs of the state machine models than plain tests make.
+models:
+	@cd kernel && go test ./once ./steps -run 'Once' -rapid.checks=20000 -rapid.steps=100
+
+fuzz:
+	@cd kernel && go test ./conf -run '^$$' -fuzz FuzzParse -fuzztime 5s
+	@cd kernel && go test ./fold -run '^$$' -fuzz FuzzDecodeState -fuzztime 5s
+
 demo: build
 	bin/croftload demo
 
+# What croftmoor itself spends.
+bench: build
+	@for m in kernel croftmoor; do (cd $$m && go test -run '^$$' -bench . -benchtime 0.5s ./... | grep -v 'no test files') || exit 1; done
+	bin/croftload costs
+
+experiment: build
+	bin/croftload experiment --seed 1 --seed 2 --seed 3 --plot docs/idle.svg
+
+experiment-short: build
+	bin/croftload experiment --deployment Paynest --scenario Calm --policy Croftmoor --policy Random --seconds 6
+
 clean:
 	rm -rf bin .tools demo-report.json experiment-report.json
--- a/croftload/main.go
+++ b/croftload/main.go
@@ -13,6 +13,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 
+	"croftmoor.dev/croftload/costs"
 	"croftmoor.dev/croftload/demo"
 	"croftmoor.dev/croftload/exper"
 	"croftmoor.dev/kernel/clock"
@@ -65,7 +66,21 @@
 	return exper.Table(os.Stdout, rows)
 }
 
+type costsCommand struct {
+	Bin string `long:"bin" default:"bin" description:"folder of the programs"`
+}
+
+// Execute measures and prints.
+func (c *costsCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	m := costs.Costs{Bin: c.Bin, Dir: filepath.Join(os.TempDir(), fmt.Sprintf("croftmoor-costs-%d", os.Getpid())), Out: os.Stdout, Clock: clock.New()}
+	return m.Run(ctx)
+}
+
 type commands struct {
+	Costs costsCommand `command:"costs" description:"measure what croftmoor itself spends"`
+
 	Experiment experimentCommand `command:"experiment" alias:"compare" description:"measure policies on the same load, faults and seeds"`
 
 	Demo demoCommand `command:"demo" description:"run the main job once, with faults, and report"`
--- /dev/null
+++ b/croftmoor/peers/peers_test.go
@@ -0,0 +1,146 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sourcegraph/conc"
+
+	"croftmoor.dev/croftmoor/refuse"
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/fleet"
+	"croftmoor.dev/kernel/fold"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/once"
+	"croftmoor.dev/kernel/steps"
+)
+
+// echo answers like an instance that leads nothing.
+type echo struct {
+	open Open
+}
+
+func (*echo) ClaimHere(_ context.Context, r once.Request) (once.Entry, error) {
+	if r.ID == "refused" {
+		return once.Entry{}, fault.New("test", once.NotPrimary, "led by b")
+	}
+	return once.Entry{ID: r.ID, Status: once.Done, Runner: r.Runner, Flight: r.Flight, Answer: once.Answer{Status: 200, Body: []byte("x")}}, nil
+}
+func (*echo) RecordHere(Record) error                           { return fault.New("test", once.OldEpoch, "moved on") }
+func (*echo) InstallHere(Install) error                         { return nil }
+func (*echo) SettleHere(context.Context, once.Settlement) error { return nil }
+func (e *echo) OpenHere(_ context.Context, o Open) error        { e.open = o; return nil }
+func (*echo) PublishHere(Publication)                           {}
+func (*echo) PullHere(context.Context, Pull) (Pulled, error) {
+	return Pulled{}, refuse.New("test", refuse.StepUnknown, "not open", "open it")
+}
+
+// countingListener counts the bytes of its connections.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{Conn: conn, bytes: l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// pair starts a server and returns a client of it and the bytes between them.
+func pair(t testing.TB, e *echo) (*Client, *atomic.Int64) {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	news := func() News { return News{Instance: "b-1~12345678", UpTo: 123456, Revision: 123400} }
+	server := &Server{Reader: &fold.Reader{}, Shards: e, Feeder: e, News: news, Heard: func(News) {}}
+	ctx, stop := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	bytes := &atomic.Int64{}
+	group.Go(func() { _ = server.Run(ctx, countingListener{Listener: listener, bytes: bytes}) })
+	t.Cleanup(func() { stop(); group.Wait() })
+	table := &fleet.Table{Clock: clock.New()}
+	table.Set([]fleet.Member{{Name: "b-1", Kind: fleet.Entry, Peer: ident.Address(listener.Addr().String()), State: fleet.Live}})
+	return NewClient(table), bytes
+}
+
+func assertKind[K ~string](t *testing.T, err error, want K) {
+	t.Helper()
+	if got := fault.KindOf[K](err); got != want {
+		t.Fatalf("%v has kind %q, want %q", err, got, want)
+	}
+}
+
+func TestCalls(t *testing.T) {
+	ctx := context.Background()
+	e := &echo{}
+	client, _ := pair(t, e)
+	t.Run("entries and errors keep their meaning", func(t *testing.T) {
+		entry, err := client.Claim(ctx, "b-1", once.Request{ID: "x", Runner: "a", Flight: 7})
+		if err != nil || entry.Flight != 7 || string(entry.Answer.Body) != "x" {
+			t.Fatalf("%+v %v", entry, err)
+		}
+		_, err = client.Claim(ctx, "b-1", once.Request{ID: "refused"})
+		assertKind(t, err, once.NotPrimary)
+		assertKind(t, client.Record(ctx, "b-1", Record{}), once.OldEpoch)
+	})
+	t.Run("refusals to trainers cross", func(t *testing.T) {
+		_, err := client.Pull(ctx, "b-1", Pull{})
+		if r := refuse.Of(err); r.Kind != refuse.StepUnknown || r.Do != "open it" {
+			t.Fatalf("%+v", r)
+		}
+	})
+	t.Run("steps cross with their samples", func(t *testing.T) {
+		var have steps.Set
+		have.Add(9)
+		spans := []steps.Span{{Version: 2, Tokens: 5}, {Version: 3, Tokens: 1}}
+		open := Open{Spec: steps.Spec{Trainer: "t", Prompts: []string{"p"}, GroupSize: 2}, Have: have, Ready: []*steps.Sample{{ID: "s", Spans: spans}}}
+		if err := client.Open(ctx, "b-1", open); err != nil {
+			t.Fatal(err)
+		}
+		if !e.open.Have.Has(9) || e.open.Ready[0].Spans[1].Version != 3 {
+			t.Fatalf("%+v", e.open)
+		}
+	})
+	t.Run("a peer that is not listed is unreachable", func(t *testing.T) {
+		_, err := client.Ping(ctx, "c-1", News{})
+		assertKind(t, err, Unreachable)
+		if !strings.Contains(err.Error(), "not on the platform's list") {
+			t.Fatal(err)
+		}
+	})
+}
+
+func BenchmarkPing(b *testing.B) {
+	client, bytes := pair(b, &echo{})
+	news := News{Instance: "a-1~12345678", UpTo: 123456, Revision: 123400}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := client.Ping(context.Background(), "b-1", news); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "bytes/ping")
+}
--- a/kernel/clock/clock.go
+++ b/kernel/clock/clock.go
@@ -108,3 +108,9 @@
 func (c *Clock) AfterFunc(span Millis, do func()) *time.Timer {
 	return time.AfterFunc(span.Duration(), do)
 }
+
+// Precise returns monotonic time in milliseconds with a fraction, for
+// measurements of short spans.
+func (c *Clock) Precise() float64 {
+	return float64(time.Since(c.started).Nanoseconds()) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/kernel/steps/bench_test.go
@@ -0,0 +1,39 @@
+package steps
+
+import (
+	"fmt"
+	"testing"
+
+	"croftmoor.dev/kernel/ident"
+)
+
+// bigSpec is a step of 4,096 samples.
+func bigSpec() Spec {
+	s := Spec{Trainer: "t", Step: 1, GroupSize: 4, MaxTokens: 1024, Bound: 2}
+	for i := range 1024 {
+		s.Prompts = append(s.Prompts, fmt.Sprintf("family-%d|prompt %d", i%32, i))
+	}
+	return s
+}
+
+func BenchmarkStepOf4096(b *testing.B) {
+	spec := bigSpec()
+	b.ReportAllocs()
+	for b.Loop() {
+		l := Open(spec, Set{}, func(p string) ident.Tokens { return ident.Tokens(len(p)) }, byLength(b))
+		var have Set
+		for {
+			a, ok := l.Next()
+			if !ok {
+				break
+			}
+			l.Fill(a, sampleOf(a, 1))
+		}
+		for !l.Complete() {
+			for _, s := range l.Hand(have, 1, 256) {
+				have.Add(s.Slot)
+			}
+			l.Hand(have, 1, 0)
+		}
+	}
+}
