Engines that play dead in the EngineCrash scenario

Cause: EngineCrash counted 31 to 55 broken promises for every policy: what a killed engine had made could not be compared with the labels any more. Change: the scenario has the engine drop all connections for good and keep its record. Conclusion: a fault of the measurement, not of labels.

--- a/croftfake/engine/engine.go
+++ b/croftfake/engine/engine.go
@@ -53,6 +53,7 @@
 	fence    int64
 	slow     float64
 	partial  int
+	down     bool
 	cache    []string
 	reports  []Load
 	orders   []Order
--- a/croftload/exper/scene.go
+++ b/croftload/exper/scene.go
@@ -68,8 +68,12 @@
 	return "engine-" + r.Deployment.Zones[0] + "-1"
 }
 
-func crashEngine(_ context.Context, r *Run) error {
-	r.cluster.Proc(r.firstEngine()).Kill()
+// crashEngine has an engine play dead for good. It is not killed, so that what
+// it made can still be compared with the labels.
+func crashEngine(ctx context.Context, r *Run) error {
+	if err := r.cluster.EngineFaults(ctx, r.firstEngine(), engine.Faults{Down: true}); err != nil {
+		return err
+	}
 	return r.cluster.Unlist(r.firstEngine())
 }
 
