Live requests under bursts: no lanes, less pull of caches and speeds

Instances chose alike: all engines believed to have a prompt cached were always compared, and a cached prompt was taken to save 0.3 of the work where prefill is about a tenth; the observed speed drew all live requests to the engines that looked fastest; rollouts that a live request passes counted as load. Change: kernel/lanes is reverted; one cached candidate, at a gain of 0.1; two candidates in place of three; live requests only shun slow engines; their load is capped at the slots and their own live requests are spread; a live answer at less than half of the rate elsewhere moves once.

--- a/croftmoor/calls/calls.go
+++ b/croftmoor/calls/calls.go
@@ -145,7 +145,7 @@
 	answer, err := c.client.Do(tryCtx, call)
 	now := c.Clock.Mono()
 	how := judge(answer, err)
-	server.Release(c.Clock, now-began, how == answered)
+	server.Release(c.Clock, false, now-began, how == answered)
 	if how == answered {
 		return Answer{Status: answer.Status, ContentType: answer.Header(typeHeader), Body: answer.Body, Backend: server.Name}, how, nil
 	}
--- a/croftmoor/feed/book.go
+++ b/croftmoor/feed/book.go
@@ -204,7 +204,7 @@
 	}
 	b.mu.Unlock()
 	if !ok {
-		server.Release(f.Clock, 0, false)
+		server.Release(f.Clock, false, 0, false)
 		return false
 	}
 	t := &try{
--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -115,8 +115,8 @@
 // Generate returns the whole answer, or a refusal.
 func (g *Generator) Generate(ctx context.Context, request Request) (Answer, error) {
 	r := &run{Generator: g, request: request}
-	if request.Priority == LivePriority {
-		defer g.Pool.Live(request.Service.Name)()
+	if r.live() && request.Move == nil {
+		r.request.Move = r.moveLive
 	}
 	var last error
 	for try := range maxTries + r.maxMoves() {
@@ -144,7 +144,7 @@
 	}
 	query := pool.Query{
 		ID: r.request.ID, Service: r.request.Service, Family: guess.Family(r.request.Prompt),
-		Not: r.tried, Trainer: r.request.Adapter, Least: r.request.Least, Live: r.request.Priority == LivePriority,
+		Not: r.tried, Trainer: r.request.Adapter, Least: r.request.Least, Live: r.live(),
 	}
 	server, runnerUp, reason := r.Pool.Pick(query)
 	if server == nil && len(r.tried) > 0 {
@@ -171,7 +171,7 @@
 	defer cancel()
 	done, err = r.read(readCtx, cancel, server)
 	now := r.Clock.Mono()
-	server.Release(r.Clock, now-began, done)
+	server.Release(r.Clock, r.live(), now-began, done)
 	givenUp := ctx.Err() != nil || fault.KindOf[Kind](err) != ""
 	if !done && !givenUp {
 		r.tried = append(r.tried, server.Name)
@@ -182,6 +182,25 @@
 	return done, err
 }
 
+// live tells a live request from a rollout.
+func (r *run) live() bool {
+	return r.request.Priority == LivePriority
+}
+
+// moveLive moves a live answer, once, that gets less than half of the rate that
+// it would get elsewhere: its engine has become slow, and it has a deadline.
+func (r *run) moveLive(s Standing) bool {
+	query := pool.Query{Service: r.request.Service, Live: true}
+	if s.Moves > 0 || 2*s.Rate >= r.Pool.BestRate(query, s.Server) {
+		return false
+	}
+	r.Trail.Add(trail.Decision{
+		ID: string(r.request.ID), Action: trail.Retry, Choice: "elsewhere", RunnerUp: string(s.Server.Name),
+		Reason: "less than half of the rate elsewhere",
+	})
+	return true
+}
+
 // maxMoves is how many tries may be moves; they are on top of the failures.
 func (r *run) maxMoves() int {
 	if r.request.Move == nil {
--- a/croftmoor/keeper/keeper.go
+++ b/croftmoor/keeper/keeper.go
@@ -110,9 +110,8 @@
 		if err != nil {
 			continue
 		}
-		sharers := sharing(trainers, service.Name)
-		carriers := k.Pool.Carriers(service, trainer.Name, func(servers int) int { return policy.Carriers(servers, sharers) })
-		k.reconcile(ctx, trainer.Name, service, role, fence, carriers)
+		count := policy.Carriers(len(k.Pool.Servers(service.Name)), sharing(trainers, service.Name))
+		k.reconcile(ctx, trainer.Name, service, role, fence, count)
 	}
 }
 
@@ -129,10 +128,10 @@
 
 // reconcile orders the newest version where a carrier of the trainer's weights
 // runs an older one, at no more engines at once than the service allows.
-func (k *Keeper) reconcile(ctx context.Context, trainer ident.Trainer, service conf.Service, role string, fence ident.Fence, carriers []*pool.Server) {
+func (k *Keeper) reconcile(ctx context.Context, trainer ident.Trainer, service conf.Service, role string, fence ident.Fence, count int) {
 	want := k.wanted(trainer)
 	now := k.Clock.Mono()
-	for _, server := range carriers {
+	for _, server := range k.Pool.Carriers(service.Name, trainer, count) {
 		if want == 0 || server.Version(trainer) >= want {
 			continue
 		}
--- a/croftmoor/pool/pool.go
+++ b/croftmoor/pool/pool.go
@@ -18,7 +18,6 @@
 	"croftmoor.dev/kernel/eject"
 	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/ident"
-	"croftmoor.dev/kernel/lanes"
 	"croftmoor.dev/kernel/route"
 )
 
@@ -50,6 +49,7 @@
 	address  ident.Address
 	leaving  bool
 	own      int
+	ownLive  int
 	ownThen  int
 	past     history
 	report   Report
@@ -74,8 +74,6 @@
 	Period clock.Millis
 	// Subset is how many servers of a service this instance uses.
 	Subset int
-	// Instances tells how many instances share the load.
-	Instances func() int
 
 	services sync.Map
 	policies sync.Map
@@ -88,13 +86,9 @@
 	pollersAtOne = 32
 )
 
-// set is the servers of one service. The width of the live lane is guarded by mu.
+// set is the servers of one service.
 type set struct {
 	list atomic.Pointer[[]*Server]
-	live atomic.Int64
-
-	mu    sync.Mutex
-	width lanes.Width
 }
 
 // Run follows the fleet and polls loads until ctx ends.
@@ -234,39 +228,6 @@
 func (p *Pool) Pick(q Query) (server *Server, runnerUp ident.BackendName, reason string) {
 	policy := p.policy(q.Service.Policy)
 	servers := p.Servers(q.Service.Name)
-	if policy.Lanes() && q.Service.Kind == conf.Model {
-		if server, runnerUp, reason = p.pickFrom(policy, q, p.lane(q, servers)); server != nil {
-			return server, runnerUp, reason
-		}
-	}
-	return p.pickFrom(policy, q, servers)
-}
-
-// lane returns the servers that a request of the query's kind is kept on.
-func (p *Pool) lane(q Query, servers []*Server) []*Server {
-	now := p.Clock.Mono()
-	ranked := p.ranked(q.Service.Name, "lane")
-	s := p.set(q.Service.Name)
-	s.mu.Lock()
-	width := s.width.Engines(int(s.live.Load()), p.Instances(), len(ranked), q.Service.Slots, now)
-	s.mu.Unlock()
-	if len(ranked) == 0 {
-		return servers
-	}
-	if !q.Live {
-		return ranked[width:]
-	}
-	return slices.DeleteFunc(ranked[:width], func(s *Server) bool { return s.full(q.Service.Slots) })
-}
-
-// Live counts a live request of a service until done is called.
-func (p *Pool) Live(service ident.Service) (done func()) {
-	s := p.set(service)
-	s.live.Add(1)
-	return func() { s.live.Add(-1) }
-}
-
-func (p *Pool) pickFrom(policy route.Policy, q Query, servers []*Server) (server *Server, runnerUp ident.BackendName, reason string) {
 	now := p.Clock.Mono()
 	candidates := make([]route.Candidate, 0, len(servers))
 	usable := make([]*Server, 0, len(servers))
@@ -281,7 +242,7 @@
 		}
 	}
 	relateSpeeds(candidates)
-	request := route.Request{ID: q.ID, Zone: p.Zone, Work: meanWork(usable), Crossing: p.Crossing}
+	request := route.Request{ID: q.ID, Zone: p.Zone, Work: meanWork(usable), Crossing: p.Crossing, Live: q.Live}
 	choice := policy.Pick(request, candidates, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	if choice.Index < 0 {
 		return nil, "", choice.Reason
@@ -290,7 +251,7 @@
 		runnerUp = usable[choice.RunnerUp].Name
 	}
 	server = usable[choice.Index]
-	server.acquire(p.Clock.Now())
+	server.acquire(q.Live, p.Clock.Now())
 	return server, runnerUp, choice.Reason
 }
 
@@ -300,9 +261,6 @@
 	best := 0.0
 	now := p.Clock.Mono()
 	servers := p.Servers(q.Service.Name)
-	if p.policy(q.Service.Policy).Lanes() {
-		servers = p.lane(q, servers)
-	}
 	for _, s := range servers {
 		if s == not || p.Fleet.MarkedLeaving(string(s.Name)) {
 			continue
@@ -314,27 +272,9 @@
 	return best
 }
 
-// Carriers returns the servers that carry a trainer's weights: some of the
+// Carriers returns the servers that carry a trainer's weights: so many of the
 // usable ones by rendezvous hashing, so that instances agree without asking.
-// Servers that are kept for live requests carry none if there are others. Many
-// tells how many of so many servers are wanted.
-func (p *Pool) Carriers(service conf.Service, trainer ident.Trainer, many func(servers int) int) []*Server {
-	usable := p.ranked(service.Name, string(trainer))
-	if p.policy(service.Policy).Lanes() {
-		others := p.lane(Query{Service: service}, usable)
-		if len(others) >= leastOthers {
-			usable = rank(others, string(trainer))
-		}
-	}
-	return usable[:min(many(len(usable)), len(usable))]
-}
-
-// leastOthers is the least number of servers outside the live lane that are
-// left to carry weights by themselves.
-const leastOthers = 2
-
-// ranked returns the usable servers in an order that depends on the key alone.
-func (p *Pool) ranked(service ident.Service, key string) []*Server {
+func (p *Pool) Carriers(service ident.Service, trainer ident.Trainer, count int) []*Server {
 	now := p.Clock.Mono()
 	var usable []*Server
 	for _, s := range p.Servers(service) {
@@ -342,14 +282,15 @@
 			usable = append(usable, s)
 		}
 	}
-	return rank(usable, key)
+	rank(usable, string(trainer))
+	return usable[:min(count, len(usable))]
 }
 
-func rank(servers []*Server, key string) []*Server {
+// rank orders servers by rendezvous hashing for a key.
+func rank(servers []*Server, key string) {
 	slices.SortFunc(servers, func(a, b *Server) int {
 		return cmp.Compare(ident.Hash(key, string(b.Name)), ident.Hash(key, string(a.Name)))
 	})
-	return servers
 }
 
 func (p *Pool) policy(name string) route.Policy {
--- a/croftmoor/pool/pool_bench_test.go
+++ b/croftmoor/pool/pool_bench_test.go
@@ -29,7 +29,6 @@
 	table.Set(members)
 	p := &Pool{
 		Fleet: table, Reporter: noReports{}, Clock: clock.New(), Self: "a-1", Zone: "zone-1", Subset: subset,
-		Instances: func() int { return 400 },
 	}
 	p.follow()
 	return p
@@ -43,7 +42,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				server, _, _ := p.Pick(Query{ID: "x", Service: service, Live: true})
-				server.Release(p.Clock, 1, true)
+				server.Release(p.Clock, true, 1, true)
 			}
 		})
 	}
--- a/croftmoor/pool/server.go
+++ b/croftmoor/pool/server.go
@@ -57,7 +57,7 @@
 		return route.Candidate{}, false
 	}
 	c := route.Candidate{
-		Name: s.Name, Zone: s.Zone, Own: s.own, Slots: q.Service.Slots, Weight: weight,
+		Name: s.Name, Zone: s.Zone, Own: s.own, OwnLive: s.ownLive, Slots: q.Service.Slots, Weight: weight,
 		Reported: s.report.Running + s.report.Waiting, OwnThen: s.ownThen,
 		ReportAge: now - s.received, HasReport: s.received > 0, Speed: s.speed,
 	}
@@ -72,25 +72,25 @@
 	return s.own + max(s.report.Running+s.report.Waiting-s.ownThen, 0)
 }
 
-// full tells whether the server is believed to have no free slot.
-func (s *Server) full(slots int) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.believedLoad() >= slots
-}
-
-func (s *Server) acquire(wall clock.Millis) {
+func (s *Server) acquire(live bool, wall clock.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.own++
+	if live {
+		s.ownLive++
+	}
 	s.past.note(wall, s.own)
 }
 
-// Release ends a request at the server. Took is its time if it succeeded.
-func (s *Server) Release(c *clock.Clock, took clock.Millis, ok bool) {
+// Release ends a request at the server. Live is as it was in the query, and
+// took is the request's time if it succeeded.
+func (s *Server) Release(c *clock.Clock, live bool, took clock.Millis, ok bool) {
 	now := c.Mono()
 	s.mu.Lock()
 	s.own--
+	if live {
+		s.ownLive--
+	}
 	s.past.note(c.Now(), s.own)
 	if ok {
 		if s.work == 0 {
@@ -140,7 +140,7 @@
 }
 
 // speedBlend weighs a new observation of the speed against the mean so far.
-const speedBlend = 0.1
+const speedBlend = 0.25
 
 // NoteSpeed notes that a sequence got so many tokens in a span. What it would
 // have got alone is inferred from the load, since batching shares the engine.
--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -247,7 +247,6 @@
 	i.pool = &pool.Pool{
 		Fleet: i.fleet, Reporter: protocol, Clock: i.clock, Self: c.Instance, Zone: c.Zone,
 		Crossing: c.Crossing, Period: c.LoadPeriod, Subset: c.Subset,
-		Instances: func() int { return len(i.health.Live()) },
 	}
 	i.calls = &calls.Caller{Self: i.self, Pool: i.pool, Claimer: i.home, Clock: i.clock, Trail: decisions}
 	gen := &gener.Generator{Pool: i.pool, Engine: protocol, Clock: i.clock, Trail: decisions}
--- a/kernel/route/balanced.go
+++ b/kernel/route/balanced.go
@@ -14,10 +14,12 @@
 	// reportHalfLife is the age at which a report counts half.
 	reportHalfLife = 2 * clock.Second
 	// cacheGain is the share of a request's work that a whole cached prompt saves.
-	cacheGain = 0.3
+	cacheGain = 0.1
+	// liveSpread weighs an own live request there when the request is live.
+	liveSpread = 2.0
 	// sampled is how many candidates are compared. Comparing a few at random
 	// keeps instances that saw the same stale report from choosing alike.
-	sampled = 3
+	sampled = 2
 )
 
 func init() {
@@ -51,8 +53,8 @@
 	return choice
 }
 
-// sample returns a few random candidates, and those that believe to have the
-// prompt cached.
+// sample returns a few random candidates, and one more that is believed to have
+// the prompt cached. With all of those, instances would choose alike.
 func sample(_ Request, candidates []Candidate, open []int, random *rand.Rand) []int {
 	if len(open) <= sampled {
 		return open
@@ -61,7 +63,7 @@
 	chosen := open[:sampled]
 	for _, i := range open[sampled:] {
 		if candidates[i].Cached > 0 {
-			chosen = append(chosen, i)
+			return append(chosen, i)
 		}
 	}
 	return chosen
@@ -71,12 +73,17 @@
 // candidate, given the mean load that other instances cause.
 func Cost(request Request, c *Candidate, meanOthers float64) float64 {
 	load := float64(c.Own) + others(c, meanOthers)
+	if request.Live {
+		// A live request waits for no rollout, so that beyond full slots only
+		// other live requests count; those of other instances are spread alike.
+		load = min(load, float64(c.Slots)) + liveSpread*float64(c.OwnLive)
+	}
 	work := float64(max(request.Work, 1)) * (1 - cacheGain*c.Cached)
 	if c.Speed > 0 {
-		work /= c.Speed
+		work /= speedOf(request, c)
 	}
 	cost := work * (1 + load/float64(max(c.Slots, 1)))
-	if over := load + 1 - float64(c.Slots); over > 0 {
+	if over := load + 1 - float64(c.Slots); over > 0 && !request.Live {
 		cost += work * over / float64(max(c.Slots, 1))
 	}
 	if c.Zone != request.Zone {
@@ -85,6 +92,15 @@
 	return cost
 }
 
+// speedOf returns the candidate's speed. Live requests only shun slow servers:
+// if all instances went for those that look fast, these would be full.
+func speedOf(request Request, c *Candidate) float64 {
+	if request.Live {
+		return min(c.Speed, 1)
+	}
+	return c.Speed
+}
+
 func others(c *Candidate, mean float64) float64 {
 	if !c.HasReport {
 		return mean
@@ -111,6 +127,3 @@
 	}
 	return sum / n
 }
-
-// Lanes is true.
-func (balanced) Lanes() bool { return true }
--- a/kernel/route/basic.go
+++ b/kernel/route/basic.go
@@ -56,12 +56,3 @@
 	}
 	return choice
 }
-
-// Lanes is false: all engines serve all requests.
-func (randomPolicy) Lanes() bool { return false }
-
-// Lanes is false: all engines serve all requests.
-func (*roundRobin) Lanes() bool { return false }
-
-// Lanes is false: all engines serve all requests.
-func (leastReported) Lanes() bool { return false }
--- a/kernel/route/route.go
+++ b/kernel/route/route.go
@@ -16,6 +16,8 @@
 	Zone ident.Zone
 	// Own is how many requests of this instance run there now.
 	Own int
+	// OwnLive is how many of them are live.
+	OwnLive int
 	// Reported is how many requests the server said it had, ReportAge ago;
 	// OwnThen is how many of them were this instance's.
 	Reported  int
@@ -41,6 +43,8 @@
 	Work clock.Millis
 	// Crossing is the one-way latency to another availability zone.
 	Crossing clock.Millis
+	// Live tells that the request goes before rollouts at an engine.
+	Live bool
 }
 
 // Choice is the decision. Index is -1 if no candidate can be used.
@@ -56,9 +60,6 @@
 // Policy chooses among candidates. Implementations are safe for concurrent use.
 type Policy interface {
 	Pick(request Request, candidates []Candidate, random *rand.Rand) Choice
-	// Lanes tells whether live requests and rollouts are kept on engines of
-	// their own as far as there is room (see package lanes).
-	Lanes() bool
 }
 
 // Policies holds the policies by the name that configuration uses.
