Settlements in the background, engine state carried on moves, trainer stand-in

Cause: a call's answer, also a refusal, waited for its settlement, up to 3 s when the shard's primary had died: a request that was given up on must be answered at once. Callers could name classes at will, which grew the table of budgets and gave each name a budget of its own. A move needed a prefill at the next engine. The engine stand-in lacked export and import of its state, roles, and gaps in its cache events, and the trainer was no program. Change: settlements run in the background and are waited for on a planned stop; while the log is silent a claim that fails is refused at once; unknown classes count as Default; engine.Protocol.Carry passes the state on; the stand-ins are completed; croftfake trainer.

--- a/croftfake/engine/engine.go
+++ b/croftfake/engine/engine.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 
@@ -38,6 +39,8 @@
 	LoadLag clock.Millis
 	// MeanLength is the mean length of answers in tokens.
 	MeanLength int
+	// CacheGaps is the share of load reports that leave the cache out.
+	CacheGaps float64
 	// ChecksFence makes orders with an old fencing number be refused.
 	ChecksFence bool
 
@@ -54,6 +57,8 @@
 	slow     float64
 	partial  int
 	down     bool
+	role     string
+	imported map[string]int
 	cache    []string
 	reports  []Load
 	orders   []Order
@@ -79,6 +84,7 @@
 	Versions []AdapterVersion
 	// Cached lists prompt families in the cache.
 	Cached []string
+	Role   string
 	At     int64
 }
 
@@ -88,11 +94,29 @@
 	Version int64
 }
 
-// Order tells the engine to load a version of an adapter.
+// Order tells the engine to load a version of an adapter, or to take a role.
+// An engine in the role Live takes no rollouts, one in the role Rollout no live
+// requests, and one without a role takes both.
 type Order struct {
 	Fence   int64
 	Adapter string
 	Version int64
+	Role    string
+}
+
+// Roles.
+const (
+	LiveRole    = "Live"
+	RolloutRole = "Rollout"
+	// livePriority is the least priority that counts as live.
+	livePriority = 10
+)
+
+// KV is the state of a sequence on its way to another engine.
+type KV struct {
+	ID     string
+	Prompt string
+	Tokens int
 }
 
 type sequence struct {
@@ -126,6 +150,7 @@
 	e.versions = map[string]int64{}
 	e.claimed = map[string]int64{}
 	e.made = map[string][]Made{}
+	e.imported = map[string]int{}
 	e.slow = 1
 	e.faults.Clock = e.Clock
 	e.watcher.Clock = e.Clock
@@ -182,6 +207,10 @@
 
 // prefill returns the tokens' worth of time before the first token.
 func (e *Engine) prefill(s *sequence) float64 {
+	if tokens, ok := e.imported[s.request.ID]; ok && tokens >= s.next {
+		delete(e.imported, s.request.ID)
+		return 0
+	}
 	family := guess.Family(s.request.Prompt)
 	cost := float64(e.Prefill) / float64(clock.Second) * e.Rate
 	at := slices.Index(e.cache, family)
@@ -245,7 +274,10 @@
 func (e *Engine) report() {
 	load := Load{
 		Running: len(e.running), Waiting: len(e.waiting), Slots: e.Slots, Draining: e.faults.Now().Draining,
-		Cached: slices.Clone(e.cache), At: int64(e.Clock.Now()),
+		Role: e.role, At: int64(e.Clock.Now()),
+	}
+	if rand.Float64() >= e.CacheGaps {
+		load.Cached = slices.Clone(e.cache)
 	}
 	for adapter, version := range e.claimed {
 		load.Versions = append(load.Versions, AdapterVersion{Adapter: adapter, Version: version})
@@ -280,6 +312,37 @@
 	return s
 }
 
+// takes tells whether the engine's role lets it take a request.
+func (e *Engine) takes(r Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	live := r.Priority >= livePriority
+	return e.role == "" || (live && e.role == LiveRole) || (!live && e.role == RolloutRole)
+}
+
+// export returns the state of a sequence that runs or waits here.
+func (e *Engine) export(id string) (KV, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range slices.Concat(e.running, e.waiting) {
+		if s.request.ID == id && !s.ended {
+			return KV{ID: id, Prompt: s.request.Prompt, Tokens: s.next}, true
+		}
+	}
+	return KV{}, false
+}
+
+// importKV takes the state of a sequence; memory for it is limited.
+func (e *Engine) importKV(kv KV) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.imported) >= e.CachePrompts {
+		return false
+	}
+	e.imported[kv.ID] = kv.Tokens
+	return true
+}
+
 // cancel ends a sequence whose receiver has gone.
 func (e *Engine) cancel(s *sequence) {
 	e.mu.Lock()
@@ -300,6 +363,11 @@
 	}
 	e.fence = max(e.fence, order.Fence)
 	e.orders = append(e.orders, order)
+	if order.Role != "" {
+		e.role = order.Role
+		e.mu.Unlock()
+		return true
+	}
 	e.mu.Unlock()
 	if e.Weights != "" {
 		if _, err := stand.Post(ctx, &e.client, e.Weights, "/fetch", struct{}{}); err != nil {
--- a/croftfake/engine/http.go
+++ b/croftfake/engine/http.go
@@ -5,10 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 
 	"github.com/gofiber/fiber/v3"
 
 	"croftmoor.dev/croftfake/stand"
+	"croftmoor.dev/kernel/clock"
 )
 
 // Request asks for a completion. The JSON names follow the usual form of
@@ -80,12 +82,37 @@
 		return c.JSON(e.laggingLoad())
 	})
 	app.Post("/orders", e.postOrder)
+	app.Get("/kv", e.getKV)
+	app.Post("/kv", e.postKV)
 	app.Post("/control/engine", e.postFaults)
 	app.Get("/control/stats", e.getStats)
 	app.Get("/control/made", e.getMade)
 	return app
 }
 
+// kvPause is the time that the state of a token takes to send.
+const kvPause = 0.1
+
+func (e *Engine) getKV(c fiber.Ctx) error {
+	kv, ok := e.export(strings.Clone(c.Query("ID")))
+	if e.isDown() || !ok {
+		return c.SendStatus(fiber.StatusNotFound)
+	}
+	e.Clock.Sleep(c.Context(), clock.Millis(kvPause*float64(kv.Tokens)))
+	return c.JSON(kv)
+}
+
+func (e *Engine) postKV(c fiber.Ctx) error {
+	var kv KV
+	if err := json.Unmarshal(c.Body(), &kv); err != nil {
+		return c.Status(fiber.StatusBadRequest).SendString(err.Error())
+	}
+	if e.isDown() || !e.importKV(kv) {
+		return c.Status(fiber.StatusInsufficientStorage).SendString("no room for the state")
+	}
+	return c.SendStatus(fiber.StatusOK)
+}
+
 func (e *Engine) postFaults(c fiber.Ctx) error {
 	var f Faults
 	if err := json.Unmarshal(c.Body(), &f); err != nil {
@@ -169,6 +196,9 @@
 	if err := json.Unmarshal(c.Body(), &w); err != nil {
 		return c.Status(fiber.StatusBadRequest).SendString(err.Error())
 	}
+	if !e.takes(requestFromWire(w)) {
+		return stand.RefuseNotRun(c, "not in this engine's role")
+	}
 	s := e.submit(requestFromWire(w))
 	ctx, stop := e.watcher.Watch(context.Background(), c.RequestCtx().Conn())
 	c.Set(fiber.HeaderContentType, "text/event-stream")
--- a/croftfake/main.go
+++ b/croftfake/main.go
@@ -4,6 +4,13 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os/signal"
+	"syscall"
+
 	"github.com/jessevdk/go-flags"
 
 	"croftmoor.dev/croftfake/engine"
@@ -12,8 +19,10 @@
 	"croftmoor.dev/croftfake/logsvc"
 	"croftmoor.dev/croftfake/plain"
 	"croftmoor.dev/croftfake/relay"
+	"croftmoor.dev/croftfake/train"
 	"croftmoor.dev/croftfake/weight"
 	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/start"
 )
 
@@ -89,6 +98,7 @@
 	CachePrompts int     `long:"cache-prompts" default:"32" description:"prompt families that the cache holds"`
 	LoadLag      int64   `long:"load-lag" default:"300" description:"milliseconds that load reports are old"`
 	MeanLength   int     `long:"mean-length" default:"60" description:"mean tokens of an answer"`
+	CacheGaps    float64 `long:"cache-gaps" description:"share of load reports that leave the cache out"`
 	ChecksFence  bool    `long:"checks-fence" description:"refuse orders with an old fencing number"`
 }
 
@@ -97,7 +107,7 @@
 	e := engine.Engine{
 		Listen: c.Listen, Name: c.Name, Clock: clock.New(), Weights: c.Weights, Slots: c.Slots, Rate: c.Rate,
 		HalfBatch: c.HalfBatch, Prefill: clock.Millis(c.Prefill), CachePrompts: c.CachePrompts,
-		LoadLag: clock.Millis(c.LoadLag), MeanLength: c.MeanLength, ChecksFence: c.ChecksFence,
+		LoadLag: clock.Millis(c.LoadLag), MeanLength: c.MeanLength, CacheGaps: c.CacheGaps, ChecksFence: c.ChecksFence,
 	}
 	return e.Run()
 }
@@ -114,7 +124,40 @@
 	return r.Run()
 }
 
+type trainerCommand struct {
+	Entry   []string `long:"entry" required:"true" description:"callers' address of an entry instance; may be given several times"`
+	Name    string   `long:"name" required:"true" description:"name of the trainer"`
+	Weights string   `long:"weights" required:"true" description:"address of the weight store"`
+	Groups  int      `long:"groups" default:"8" description:"prompts of a step"`
+	Size    int      `long:"group-size" default:"4" description:"samples of a prompt"`
+	Most    int      `long:"max-tokens" default:"256" description:"most tokens of a sample"`
+	Train   int64    `long:"train" default:"1000" description:"milliseconds that training on a step takes"`
+	Bound   int64    `long:"bound" default:"2" description:"staleness bound that was declared"`
+	Seed    int64    `long:"seed" default:"1" description:"seed of the prompts"`
+	Steps   int64    `long:"steps" default:"5" description:"steps to run; 0 runs until a signal"`
+}
+
+// Execute runs the trainer and prints what it counted.
+func (c *trainerCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	t := train.Trainer{
+		Pick:  func() ident.Address { return ident.Address(c.Entry[rand.IntN(len(c.Entry))]) },
+		Clock: clock.New(), Name: c.Name, Weights: c.Weights, Groups: c.Groups, GroupSize: c.Size, MaxTokens: c.Most,
+		Train: clock.Millis(c.Train), Bound: c.Bound, Seed: c.Seed, StepsMost: c.Steps,
+	}
+	t.Run(ctx)
+	report, err := json.MarshalIndent(t.Report(), "", "  ")
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(report))
+	return nil
+}
+
 type commands struct {
+	Trainer trainerCommand `command:"trainer" description:"a trainer"`
+
 	Log     logCommand     `command:"log" description:"the platform's log"`
 	List    listCommand    `command:"list" description:"the platform's list of instances"`
 	Weights weightsCommand `command:"weights" description:"the platform's weight store"`
--- a/croftload/drive/trainer.go
+++ b/croftfake/train/train.go
@@ -1,4 +1,6 @@
-package drive
+// Package train stands in for a trainer: it pulls the samples of its steps,
+// trains, publishes weights, and checks and counts all that it gets.
+package train
 
 import (
 	"context"
@@ -12,6 +14,7 @@
 	"croftmoor.dev/croftfake/weight"
 	"croftmoor.dev/croftfake/words"
 	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/httpc"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/steps"
@@ -21,10 +24,12 @@
 // goes on. While it trains, the next step is already open. Set the exported
 // fields before Run.
 type Trainer struct {
-	Balancer *Balancer
-	Clock    *clock.Clock
-	Name     string
-	Weights  string
+	// Pick returns the address of an entry instance, as the platform's balancer
+	// does; "" if there is none.
+	Pick    func() ident.Address
+	Clock   *clock.Clock
+	Name    string
+	Weights string
 	// Groups times GroupSize is the samples of a step.
 	Groups    int
 	GroupSize int
@@ -40,12 +45,12 @@
 	client  httpc.Client
 	version int64
 	mu      sync.Mutex
-	report  TrainerReport
+	report  Report
 	got     map[string][]steps.Span
 }
 
-// TrainerReport is what the trainer counted.
-type TrainerReport struct {
+// Report is what the trainer counted.
+type Report struct {
 	Steps       int64
 	Samples     int64
 	Duplicated  int64
@@ -98,6 +103,7 @@
 	pullMost    = 256
 	failPause   = 100 * clock.Millis(1)
 	firstStep   = 1
+	families    = 12
 )
 
 // Run runs steps until ctx ends or StepsMost are done.
@@ -113,7 +119,7 @@
 		idle := t.Clock.Mono()
 		whole := t.collect(ctx, step)
 		if step > firstStep {
-			t.add(func(r *TrainerReport) { r.IdleMillis += int64(t.Clock.Mono() - idle) })
+			t.add(func(r *Report) { r.IdleMillis += int64(t.Clock.Mono() - idle) })
 		} else {
 			// Nothing could be made before the first step was opened.
 			began = t.Clock.Mono()
@@ -126,19 +132,19 @@
 		}
 		t.Clock.Sleep(ctx, t.Train)
 		t.publish(ctx)
-		t.add(func(r *TrainerReport) { r.Steps++ })
+		t.add(func(r *Report) { r.Steps++ })
 	}
-	t.add(func(r *TrainerReport) { r.WallMillis = int64(t.Clock.Mono() - began) })
+	t.add(func(r *Report) { r.WallMillis = int64(t.Clock.Mono() - began) })
 }
 
-func (t *Trainer) add(change func(*TrainerReport)) {
+func (t *Trainer) add(change func(*Report)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	change(&t.report)
 }
 
 // Report returns the counts so far.
-func (t *Trainer) Report() TrainerReport {
+func (t *Trainer) Report() Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.report
@@ -163,7 +169,17 @@
 	}
 	body := struct{ Version int64 }{t.version}
 	// The next pull tells the version as well.
-	_, _ = post(ctx, &t.client, t.Balancer.Pick(), "/v1/trainers/"+t.Name+"/versions", nil, body)
+	_, _ = t.post(ctx, "versions", body)
+}
+
+// post sends one request through some instance.
+func (t *Trainer) post(ctx context.Context, what string, body any) (*httpc.Answer, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, fault.Wrap("train.post", stand.Failed, err, "unencodable body")
+	}
+	call := &httpc.Call{Address: t.Pick(), Method: http.MethodPost, Path: "/v1/trainers/" + t.Name + "/" + what, Body: data, Fresh: true}
+	return t.client.Do(ctx, call)
 }
 
 func (t *Trainer) prompts(step int64) []string {
@@ -182,7 +198,7 @@
 	}
 	for ctx.Err() == nil {
 		tryCtx, cancel := context.WithTimeout(ctx, pullTimeout.Duration())
-		answer, err := post(tryCtx, &t.client, t.Balancer.Pick(), "/v1/trainers/"+t.Name+"/steps", nil, body)
+		answer, err := t.post(tryCtx, "steps", body)
 		cancel()
 		if err == nil && answer.Status == http.StatusOK {
 			return
@@ -201,12 +217,12 @@
 		}
 		answer, reopen := t.pullOnce(ctx, step, have)
 		if reopen {
-			t.add(func(r *TrainerReport) { r.ReopenCount++ })
+			t.add(func(r *Report) { r.ReopenCount++ })
 			t.open(ctx, step, have)
 			continue
 		}
 		if answer == nil {
-			t.add(func(r *TrainerReport) { r.PullsFailed++ })
+			t.add(func(r *Report) { r.PullsFailed++ })
 			t.Clock.Sleep(ctx, failPause)
 			continue
 		}
@@ -221,7 +237,7 @@
 	}
 	tryCtx, cancel := context.WithTimeout(ctx, pullTimeout.Duration())
 	defer cancel()
-	raw, err := post(tryCtx, &t.client, t.Balancer.Pick(), "/v1/trainers/"+t.Name+"/pull", nil, body)
+	raw, err := t.post(tryCtx, "pull", body)
 	if err != nil {
 		return nil, false
 	}
--- a/croftload/demo/demo.go
+++ b/croftload/demo/demo.go
@@ -12,6 +12,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"croftmoor.dev/croftfake/train"
 	"croftmoor.dev/croftload/bench"
 	"croftmoor.dev/croftload/drive"
 	"croftmoor.dev/kernel/clock"
@@ -170,7 +171,7 @@
 type load struct {
 	live     *drive.Live
 	holds    *drive.Holds
-	trainers []*drive.Trainer
+	trainers []*train.Trainer
 }
 
 func (d *Demo) newLoad() *load {
@@ -186,8 +187,8 @@
 		},
 	}
 	for i, name := range []string{"fraud", "coach"} {
-		l.trainers = append(l.trainers, &drive.Trainer{
-			Balancer: balancer, Clock: d.Clock, Name: name, Weights: d.cluster.Proc("weights").Listening,
+		l.trainers = append(l.trainers, &train.Trainer{
+			Pick: balancer.Pick, Clock: d.Clock, Name: name, Weights: d.cluster.Proc("weights").Listening,
 			Groups: 8, GroupSize: 4, MaxTokens: 400, Train: trainTime, Bound: bench.DefaultBound, Seed: int64(i),
 		})
 	}
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -16,6 +16,7 @@
 
 	"croftmoor.dev/croftfake/engine"
 	"croftmoor.dev/croftfake/relay"
+	"croftmoor.dev/croftfake/train"
 	"croftmoor.dev/croftload/bench"
 	"croftmoor.dev/croftload/drive"
 	"croftmoor.dev/kernel/clock"
@@ -201,7 +202,7 @@
 	live     *drive.Live
 	checks   *drive.Holds
 	holds    *drive.Holds
-	trainers []*drive.Trainer
+	trainers []*train.Trainer
 }
 
 const holdRate = 20
@@ -225,8 +226,8 @@
 		holds:  plainCall("/hold", holdRate, 3),
 	}
 	for i, name := range trainerNames {
-		l.trainers = append(l.trainers, &drive.Trainer{
-			Balancer: balancer, Clock: r.Clock, Name: name, Weights: r.cluster.Proc("weights").Listening,
+		l.trainers = append(l.trainers, &train.Trainer{
+			Pick: balancer.Pick, Clock: r.Clock, Name: name, Weights: r.cluster.Proc("weights").Listening,
 			Groups: d.Groups, GroupSize: 4, MaxTokens: 250, Train: d.Train, Bound: int64(d.Bound), Seed: r.Seed*10 + int64(i),
 		})
 	}
--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -10,6 +10,7 @@
 
 	"croftmoor.dev/croftfake/engine"
 	"croftmoor.dev/croftfake/stand"
+	"croftmoor.dev/croftfake/train"
 	"croftmoor.dev/croftload/bench"
 	"croftmoor.dev/croftload/drive"
 	"croftmoor.dev/kernel/clock"
@@ -228,8 +229,8 @@
 		w.group.Go(func() { w.live.Run(ctx) })
 	}
 	for i, name := range a.words("Trainers") {
-		t := &drive.Trainer{
-			Balancer: balancer, Clock: w.clock, Name: name, Weights: w.cluster.Proc("weights").Listening,
+		t := &train.Trainer{
+			Pick: balancer.Pick, Clock: w.clock, Name: name, Weights: w.cluster.Proc("weights").Listening,
 			Groups: int(a.number(ts, "Groups", 6)), GroupSize: 4, MaxTokens: 300,
 			Train: clock.Millis(a.number(ts, "Train", 400)), Bound: a.number(ts, "Bound", bench.DefaultBound), Seed: int64(i),
 		}
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -9,6 +9,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"croftmoor.dev/croftfake/engine"
+	"croftmoor.dev/croftfake/train"
 	"croftmoor.dev/croftload/drive"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/ident"
@@ -130,7 +131,7 @@
 }
 
 // mixed counts the samples that name more than one version.
-func mixed(t *drive.Trainer) int {
+func mixed(t *train.Trainer) int {
 	n := 0
 	for _, spans := range t.Labels() {
 		if len(spans) > 1 {
--- a/croftload/proofs/world_test.go
+++ b/croftload/proofs/world_test.go
@@ -16,6 +16,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/sourcegraph/conc"
 
+	"croftmoor.dev/croftfake/train"
 	"croftmoor.dev/croftload/bench"
 	"croftmoor.dev/croftload/drive"
 	"croftmoor.dev/kernel/clock"
@@ -51,7 +52,7 @@
 	cluster *bench.Cluster
 	holds   *drive.Holds
 	live    *drive.Live
-	trainer []*drive.Trainer
+	trainer []*train.Trainer
 	cancel  context.CancelFunc
 	group   conc.WaitGroup
 	seen    map[string]int64
--- a/croftmoor/calls/calls.go
+++ b/croftmoor/calls/calls.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 
+	"github.com/sourcegraph/conc"
+
 	"croftmoor.dev/croftmoor/pool"
 	"croftmoor.dev/croftmoor/refuse"
 	"croftmoor.dev/kernel/budget"
@@ -58,6 +60,7 @@
 	Trail   *trail.Trail
 
 	client  httpc.Client
+	group   conc.WaitGroup
 	budgets sync.Map
 }
 
--- a/croftmoor/calls/once.go
+++ b/croftmoor/calls/once.go
@@ -25,7 +25,7 @@
 		entry, err := c.Claimer.Claim(ctx, claim)
 		if err != nil {
 			c.note(r, trail.Refuse, "", "", err.Error())
-			c.settle(ctx, claim, once.DidNotRun, Answer{})
+			c.settle(claim, once.DidNotRun, Answer{})
 			refusal := refuse.After("calls.Do", refuse.NotRun, "the right to run the call could not be had", retryTerm)
 			refusal.Err = err
 			return Answer{}, refusal
@@ -67,17 +67,17 @@
 		answer, how, err := c.try(ctx, r, server, false)
 		switch how {
 		case answered:
-			c.settle(ctx, claim, once.Ran, answer)
+			c.settle(claim, once.Ran, answer)
 			return answer, nil
 		case lost:
-			c.settle(ctx, claim, once.CannotTell, Answer{})
+			c.settle(claim, once.CannotTell, Answer{})
 			return Answer{}, c.giveUp(ctx, r, true, err)
 		case notSent, refused:
 			tried = append(tried, server.Name)
 			last = err
 		}
 	}
-	c.settle(ctx, claim, once.DidNotRun, Answer{})
+	c.settle(claim, once.DidNotRun, Answer{})
 	return Answer{}, c.giveUp(ctx, r, false, last)
 }
 
@@ -90,14 +90,21 @@
 	return context.WithCancel(free)
 }
 
-// settle tells the shard how the flight ended. It goes on after the caller has gone.
-func (c *Caller) settle(ctx context.Context, claim once.Request, outcome once.Outcome, answer Answer) {
+// settle tells the shard how the flight ended, in the background: the caller's
+// answer does not wait for it, and it goes on after the caller has gone.
+func (c *Caller) settle(claim once.Request, outcome once.Outcome, answer Answer) {
 	if len(answer.Body) > maxKept {
 		outcome = once.CannotTell
 		answer = Answer{}
 	}
-	c.Claimer.Settle(context.WithoutCancel(ctx), once.Settlement{
+	settlement := once.Settlement{
 		ID: claim.ID, Runner: claim.Runner, Flight: claim.Flight, Outcome: outcome,
 		Answer: once.Answer{Status: answer.Status, Body: answer.Body, Backend: answer.Backend},
-	})
+	}
+	c.group.Go(func() { c.Claimer.Settle(context.Background(), settlement) })
+}
+
+// Wait waits for the settlements under way. Call it once no call is served any more.
+func (c *Caller) Wait() {
+	c.group.Wait()
 }
--- a/croftmoor/engine/sse.go
+++ b/croftmoor/engine/sse.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"croftmoor.dev/croftmoor/pool"
@@ -168,6 +169,27 @@
 	}
 }
 
+// Carry passes the engine's own form of the state on as it is.
+func (p *sse) Carry(ctx context.Context, from, to ident.Address, id ident.RequestID) error {
+	out := &httpc.Call{Address: from, Method: http.MethodGet, Path: "/kv?ID=" + url.QueryEscape(string(id))}
+	state, err := p.client.Do(ctx, out)
+	if err == nil && state.Status != http.StatusOK {
+		err = httpc.StatusError(out, state)
+	}
+	if err != nil {
+		return fault.Wrap("engine.Carry", Broken, err, "the state could not be exported")
+	}
+	in := &httpc.Call{Address: to, Method: http.MethodPost, Path: "/kv", Body: state.Body}
+	taken, err := p.client.Do(ctx, in)
+	if err == nil && taken.Status != http.StatusOK {
+		err = httpc.StatusError(in, taken)
+	}
+	if err != nil {
+		return fault.Wrap("engine.Carry", Broken, err, "the state could not be imported")
+	}
+	return nil
+}
+
 func completionToWire(c Completion) completionWire {
 	return completionWire{
 		ID: string(c.ID), Adapter: string(c.Adapter), Prompt: c.Prompt, Seed: c.Seed,
--- a/croftmoor/feed/try.go
+++ b/croftmoor/feed/try.go
@@ -98,13 +98,13 @@
 // move tells whether the rest of the sample is expected sooner on another
 // engine. Lengths are long-tailed: an answer that has outgrown what was
 // expected is taken to be about half done.
-func (t *try) move(s gener.Standing) bool {
+func (t *try) move(s gener.Standing) *pool.Server {
 	b := t.book
 	b.mu.Lock()
 	last := t.step.ledger.Missing() == 0
 	b.mu.Unlock()
 	if !last {
-		return false
+		return nil
 	}
 	f := b.feed
 	spec := &t.step.ledger.Spec
@@ -112,16 +112,16 @@
 	if left < s.Tokens/2 {
 		left = min(s.Tokens, spec.MaxTokens-s.Tokens)
 	}
-	query := b.query(b.policy(), t.trainer, t.service, 0)
-	moving := place.Moving{Last: last, Left: left, Rate: s.Rate, Other: f.Pool.BestRate(query, s.Server), Moves: s.Moves}
-	if !b.policy().Move(moving) {
-		return false
+	server, rate := f.Pool.Best(b.query(b.policy(), t.trainer, t.service, 0), s.Server)
+	moving := place.Moving{Last: last, Left: left, Rate: s.Rate, Other: rate, Moves: s.Moves}
+	if server == nil || !b.policy().Move(moving) {
+		return nil
 	}
 	f.Trail.Add(trail.Decision{
-		ID: t.id(), Action: trail.Place, Choice: "elsewhere", RunnerUp: string(s.Server.Name),
+		ID: t.id(), Action: trail.Place, Choice: string(server.Name), RunnerUp: string(s.Server.Name),
 		Reason: fmt.Sprintf("about %d tokens left, %.0f/s here, %.0f/s elsewhere", left, s.Rate, moving.Other),
 	})
-	return true
+	return server
 }
 
 // questionWire and gradeWire are the JSON forms of grading.
--- a/croftmoor/front/front.go
+++ b/croftmoor/front/front.go
@@ -123,13 +123,13 @@
 		return h, refuse.New("front", refuse.Invalid, idHeader+" is longer than 128 bytes", "send a shorter id")
 	}
 	c.Set(idHeader, string(h.id))
-	if h.class == "" {
-		h.class = defaultClass
-	}
 	limit, limited := f.limit(h.class)
 	span := defaultDeadline
 	if limited {
 		span = limit.Deadline
+	} else {
+		// Names of classes come from callers; only configured ones are kept apart.
+		h.class = defaultClass
 	}
 	asked, err := millis(c, deadlineHeader, span)
 	if err != nil {
--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -50,9 +50,9 @@
 	First *pool.Server
 	// Part is called with each run of tokens; false gives the request up.
 	Part func(Part) bool
-	// Move is asked after each part whether the rest is better made elsewhere;
-	// it may be nil.
-	Move func(Standing) bool
+	// Move is asked after each part whether the rest is better made elsewhere,
+	// and if so, where; it may be nil.
+	Move func(Standing) *pool.Server
 }
 
 // Standing is how far an answer is.
@@ -92,6 +92,8 @@
 	// stallTerm is how long a started answer may be silent.
 	stallTerm = 8 * clock.Second
 	tryPause  = 20 * clock.Millis(1)
+	// carryTerm bounds the carrying of an engine's state.
+	carryTerm = 300 * clock.Millis(1)
 	// rateSpan is the least span over which a rate is taken.
 	rateSpan  = 150 * clock.Millis(1)
 	retryTerm = 500 * clock.Millis(1)
@@ -106,6 +108,8 @@
 	tried   []ident.BackendName
 	started bool
 	moves   int
+	// next is where a move leads.
+	next *pool.Server
 	// since and base are when the server's first part came and how many tokens
 	// there were then.
 	since clock.Millis
@@ -139,6 +143,11 @@
 }
 
 func (r *run) pick(try int) (*pool.Server, bool) {
+	if next := r.next; next != nil {
+		r.next = nil
+		r.Pool.Take(next, r.live())
+		return next, true
+	}
 	if try == 0 && r.request.First != nil {
 		return r.request.First, true
 	}
@@ -189,16 +198,16 @@
 
 // moveLive moves a live answer, once, that gets less than half of the rate that
 // it would get elsewhere: its engine has become slow, and it has a deadline.
-func (r *run) moveLive(s Standing) bool {
-	query := pool.Query{Service: r.request.Service, Live: true}
-	if s.Moves > 0 || 2*s.Rate >= r.Pool.BestRate(query, s.Server) {
-		return false
+func (r *run) moveLive(s Standing) *pool.Server {
+	server, rate := r.Pool.Best(pool.Query{Service: r.request.Service, Live: true}, s.Server)
+	if s.Moves > 0 || server == nil || 2*s.Rate >= rate {
+		return nil
 	}
 	r.Trail.Add(trail.Decision{
-		ID: string(r.request.ID), Action: trail.Retry, Choice: "elsewhere", RunnerUp: string(s.Server.Name),
+		ID: string(r.request.ID), Action: trail.Retry, Choice: string(server.Name), RunnerUp: string(s.Server.Name),
 		Reason: "less than half of the rate elsewhere",
 	})
-	return true
+	return server
 }
 
 // maxMoves is how many tries may be moves; they are on top of the failures.
@@ -229,11 +238,24 @@
 		}
 		stall.Reset(stallTerm.Duration())
 		if done, err := r.take(event, server); done || err != nil {
+			r.carry(ctx, server)
 			return done, err
 		}
 	}
 }
 
+// carry takes the engine's state over to where a move leads, while the stream
+// that it belongs to is still open. If that fails, the next engine needs a
+// prefill, which is all.
+func (r *run) carry(ctx context.Context, from *pool.Server) {
+	if r.next == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, carryTerm.Duration())
+	defer cancel()
+	_ = r.Engine.Carry(ctx, from.Address(), r.next.Address(), r.request.ID)
+}
+
 // take checks one event against what is there and adds what is new of it.
 func (r *run) take(event engine.Event, server *pool.Server) (bool, error) {
 	if event.ID != r.request.ID {
@@ -279,10 +301,15 @@
 	server.NoteSpeed(got, span, r.request.Service.Slots)
 	r.since, r.base = now, r.answer.Tokens
 	standing := Standing{Server: server, Tokens: r.answer.Tokens, Rate: float64(got) / span.Duration().Seconds(), Moves: r.moves}
-	if r.request.Move == nil || !r.request.Move(standing) {
+	if r.request.Move == nil {
+		return nil
+	}
+	next := r.request.Move(standing)
+	if next == nil {
 		return nil
 	}
 	r.moves++
+	r.next = next
 	r.tried = append(r.tried, server.Name)
 	return fault.New("gener.considerMove", Moved, "the rest is expected sooner elsewhere")
 }
--- a/croftmoor/home/home.go
+++ b/croftmoor/home/home.go
@@ -129,12 +129,17 @@
 		if err == nil {
 			return entry, nil
 		}
-		if !h.Clock.Sleep(patience, claimPause) {
+		// Without the log no view can change, so that waiting would not help.
+		if h.logSilent() || !h.Clock.Sleep(patience, claimPause) {
 			return once.Entry{}, err
 		}
 	}
 }
 
+func (h *Home) logSilent() bool {
+	return h.Clock.Mono()-h.LogSeen() > logSilence
+}
+
 func (h *Home) claimOnce(ctx context.Context, request once.Request) (once.Entry, error) {
 	view := h.view(views.ShardOf(string(request.ID)))
 	switch view.Primary {
@@ -192,7 +197,7 @@
 // shard anew without its knowing.
 func (h *Home) guard() once.Guard {
 	return func(alone bool) string {
-		if h.Clock.Mono()-h.LogSeen() <= logSilence {
+		if !h.logSilent() {
 			return ""
 		}
 		if alone {
--- a/croftmoor/pool/pool.go
+++ b/croftmoor/pool/pool.go
@@ -255,10 +255,10 @@
 	return server, runnerUp, choice.Reason
 }
 
-// BestRate returns the highest rate that one more sequence is expected to get
-// at a server that the query allows, other than the given one.
-func (p *Pool) BestRate(q Query, not *Server) float64 {
-	best := 0.0
+// Best returns the server, other than the given one, at which one more sequence
+// is expected to get the highest rate of those that the query allows, and the
+// rate. It does not count a request there; see Take.
+func (p *Pool) Best(q Query, not *Server) (server *Server, best float64) {
 	now := p.Clock.Mono()
 	servers := p.Servers(q.Service.Name)
 	for _, s := range servers {
@@ -266,10 +266,18 @@
 			continue
 		}
 		if _, ok := s.candidate(q, now); ok {
-			best = max(best, s.Rate(q.Service.Slots))
+			if rate := s.Rate(q.Service.Slots); rate > best {
+				server, best = s, rate
+			}
 		}
 	}
-	return best
+	return server, best
+}
+
+// Take counts a request at a server that Best returned; the caller must call
+// Release on it.
+func (p *Pool) Take(server *Server, live bool) {
+	server.acquire(live, p.Clock.Now())
 }
 
 // Carriers returns the servers that carry a trainer's weights: so many of the
--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -100,6 +100,7 @@
 	case <-i.drain:
 	}
 	i.stopInOrder()
+	i.calls.Wait()
 	stop()
 	i.feed.Stop()
 	group.Wait()
