--- /dev/null
+++ b/croftmoor/calls/calls_test.go
@@ -0,0 +1,214 @@
+package calls
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"croftmoor.dev/croftmoor/pool"
+	"croftmoor.dev/croftmoor/refuse"
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/conf"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/fleet"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/once"
+	"croftmoor.dev/kernel/route"
+	"croftmoor.dev/kernel/trail"
+)
+
+// claimer grants, or refuses, and notes settlements.
+type claimer struct {
+	refuses bool
+	known   *once.Entry
+	blocks  chan struct{}
+
+	mu      sync.Mutex
+	settled []once.Outcome
+}
+
+func (*claimer) NewFlight() int64                    { return 1 }
+func (*claimer) RunnerAlive(ident.InstanceName) bool { return false }
+func (c *claimer) Claim(_ context.Context, r once.Request) (once.Entry, error) {
+	if c.refuses {
+		return once.Entry{}, fault.New("test", once.NotReady, "no backup")
+	}
+	if c.known != nil {
+		return *c.known, nil
+	}
+	return once.Entry{ID: r.ID, Status: once.Granted, Runner: r.Runner, Flight: r.Flight}, nil
+}
+
+func (c *claimer) Settle(_ context.Context, s once.Settlement) {
+	if c.blocks != nil {
+		<-c.blocks
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.settled = append(c.settled, s.Outcome)
+}
+
+// serverThat answers each connection with text, after it has read the request.
+func serverThat(t *testing.T, text string) ident.Address {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group conc.WaitGroup
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_ = request.Body.Close()
+				_, _ = conn.Write([]byte(text))
+			}
+			_ = conn.Close()
+		}
+	})
+	t.Cleanup(func() { _ = listener.Close(); group.Wait() })
+	return ident.Address(listener.Addr().String())
+}
+
+const (
+	answers  = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	refuses  = "HTTP/1.1 503 Out\r\nCroft-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+	saysLess = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"
+	nothing  = ""
+)
+
+// unreachable is an address at which nothing listens.
+func unreachable(t *testing.T) ident.Address {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return ident.Address(listener.Addr().String())
+}
+
+func callerOf(c *claimer, addresses ...ident.Address) *Caller {
+	clk := clock.New()
+	table := &fleet.Table{Clock: clk}
+	members := make([]fleet.Member, 0, len(addresses))
+	for i, address := range addresses {
+		members = append(members, fleet.Member{
+			Name: string(rune('a' + i)), Kind: fleet.Backend, Service: "s", Address: address, State: fleet.Live,
+		})
+	}
+	table.Set(members)
+	p := &pool.Pool{Fleet: table, Clock: clk}
+	p.Follow()
+	return &Caller{Self: "self", Pool: p, Claimer: c, Clock: clk, Trail: &trail.Trail{Log: zerolog.Nop(), Clock: clk}}
+}
+
+func request(repeatable bool) Request {
+	return Request{
+		ID: "x", Service: conf.Service{Name: "s", Kind: conf.Plain, Slots: 4, Policy: route.RoundRobin},
+		Method: http.MethodPost, Path: "/hold", Repeatable: repeatable,
+	}
+}
+
+func assertEnds(t *testing.T, c *Caller, r Request, want refuse.Kind) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), (5 * clock.Second).Duration())
+	defer cancel()
+	_, err := c.Do(ctx, r)
+	if want == "" {
+		if err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if got := refuse.Of(err).Kind; err == nil || got != want {
+		t.Fatalf("ended %v, want %s", err, want)
+	}
+}
+
+func assertSettled(t *testing.T, caller *Caller, c *claimer, want once.Outcome) {
+	t.Helper()
+	caller.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.settled) != 1 || c.settled[0] != want {
+		t.Fatalf("settled %v, want one %s", c.settled, want)
+	}
+}
+
+func TestUnrepeatable(t *testing.T) {
+	for name, c := range map[string]struct {
+		servers []string
+		want    refuse.Kind
+		settled once.Outcome
+	}{
+		"an answer":                       {[]string{answers}, "", once.Ran},
+		"refused by one, run by the next": {[]string{refuses, answers}, "", once.Ran},
+		"refused by all":                  {[]string{refuses, refuses}, refuse.NotRun, once.DidNotRun},
+		"no answer: never sent again":     {[]string{nothing, nothing}, refuse.OutcomeUnknown, once.CannotTell},
+		"half an answer is no answer":     {[]string{saysLess, saysLess}, refuse.OutcomeUnknown, once.CannotTell},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var addresses []ident.Address
+			for _, text := range c.servers {
+				addresses = append(addresses, serverThat(t, text))
+			}
+			claims := &claimer{}
+			caller := callerOf(claims, addresses...)
+			assertEnds(t, caller, request(false), c.want)
+			assertSettled(t, caller, claims, c.settled)
+		})
+	}
+	t.Run("unreachable servers", func(t *testing.T) {
+		claims := &claimer{}
+		caller := callerOf(claims, unreachable(t), unreachable(t))
+		assertEnds(t, caller, request(false), refuse.NotRun)
+		assertSettled(t, caller, claims, once.DidNotRun)
+	})
+	t.Run("no grant: refused at once, though the settlement hangs", func(t *testing.T) {
+		claims := &claimer{refuses: true, blocks: make(chan struct{})}
+		caller := callerOf(claims, unreachable(t))
+		assertEnds(t, caller, request(false), refuse.NotRun)
+		close(claims.blocks)
+		assertSettled(t, caller, claims, once.DidNotRun)
+	})
+	t.Run("a repeat gets the first answer", func(t *testing.T) {
+		claims := &claimer{known: &once.Entry{Status: once.Done, Answer: once.Answer{Status: 200, Body: []byte("first")}}}
+		answer, err := callerOf(claims).Do(context.Background(), request(false))
+		if err != nil || string(answer.Body) != "first" {
+			t.Fatalf("%s %v", answer.Body, err)
+		}
+	})
+	t.Run("a repeat of what a dead instance ran is unknown", func(t *testing.T) {
+		claims := &claimer{known: &once.Entry{Status: once.Granted, Runner: "dead"}}
+		assertEnds(t, callerOf(claims), request(false), refuse.OutcomeUnknown)
+	})
+}
+
+func TestRepeatable(t *testing.T) {
+	t.Run("a lost answer is asked for again", func(t *testing.T) {
+		assertEnds(t, callerOf(nil, serverThat(t, nothing), serverThat(t, answers)), request(true), "")
+	})
+	t.Run("the budget ends retries", func(t *testing.T) {
+		caller := callerOf(nil, serverThat(t, nothing), serverThat(t, nothing), serverThat(t, nothing), serverThat(t, nothing))
+		assertEnds(t, caller, request(true), refuse.OutcomeUnknown)
+		lost := 0
+		for _, d := range caller.Trail.Why("x") {
+			if d.Action == trail.Retry {
+				lost++
+			}
+		}
+		if lost != 1 {
+			t.Fatalf("%d retries, want the one that is saved", lost)
+		}
+	})
+}
--- a/croftmoor/pool/pool.go
+++ b/croftmoor/pool/pool.go
@@ -94,7 +94,7 @@
 // Run follows the fleet and polls loads until ctx ends.
 func (p *Pool) Run(ctx context.Context) {
 	for {
-		p.follow()
+		p.Follow()
 		p.poll(ctx)
 		if !p.Clock.Sleep(ctx, p.Period) {
 			return
@@ -102,8 +102,8 @@
 	}
 }
 
-// follow takes over the fleet's view.
-func (p *Pool) follow() {
+// Follow takes over the fleet's view.
+func (p *Pool) Follow() {
 	view := p.Fleet.View()
 	for service, members := range view.Backends {
 		p.update(service, p.subset(members))
--- a/croftmoor/pool/pool_bench_test.go
+++ b/croftmoor/pool/pool_bench_test.go
@@ -30,7 +30,7 @@
 	p := &Pool{
 		Fleet: table, Reporter: noReports{}, Clock: clock.New(), Self: "a-1", Zone: "zone-1", Subset: subset,
 	}
-	p.follow()
+	p.Follow()
 	return p
 }
 
@@ -52,7 +52,7 @@
 	p := poolOf(4000, 32)
 	b.ReportAllocs()
 	for b.Loop() {
-		p.follow()
+		p.Follow()
 	}
 }
 
