Steps follow their owner, the list is read conditionally

Cause: an instance that had lost a trainer to another went on making samples for nobody until the trainer opened further steps. Change: an instance that has not been the owner for 3 s hands steps and ready samples on; a read names the tag of the list that is there; an unchanged view is not followed again; a mark of leaving no longer lives on in an unchanged view.

--- a/croftfake/listsv/listsv.go
+++ b/croftfake/listsv/listsv.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strconv"
 	"sync"
 
 	"github.com/gofiber/fiber/v3"
@@ -63,22 +64,29 @@
 	if !s.faults.Before(c.Context()) {
 		return stand.RefuseNotRun(c, "the list is out")
 	}
-	return c.JSON(fleet.ListWire{Members: s.members()})
+	members, tag := s.members()
+	c.Set(fiber.HeaderETag, tag)
+	if c.Get(fiber.HeaderIfNoneMatch) == tag {
+		return c.SendStatus(fiber.StatusNotModified)
+	}
+	return c.JSON(fleet.ListWire{Members: members})
 }
 
-func (s *Service) members() []fleet.MemberWire {
+// members returns the list that is shown now, and its tag.
+func (s *Service) members() (shown []fleet.MemberWire, tag string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Mono()
-	var shown []fleet.MemberWire
-	for _, ch := range s.changes {
+	last := 0
+	for i, ch := range s.changes {
 		if ch.shows > now {
 			continue
 		}
+		last = i + 1
 		shown = slices.DeleteFunc(shown, func(m fleet.MemberWire) bool { return m.Name == ch.member.Name })
 		if ch.member.State != Removed {
 			shown = append(shown, ch.member)
 		}
 	}
-	return shown
+	return shown, strconv.Itoa(last)
 }
--- a/croftmoor/feed/book.go
+++ b/croftmoor/feed/book.go
@@ -26,6 +26,8 @@
 	steps   map[ident.Step]*step
 	newest  ident.Version
 	running int
+	// latest is the latest step that was opened here.
+	latest ident.Step
 	// dispatching tells that the dispatcher runs.
 	dispatching bool
 }
@@ -39,7 +41,12 @@
 	cancel context.CancelFunc
 }
 
-const dispatchPause = 10 * clock.Millis(1)
+const (
+	dispatchPause = 10 * clock.Millis(1)
+	ownerPause    = 250 * clock.Millis(1)
+	// ownedTerm is how long another instance must have been the owner.
+	ownedTerm = 3 * clock.Second
+)
 
 func (b *book) open(open peers.Open) {
 	b.mu.Lock()
@@ -51,6 +58,11 @@
 		s.put(open.Ready)
 		return
 	}
+	if open.HandedOn && number <= b.latest {
+		// The trainer has gone on since, here; the owner before did not know.
+		return
+	}
+	b.latest = number
 	b.closeOld(number)
 	f := b.feed
 	ctx, cancel := context.WithCancel(f.base)
@@ -156,14 +168,37 @@
 }
 
 // dispatch starts attempts while there are free engine slots, until the feed
-// stops. The step that the trainer needs first comes first.
+// stops. The step that the trainer needs first comes first. An instance that is
+// no longer the owner, for long enough to be sure, hands the steps on.
 func (b *book) dispatch() {
 	f := b.feed
+	owned := f.Clock.Mono()
+	checked := owned
 	for f.base.Err() == nil {
-		if f.isDraining() || !b.startOne() {
-			f.Clock.Sleep(f.base, dispatchPause)
+		if !f.isDraining() && b.startOne() {
+			continue
+		}
+		if now := f.Clock.Mono(); now-checked > ownerPause {
+			checked = now
+			owned = b.keepOwned(owned, now)
 		}
+		f.Clock.Sleep(f.base, dispatchPause)
+	}
+}
+
+// keepOwned hands the steps on if another instance has been their owner since
+// owned, for ownedTerm. It returns when this instance last was the owner.
+func (b *book) keepOwned(owned, now clock.Millis) clock.Millis {
+	f := b.feed
+	owner := f.owner(b.trainer)
+	if owner == f.Self || f.isDraining() {
+		return now
+	}
+	if now-owned <= ownedTerm {
+		return owned
 	}
+	f.handOn(f.base, b, owner)
+	return now
 }
 
 // needed returns the earliest step with a missing slot, and how many steps
@@ -264,7 +299,7 @@
 			continue
 		}
 		have, samples := s.ledger.Leave()
-		opens = append(opens, peers.Open{Spec: s.ledger.Spec, Have: have, Version: b.newest, Ready: samples})
+		opens = append(opens, peers.Open{Spec: s.ledger.Spec, Have: have, Version: b.newest, HandedOn: true, Ready: samples})
 	}
 	return opens
 }
--- a/croftmoor/feed/feed.go
+++ b/croftmoor/feed/feed.go
@@ -89,13 +89,15 @@
 	f.draining = true
 	f.mu.Unlock()
 	for _, b := range f.allBooks() {
-		for _, open := range b.leave() {
-			owner := f.owner(open.Spec.Trainer)
-			if owner == f.Self {
-				continue
-			}
-			// If this fails, the trainer opens the step again, and the samples
-			// that were ready are made again.
+		f.handOn(ctx, b, f.owner(b.trainer))
+	}
+}
+
+// handOn closes a trainer's steps here and opens them at their owner. If that
+// fails, the trainer opens them again, and samples that were ready are made again.
+func (f *Feed) handOn(ctx context.Context, b *book, owner ident.InstanceName) {
+	for _, open := range b.leave() {
+		if owner != f.Self {
 			_ = f.Caller.Open(ctx, owner, open)
 		}
 	}
@@ -215,6 +217,9 @@
 	if f.isDraining() {
 		return refuse.After("feed.Open", refuse.NotRun, "this instance is stopping", retryTerm)
 	}
+	if open.HandedOn && f.owner(trainer.Name) != f.Self {
+		return refuse.After("feed.Open", refuse.NotRun, "this instance does not own the trainer's steps", retryTerm)
+	}
 	open.Spec.Bound = trainer.StalenessBound
 	if open.Spec.GroupSize == 0 {
 		open.Spec.GroupSize = trainer.GroupSize
--- a/croftmoor/peers/peers.go
+++ b/croftmoor/peers/peers.go
@@ -55,8 +55,10 @@
 	Spec    steps.Spec
 	Have    steps.Set
 	Version ident.Version
-	// Ready are samples that an owner which is stopping hands on.
-	Ready []*steps.Sample
+	// HandedOn tells that the owner before opens the step, not the trainer; Ready
+	// are the samples that it had ready.
+	HandedOn bool
+	Ready    []*steps.Sample
 }
 
 // Pull asks for samples.
--- a/croftmoor/pool/pool.go
+++ b/croftmoor/pool/pool.go
@@ -77,6 +77,8 @@
 
 	services sync.Map
 	policies sync.Map
+	// followed is the view that was taken over last; only Run uses it.
+	followed *fleet.View
 }
 
 const (
@@ -102,9 +104,13 @@
 	}
 }
 
-// Follow takes over the fleet's view.
+// Follow takes over the fleet's view, if it is a new one.
 func (p *Pool) Follow() {
 	view := p.Fleet.View()
+	if view == p.followed {
+		return
+	}
+	p.followed = view
 	for service, members := range view.Backends {
 		p.update(service, p.subset(members))
 	}
@@ -286,7 +292,7 @@
 	now := p.Clock.Mono()
 	var usable []*Server
 	for _, s := range p.Servers(service) {
-		if s.Usable(now) {
+		if s.Usable(now) && !p.Fleet.MarkedLeaving(string(s.Name)) {
 			usable = append(usable, s)
 		}
 	}
--- a/croftmoor/pool/pool_bench_test.go
+++ b/croftmoor/pool/pool_bench_test.go
@@ -52,6 +52,7 @@
 	p := poolOf(4000, 32)
 	b.ReportAllocs()
 	for b.Loop() {
+		p.followed = nil
 		p.Follow()
 	}
 }
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -18,8 +18,13 @@
 // Kind classifies the errors of this package.
 type Kind string
 
-// Unavailable means that the list could not be read.
-const Unavailable Kind = "Unavailable"
+// Kinds of errors.
+const (
+	// Unavailable means that the list could not be read.
+	Unavailable Kind = "Unavailable"
+	// Unchanged means that the list is the one that was read last.
+	Unchanged Kind = "Unchanged"
+)
 
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
@@ -124,9 +129,6 @@
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	view := &View{Backends: map[ident.Service][]Member{}}
 	for _, m := range members {
-		if t.MarkedLeaving(m.Name) {
-			m.State = Leaving
-		}
 		if m.Kind == Entry {
 			view.Entries = append(view.Entries, m)
 		} else {
--- a/kernel/fleet/http.go
+++ b/kernel/fleet/http.go
@@ -14,12 +14,21 @@
 	Directories.Register("Http", func() Directory { return &httpDirectory{} })
 }
 
-// httpDirectory reads the list over HTTP with a JSON body.
+// httpDirectory reads the list over HTTP with a JSON body. It names the tag of
+// the list that it has, so that an unchanged one is not sent again. It is used by
+// one goroutine.
 type httpDirectory struct {
 	address ident.Address
 	client  httpc.Client
+	tag     string
 }
 
+// Names of the header fields that make a read conditional.
+const (
+	tagHeader   = "Etag"
+	knownHeader = "If-None-Match"
+)
+
 // ListWire is the JSON form of the list.
 type ListWire struct {
 	Members []MemberWire
@@ -45,10 +54,16 @@
 // List reads the list.
 func (d *httpDirectory) List(ctx context.Context) ([]Member, error) {
 	call := &httpc.Call{Address: d.address, Method: http.MethodGet, Path: "/members"}
+	if d.tag != "" {
+		call.Headers = []httpc.Header{{Name: knownHeader, Value: d.tag}}
+	}
 	answer, err := d.client.Do(ctx, call)
 	if err != nil {
 		return nil, fault.Wrap("fleet.List", Unavailable, err, "the platform's list could not be read")
 	}
+	if answer.Status == http.StatusNotModified {
+		return nil, fault.New("fleet.List", Unchanged, "the list is the same")
+	}
 	var wire ListWire
 	if answer.Status != http.StatusOK {
 		return nil, fault.Wrap("fleet.List", Unavailable, httpc.StatusError(call, answer), "the platform's list was refused")
@@ -56,6 +71,7 @@
 	if err := json.Unmarshal(answer.Body, &wire); err != nil {
 		return nil, fault.Wrap("fleet.List", Unavailable, err, "the platform's list is unreadable")
 	}
+	d.tag = answer.Header(tagHeader)
 	members := make([]Member, 0, len(wire.Members))
 	for _, w := range wire.Members {
 		members = append(members, MemberFromWire(w))
