Smaller control traffic: HTTP/2, MessagePack, one ping for two, few in many

Cause: a ping cost 531 bytes (BenchmarkPing). With 13 instances that all ping each other every 300 ms an instance would carry about 42 KB/s (12 x 3.33 x 531 x 2, reckoned), against 3 KB/s allowed; it would grow with the instances. Change: peers speak HTTP/2 without TLS (220 bytes a ping) and MessagePack with structs as arrays (123 bytes); of two instances one pings, every 500 ms; beyond 16 instances each pings two at random and its shards' partners. An owner whose call got no answer is suspected until heard of again, which is kept apart from its state being lost.

--- a/croftmoor/feed/feed.go
+++ b/croftmoor/feed/feed.go
@@ -37,6 +37,8 @@
 // Health tells which instances take part.
 type Health interface {
 	Live() []views.Member
+	// Suspect notes that an instance gave no answer.
+	Suspect(ident.InstanceName)
 }
 
 // Feed owns steps. Set the exported fields before Run. The books are guarded
@@ -148,7 +150,7 @@
 	if owner == f.Self {
 		return f.OpenHere(ctx, open)
 	}
-	return f.away(f.Caller.Open(ctx, owner, open))
+	return f.away(ctx, owner, f.Caller.Open(ctx, owner, open))
 }
 
 // Pull asks the step's owner for samples.
@@ -161,15 +163,18 @@
 		return f.PullHere(ctx, pull)
 	}
 	pulled, err := f.Caller.Pull(ctx, owner, pull)
-	return pulled, f.away(err)
+	return pulled, f.away(ctx, owner, err)
 }
 
 // away turns the failure of a call to an owner into a refusal. A trainer may
 // always ask again: nothing is handed over twice.
-func (f *Feed) away(err error) error {
+func (f *Feed) away(ctx context.Context, owner ident.InstanceName, err error) error {
 	if err == nil || refuse.Of(err).Kind != refuse.OutcomeUnknown {
 		return err
 	}
+	if ctx.Err() == nil {
+		f.Health.Suspect(owner)
+	}
 	refusal := refuse.After("feed", refuse.NotRun, "the instance that owns the trainer's steps gave no answer", retryTerm)
 	refusal.Err = err
 	return refusal
--- a/croftmoor/peers/client.go
+++ b/croftmoor/peers/client.go
@@ -23,17 +23,29 @@
 }
 
 const (
-	dialTimeout    = 500 * clock.Millis(1)
-	idlePerPeer    = 32
+	dialTimeout = 500 * clock.Millis(1)
+	idlePerPeer = 4
+	// pingAfter is how long a connection may be silent before it is checked, so
+	// that one that leads nowhere any more is given up.
+	pingAfter      = 2 * clock.Second
 	idleTimeout    = 30 * clock.Second
 	maxPeerMessage = 256 << 20
 )
 
+// cleartextHTTP2 makes peers speak HTTP/2 without TLS: one connection between two
+// instances carries all calls, and its compressed headers keep pings small.
+func cleartextHTTP2() *http.Protocols {
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
 // NewClient returns a client that finds peers in the fleet.
 func NewClient(table *fleet.Table) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: idleTimeout.Duration(),
+		Protocols: cleartextHTTP2(), HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter.Duration(), PingTimeout: pingTimeout.Duration()},
 	}
 	return &Client{Fleet: table, http: &http.Client{Transport: transport}}
 }
@@ -53,7 +65,7 @@
 		return nil, err
 	}
 	client := connect.NewClient[Q, A](c.http, "http://"+string(address)+path,
-		connect.WithCodec(jsonCodec{}), connect.WithReadMaxBytes(maxPeerMessage))
+		connect.WithCodec(packCodec{}), connect.WithReadMaxBytes(maxPeerMessage))
 	answer, err := client.CallUnary(ctx, connect.NewRequest(message))
 	if err != nil {
 		return nil, fromConnect("peers.call", err)
--- a/croftmoor/peers/codec.go
+++ b/croftmoor/peers/codec.go
@@ -1,10 +1,11 @@
 package peers
 
 import (
-	"encoding/json"
+	"bytes"
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"croftmoor.dev/croftmoor/refuse"
 	"croftmoor.dev/kernel/clock"
@@ -12,17 +13,25 @@
 	"croftmoor.dev/kernel/once"
 )
 
-// jsonCodec encodes the wire types of this package.
-type jsonCodec struct{}
+// packCodec encodes the wire types of this package as MessagePack, structs as
+// arrays: their fields may only be added to at the end.
+type packCodec struct{}
 
 // Name returns the codec's name on the wire.
-func (jsonCodec) Name() string { return "json" }
+func (packCodec) Name() string { return "msgpack" }
 
 // Marshal encodes a wire type.
-func (jsonCodec) Marshal(message any) ([]byte, error) { return json.Marshal(message) }
+func (packCodec) Marshal(message any) ([]byte, error) {
+	var out bytes.Buffer
+	encoder := msgpack.NewEncoder(&out)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	err := encoder.Encode(message)
+	return out.Bytes(), err
+}
 
 // Unmarshal decodes a wire type.
-func (jsonCodec) Unmarshal(data []byte, message any) error { return json.Unmarshal(data, message) }
+func (packCodec) Unmarshal(data []byte, message any) error { return msgpack.Unmarshal(data, message) }
 
 const (
 	kindHeader  = "Croft-Kind"
--- a/croftmoor/peers/health.go
+++ b/croftmoor/peers/health.go
@@ -27,12 +27,14 @@
 	// Partners lists instances that must be pinged each time.
 	Partners func() []ident.InstanceName
 
-	mu      sync.Mutex
-	heard   map[ident.InstanceName]heard
-	lives   map[string]ident.InstanceName
-	started clock.Millis
-	members int
-	changed clock.Millis
+	mu    sync.Mutex
+	heard map[ident.InstanceName]heard
+	lives map[string]ident.InstanceName
+	// suspects is when calls got no answer.
+	suspects map[ident.InstanceName]clock.Millis
+	started  clock.Millis
+	members  int
+	changed  clock.Millis
 }
 
 type heard struct {
@@ -41,10 +43,10 @@
 }
 
 const (
-	pingPeriod  = 300 * clock.Millis(1)
+	pingPeriod  = 500 * clock.Millis(1)
 	pingTimeout = 900 * clock.Millis(1)
 	// aliveTerm is how long a peer counts as reachable after it was heard.
-	aliveTerm = 1500 * clock.Millis(1)
+	aliveTerm = 1800 * clock.Millis(1)
 	// reachTerm is the same for counting most of the instances.
 	reachTerm = 3 * clock.Second
 	// LostAfter is how long a peer must be silent before its state counts as lost.
@@ -52,10 +54,12 @@
 	// settleTerm is how long the set of live instances must stay the same
 	// before shards move without need.
 	settleTerm = 2 * clock.Second
-	// pingAll is the number of instances up to which each pings all others.
+	// pingAll is the number of instances up to which all ping each other.
 	pingAll = 16
-	// pingSome is how many it pings beyond that.
-	pingSome = 8
+	// pingSome is how many at random an instance pings beyond that, besides its
+	// partners, and manyTerm how long one then counts as live without news.
+	pingSome = 2
+	manyTerm = 60 * clock.Second
 )
 
 // Run pings until ctx ends.
@@ -78,22 +82,57 @@
 	}
 	group.Wait()
 	h.noteChange()
+	if peer, upTo := h.ahead(); upTo > h.News().UpTo {
+		h.Behind(ctx, peer, upTo)
+	}
+}
+
+// ahead returns the peer that has read the most of the log, of those heard lately.
+func (h *Health) ahead() (peer ident.InstanceName, upTo ident.Offset) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Clock.Mono()
+	for name, seen := range h.heard {
+		if now-seen.at <= aliveTerm && seen.news.UpTo > upTo {
+			peer, upTo = name, seen.news.UpTo
+		}
+	}
+	return peer, upTo
 }
 
 // targets returns whom to ping: all while there are few, else the partners
-// and a random few, so that the cost of an instance does not grow.
+// and a random few, so that the cost of an instance does not grow. A ping
+// carries news both ways, so that of two instances one pings the other.
 func (h *Health) targets() []ident.InstanceName {
 	var names []ident.InstanceName
-	for _, m := range h.Fleet.View().Entries {
-		if m.Name != h.Self.ListName() {
+	self := h.Self.ListName()
+	entries := h.Fleet.View().Entries
+	if len(entries) <= pingAll {
+		for _, m := range entries {
+			if m.Name != self && pings(self, m.Name) {
+				names = append(names, ident.InstanceName(m.Name))
+			}
+		}
+		return names
+	}
+	for range pingSome {
+		if m := entries[rand.IntN(len(entries))]; m.Name != self {
 			names = append(names, ident.InstanceName(m.Name))
 		}
 	}
-	if len(names) <= pingAll {
-		return names
+	for _, partner := range h.Partners() {
+		if pings(self, partner.ListName()) {
+			names = append(names, partner)
+		}
 	}
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return append(names[:pingSome], h.Partners()...)
+	return names
+}
+
+// pings tells whether a is the one of the two that pings.
+func pings(a, b string) bool {
+	first, second := min(a, b), max(a, b)
+	even := ident.Hash(first, second)%2 == 0
+	return (a == first) == even
 }
 
 func (h *Health) ping(ctx context.Context, name ident.InstanceName) {
@@ -104,9 +143,6 @@
 		return
 	}
 	h.Heard(news)
-	if news.UpTo > h.News().UpTo {
-		h.Behind(ctx, news.Instance, news.UpTo)
-	}
 }
 
 // Heard notes news from a peer.
@@ -117,6 +153,7 @@
 		h.heard = map[ident.InstanceName]heard{}
 		h.lives = map[string]ident.InstanceName{}
 	}
+	delete(h.suspects, news.Instance)
 	h.heard[news.Instance] = heard{at: h.Clock.Mono(), news: news}
 	h.lives[news.Instance.ListName()] = news.Instance
 }
@@ -189,7 +226,30 @@
 		return "", false
 	}
 	seen := h.heard[name]
-	return name, !seen.news.Draining && h.Clock.Mono()-seen.at <= aliveTerm
+	suspected, ok := h.suspects[name]
+	if ok && suspected >= seen.at {
+		return "", false
+	}
+	return name, !seen.news.Draining && h.Clock.Mono()-seen.at <= h.term(aliveTerm)
+}
+
+// term returns for how long news counts: longer where few are pinged each round.
+func (h *Health) term(few clock.Millis) clock.Millis {
+	if len(h.Fleet.View().Entries) > pingAll {
+		return manyTerm
+	}
+	return few
+}
+
+// Suspect notes that a call to the instance got no answer: it does not count as
+// live until it is heard of again. That says nothing of its state being lost.
+func (h *Health) Suspect(name ident.InstanceName) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.suspects == nil {
+		h.suspects = map[ident.InstanceName]clock.Millis{}
+	}
+	h.suspects[name] = h.Clock.Mono()
 }
 
 // MostReached tells whether more than half of the listed instances, self
@@ -204,7 +264,7 @@
 			continue
 		}
 		all++
-		if seen, ok := h.heard[h.lives[m.Name]]; ok && h.Clock.Mono()-seen.at <= reachTerm {
+		if seen, ok := h.heard[h.lives[m.Name]]; ok && h.Clock.Mono()-seen.at <= h.term(reachTerm) {
 			reached++
 		}
 	}
--- /dev/null
+++ b/croftmoor/peers/health_test.go
@@ -0,0 +1,99 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fleet"
+	"croftmoor.dev/kernel/ident"
+)
+
+// healthOf makes the health of instance i-0 among many.
+func healthOf(many int) (*Health, *clock.Clock) {
+	c := clock.NewManual(clock.Minute)
+	table := &fleet.Table{Clock: c}
+	var members []fleet.Member
+	for i := range many {
+		members = append(members, fleet.Member{Name: fmt.Sprintf("i-%d", i), Kind: fleet.Entry, State: fleet.Live})
+	}
+	table.Set(members)
+	h := &Health{
+		Self: "i-0~a", Fleet: table, Clock: c, News: func() News { return News{Instance: "i-0~a"} },
+		Partners: func() []ident.InstanceName { return []ident.InstanceName{"i-1~b", "i-2~b", "i-3~b", "i-4~b"} },
+	}
+	h.started = c.Mono()
+	return h, c
+}
+
+func assertLive(t *testing.T, h *Health, want int) {
+	t.Helper()
+	if got := len(h.Live()); got != want {
+		t.Fatalf("%d live, want %d", got, want)
+	}
+}
+
+func TestHealth(t *testing.T) {
+	t.Run("silence ends liveness soon, and loses state late", func(t *testing.T) {
+		h, c := healthOf(3)
+		h.Heard(News{Instance: "i-1~b"})
+		assertLive(t, h, 2)
+		c.Advance(aliveTerm + 1)
+		assertLive(t, h, 1)
+		if h.Alive("i-1~b") || h.Gone("i-1~b") {
+			t.Fatal("silent, and not gone yet")
+		}
+		c.Advance(LostAfter)
+		if !h.Gone("i-1~b") {
+			t.Fatal("gone by now")
+		}
+	})
+	t.Run("a new life of an instance is not the old one", func(t *testing.T) {
+		h, c := healthOf(2)
+		h.Heard(News{Instance: "i-1~old"})
+		c.Advance(aliveTerm + 1)
+		h.Heard(News{Instance: "i-1~new"})
+		if h.Alive("i-1~old") || !h.Alive("i-1~new") {
+			t.Fatal("lives were mixed up")
+		}
+	})
+	t.Run("a suspect is not live, and keeps its state", func(t *testing.T) {
+		h, _ := healthOf(2)
+		h.Heard(News{Instance: "i-1~b"})
+		h.Suspect("i-1~b")
+		assertLive(t, h, 1)
+		if h.Gone("i-1~b") || !h.Alive("i-1~b") {
+			t.Fatal("a call without an answer is no lost state")
+		}
+		h.Heard(News{Instance: "i-1~b"})
+		assertLive(t, h, 2)
+	})
+	t.Run("draining instances take no part", func(t *testing.T) {
+		h, _ := healthOf(2)
+		h.Heard(News{Instance: "i-1~b", Draining: true})
+		assertLive(t, h, 1)
+	})
+	t.Run("most are reached only with more than half", func(t *testing.T) {
+		h, _ := healthOf(4)
+		h.Heard(News{Instance: "i-1~b"})
+		if h.MostReached() {
+			t.Fatal("two of four are no majority")
+		}
+		h.Heard(News{Instance: "i-2~b"})
+		if !h.MostReached() {
+			t.Fatal("three of four are")
+		}
+	})
+	t.Run("of two instances one pings, and many ping few", func(t *testing.T) {
+		for i := range 20 {
+			a, b := "x", fmt.Sprintf("y-%d", i)
+			if pings(a, b) == pings(b, a) {
+				t.Fatalf("%s and %s", a, b)
+			}
+		}
+		h, _ := healthOf(400)
+		if n := len(h.targets()); n > pingSome+4 {
+			t.Fatalf("%d targets", n)
+		}
+	})
+}
--- a/croftmoor/peers/peers.go
+++ b/croftmoor/peers/peers.go
@@ -1,6 +1,6 @@
 // Package peers is the calls between entry instances: liveness and news, the
 // at-most-once shards, and trainers' steps. The calls go over connect-go with
-// a JSON codec; wire types stand in wire.go and are mapped by hand.
+// a MessagePack codec; wire types stand in wire.go and are mapped by hand.
 package peers
 
 import (
--- a/croftmoor/peers/server.go
+++ b/croftmoor/peers/server.go
@@ -40,7 +40,7 @@
 
 // Run serves on listener until ctx ends.
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: headerTimeout.Duration()}
+	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: headerTimeout.Duration(), Protocols: cleartextHTTP2()}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	err := server.Serve(listener)
@@ -116,6 +116,6 @@
 			return nil, toConnect(err)
 		}
 		return connect.NewResponse(answer), nil
-	}, connect.WithCodec(jsonCodec{}))
+	}, connect.WithCodec(packCodec{}))
 	mux.Handle(path, handler)
 }
