--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -9,6 +9,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"croftmoor.dev/croftfake/engine"
+	"croftmoor.dev/croftfake/relay"
 	"croftmoor.dev/croftfake/stand"
 	"croftmoor.dev/croftfake/train"
 	"croftmoor.dev/croftload/bench"
@@ -174,6 +175,14 @@
 	worldOf(ts).cluster.Cut(words[0], words[1], true)
 }
 
+// rule ZONE PLACE JSON sets the rules of the relays that lead from a zone to a
+// place: freezes in one direction, delays, dropped answers.
+func cmdRule(ts *testscript.TestScript, _ bool, words []string) {
+	var rules relay.Rules
+	ts.Check(json.Unmarshal([]byte(words[2]), &rules))
+	worldOf(ts).cluster.Rules(words[0], words[1], rules)
+}
+
 func cmdHeal(ts *testscript.TestScript, _ bool, words []string) {
 	worldOf(ts).cluster.Cut(words[0], words[1], false)
 }
--- a/croftload/proofs/world_test.go
+++ b/croftload/proofs/world_test.go
@@ -71,7 +71,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"cluster": cmdCluster, "apply": cmdApply, "ctl": cmdCtl, "load": cmdLoad, "finish": cmdFinish,
 			"crash": cmdCrash, "freeze": cmdFreeze, "thaw": cmdThaw, "term": cmdTerm, "start": cmdStart,
-			"cut": cmdCut, "heal": cmdHeal, "fault": cmdFault, "leave": cmdLeave, "pass": cmdPass,
+			"cut": cmdCut, "rule": cmdRule, "heal": cmdHeal, "fault": cmdFault, "leave": cmdLeave, "pass": cmdPass,
 			"within": cmdWithin, "count": cmdCount, "ask": cmdAsk, "asked": cmdAsked, "race": cmdRace,
 		},
 		Setup: func(env *testscript.Env) error {
--- /dev/null
+++ b/croftmoor/admin/admin_test.go
@@ -0,0 +1,166 @@
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/fold"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/tail"
+	"croftmoor.dev/kernel/trail"
+)
+
+// memoryLog is a log that the reader follows at once, and that can be out, or
+// lose the answers of appends that took effect.
+type memoryLog struct {
+	reader *fold.Reader
+	out    bool
+	loses  int
+
+	mu   sync.Mutex
+	next ident.Offset
+}
+
+func (l *memoryLog) Append(_ context.Context, _ ident.Stream, data []byte) (ident.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.out {
+		return 0, fault.New("test", tail.Refused, "out")
+	}
+	l.next++
+	l.reader.Apply(tail.Batch{First: 1, Next: l.next + 1, Records: []tail.Record{{Offset: l.next, Data: data}}})
+	if l.loses > 0 {
+		l.loses--
+		return 0, fault.New("test", tail.Unknown, "lost")
+	}
+	return l.next, nil
+}
+
+func (*memoryLog) Read(context.Context, ident.Stream, ident.Offset, clock.Millis) (tail.Batch, error) {
+	return tail.Batch{}, nil
+}
+
+func hashOf(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+func adminOf(operators ...Operator) (*Admin, *memoryLog) {
+	reader := &fold.Reader{}
+	reader.Apply(tail.Batch{First: 1, Next: 1})
+	log := &memoryLog{reader: reader}
+	c := clock.New()
+	return &Admin{
+		Reader: reader, Log: log, Clock: c, Trail: &trail.Trail{Log: zerolog.Nop(), Clock: c}, Operators: operators,
+		Metrics: http.NotFoundHandler(), Status: func() any { return nil }, Ready: func() string { return "" }, Drain: func() {},
+	}, log
+}
+
+// ask sends a request and returns the status and the body.
+func ask(t *testing.T, a *Admin, method, path, token, body string) (status int, text string) {
+	t.Helper()
+	request := httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader(body))
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	answer, err := a.App().Test(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	data, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer.StatusCode, string(data)
+}
+
+func assertAnswer(t *testing.T, status int, text string, wantStatus int, wants ...string) {
+	t.Helper()
+	if status != wantStatus {
+		t.Fatalf("status %d, want %d: %s", status, wantStatus, text)
+	}
+	for _, want := range wants {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not in %s", want, text)
+		}
+	}
+}
+
+func changeOf(team string, base int64) string {
+	data, err := json.Marshal(applyWire{Base: base, Text: json.RawMessage(`{"Team":"` + team + `"}`)})
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+func TestCredentials(t *testing.T) {
+	a, _ := adminOf(
+		Operator{Name: "all", TokenHash: hashOf("every"), Teams: []ident.Team{anyTeam}},
+		Operator{Name: "one", TokenHash: hashOf("mine"), Teams: []ident.Team{"t"}},
+	)
+	for name, c := range map[string]struct {
+		method, path, token, body string
+		status                    int
+		want                      string
+	}{
+		"no token":                     {"GET", "/v1/teams", "", "", 403, "no operator has this token"},
+		"a wrong token":                {"GET", "/v1/teams", "guess", "", 403, "no operator has this token"},
+		"health needs none":            {"GET", "/healthz", "", "", 200, "ok"},
+		"one's own team":               {"POST", "/v1/teams/t/config", "mine", changeOf("t", 0), 200, "Accepted"},
+		"another's file":               {"GET", "/v1/teams/u", "mine", "", 403, "no rights on team u"},
+		"another's team":               {"POST", "/v1/teams/u/config", "mine", changeOf("u", 0), 403, "no rights on team u"},
+		"all teams":                    {"POST", "/v1/teams/u/config", "every", changeOf("u", 0), 200, "Accepted"},
+		"draining needs all teams":     {"POST", "/v1/drain", "mine", "", 403, "rights on all teams"},
+		"restoring needs a lost state": {"POST", "/v1/restore", "every", "", 400, "holds the shared state"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			status, text := ask(t, a, c.method, c.path, c.token, c.body)
+			assertAnswer(t, status, text, c.status, c.want)
+			if c.token != "" && strings.Contains(text, c.token+`"`) {
+				t.Error("the answer repeats the token")
+			}
+		})
+	}
+}
+
+func TestApply(t *testing.T) {
+	t.Run("a lost answer is made good by the change's id", func(t *testing.T) {
+		a, log := adminOf()
+		log.loses = 1
+		status, text := ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("t", 0))
+		assertAnswer(t, status, text, 200, "Accepted")
+		if log.next > 2 || a.Reader.Current().Conf.Teams["t"].Revision != 1 {
+			t.Fatalf("%d records, revision %d", log.next, a.Reader.Current().Conf.Teams["t"].Revision)
+		}
+	})
+	t.Run("a conflict is not appended", func(t *testing.T) {
+		a, log := adminOf()
+		ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("t", 0))
+		status, text := ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("t", 0))
+		assertAnswer(t, status, text, 200, "Conflict", "revision 1 by anyone is in force")
+		if log.next != 1 {
+			t.Fatalf("%d records", log.next)
+		}
+	})
+	t.Run("a file of another team, or none", func(t *testing.T) {
+		a, _ := adminOf()
+		status, text := ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("u", 0))
+		assertAnswer(t, status, text, 200, "Refused", "$.Team")
+		status, text = ask(t, a, "POST", "/v1/teams/t/config", "", "{")
+		assertAnswer(t, status, text, 400, "not JSON")
+	})
+}
