--- a/croftload/costs/costs.go
+++ b/croftload/costs/costs.go
@@ -34,6 +34,9 @@
 
 	cluster *bench.Cluster
 	client  httpc.Client
+	// share is the processor share of all instances while nothing is asked; it
+	// is taken off what requests cost.
+	share float64
 }
 
 const (
@@ -109,7 +112,8 @@
 	c.Clock.Sleep(ctx, idleSpan)
 	span := idleSpan.Duration().Seconds()
 	n := float64(len(c.cluster.Instances()))
-	c.say(when+": processor share of an instance, of 9", (c.cpu()-before)/span/n)
+	c.share = (c.cpu() - before) / span
+	c.say(when+": processor share of an instance, of 9", c.share/n)
 	c.say(when+": appends a second of all 9 instances", (c.appends(ctx)-appends)/span)
 	c.say(when+": resident memory of an instance, MB", c.memory("b-1"))
 }
@@ -173,7 +177,7 @@
 	c.say(what+": p50, ms", all[len(all)/2])
 	c.say(what+": p99, ms", all[len(all)*99/100])
 	c.say(what+": calls a second", n/span)
-	c.say(what+": processor ms of all instances for a call", (c.cpu()-cpu)*1000/n)
+	c.say(what+": processor ms of all instances for a call, idle share off", (c.cpu()-cpu-c.share*span)*1000/n)
 	c.say(what+": appends for 1,000 calls", (c.appends(ctx)-appends)*1000/n)
 }
 
@@ -198,12 +202,14 @@
 	}
 	loadCtx, stop := context.WithTimeout(ctx, streamSpan.Duration())
 	defer stop()
-	tokens, cpu := c.tokens(ctx), c.cpu()
+	tokens, cpu, began := c.tokens(ctx), c.cpu(), c.Clock.Mono()
 	l.Run(loadCtx)
+	idle := c.share * (c.Clock.Mono() - began).Duration().Seconds()
 	made := c.tokens(ctx) - tokens
 	c.say("streamed answers: whole and on time, share", l.Tally.OnTime())
 	c.say("streamed answers: tokens", made)
-	c.say("streamed answers: processor ms of all instances for 1,000 tokens", (c.cpu()-cpu)*1e6/max(made, 1))
+	c.say("streamed answers: answers", float64(l.Tally.Asked()))
+	c.say("streamed answers: processor ms of all instances for 1,000 tokens, idle share off", (c.cpu()-cpu-idle)*1e6/max(made, 1))
 }
 
 func (c *Costs) tokens(ctx context.Context) float64 {
