--- a/croftmoor/admin/admin_test.go
+++ b/croftmoor/admin/admin_test.go
@@ -99,8 +99,8 @@
 	}
 }
 
-func changeOf(team string, base int64) string {
-	data, err := json.Marshal(applyWire{Base: base, Text: json.RawMessage(`{"Team":"` + team + `"}`)})
+func changeOf(team string) string {
+	data, err := json.Marshal(applyWire{Text: json.RawMessage(`{"Team":"` + team + `"}`)})
 	if err != nil {
 		panic(err)
 	}
@@ -120,10 +120,10 @@
 		"no token":                     {"GET", "/v1/teams", "", "", 403, "no operator has this token"},
 		"a wrong token":                {"GET", "/v1/teams", "guess", "", 403, "no operator has this token"},
 		"health needs none":            {"GET", "/healthz", "", "", 200, "ok"},
-		"one's own team":               {"POST", "/v1/teams/t/config", "mine", changeOf("t", 0), 200, "Accepted"},
+		"one's own team":               {"POST", "/v1/teams/t/config", "mine", changeOf("t"), 200, "Accepted"},
 		"another's file":               {"GET", "/v1/teams/u", "mine", "", 403, "no rights on team u"},
-		"another's team":               {"POST", "/v1/teams/u/config", "mine", changeOf("u", 0), 403, "no rights on team u"},
-		"all teams":                    {"POST", "/v1/teams/u/config", "every", changeOf("u", 0), 200, "Accepted"},
+		"another's team":               {"POST", "/v1/teams/u/config", "mine", changeOf("u"), 403, "no rights on team u"},
+		"all teams":                    {"POST", "/v1/teams/u/config", "every", changeOf("u"), 200, "Accepted"},
 		"draining needs all teams":     {"POST", "/v1/drain", "mine", "", 403, "rights on all teams"},
 		"restoring needs a lost state": {"POST", "/v1/restore", "every", "", 400, "holds the shared state"},
 	} {
@@ -141,7 +141,7 @@
 	t.Run("a lost answer is made good by the change's id", func(t *testing.T) {
 		a, log := adminOf()
 		log.loses = 1
-		status, text := ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("t", 0))
+		status, text := ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("t"))
 		assertAnswer(t, status, text, 200, "Accepted")
 		if log.next > 2 || a.Reader.Current().Conf.Teams["t"].Revision != 1 {
 			t.Fatalf("%d records, revision %d", log.next, a.Reader.Current().Conf.Teams["t"].Revision)
@@ -149,8 +149,8 @@
 	})
 	t.Run("a conflict is not appended", func(t *testing.T) {
 		a, log := adminOf()
-		ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("t", 0))
-		status, text := ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("t", 0))
+		ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("t"))
+		status, text := ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("t"))
 		assertAnswer(t, status, text, 200, "Conflict", "revision 1 by anyone is in force")
 		if log.next != 1 {
 			t.Fatalf("%d records", log.next)
@@ -158,7 +158,7 @@
 	})
 	t.Run("a file of another team, or none", func(t *testing.T) {
 		a, _ := adminOf()
-		status, text := ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("u", 0))
+		status, text := ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("u"))
 		assertAnswer(t, status, text, 200, "Refused", "$.Team")
 		status, text = ask(t, a, "POST", "/v1/teams/t/config", "", "{")
 		assertAnswer(t, status, text, 400, "not JSON")
