--- a/kernel/fold/fold_test.go
+++ b/kernel/fold/fold_test.go
@@ -1,7 +1,9 @@
 package fold
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -13,6 +15,13 @@
 	"croftmoor.dev/kernel/views"
 )
 
+// CI draws the same histories every time; elsewhere each run draws others.
+func init() {
+	if os.Getenv("CI") != "" {
+		_ = flag.Set("rapid.seed", "20261202")
+	}
+}
+
 // logModel is a log whose old records expire and readers that start late, miss
 // stretches, or take a state from a peer. All must agree, and none may go back.
 type logModel struct {
--- a/kernel/once/once_test.go
+++ b/kernel/once/once_test.go
@@ -1,7 +1,9 @@
 package once
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"slices"
 	"testing"
 
@@ -12,6 +14,13 @@
 	"croftmoor.dev/kernel/views"
 )
 
+// CI draws the same histories every time; elsewhere each run draws others.
+func init() {
+	if os.Getenv("CI") != "" {
+		_ = flag.Set("rapid.seed", "20261202")
+	}
+}
+
 // shardModel runs one shard at three instances with messages that are delayed,
 // doubled and lost, views that are learnt late, and instances that lose their
 // memory. What it holds against all of them: no id is granted twice.
--- a/kernel/steps/steps_test.go
+++ b/kernel/steps/steps_test.go
@@ -1,6 +1,8 @@
 package steps
 
 import (
+	"flag"
+	"os"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -9,6 +11,13 @@
 	"croftmoor.dev/kernel/place"
 )
 
+// CI draws the same histories every time; elsewhere each run draws others.
+func init() {
+	if os.Getenv("CI") != "" {
+		_ = flag.Set("rapid.seed", "20261202")
+	}
+}
+
 func spec() Spec {
 	return Spec{Trainer: "t", Step: 1, Prompts: []string{"p", "q"}, GroupSize: 2, MaxTokens: 10, Bound: 1}
 }
