--- /dev/null
+++ b/croftmoor/batch/codec.go
@@ -0,0 +1,77 @@
+package batch
+
+import (
+	"bytes"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/httpc"
+	"croftmoor.dev/kernel/ident"
+)
+
+// itemPack is an item as it is kept: an array, to which fields may only be
+// added at the end.
+type itemPack struct {
+	ID      string
+	Group   string
+	Expect  int32
+	Host    string
+	Path    string
+	Headers []headerPack
+	Body    []byte
+	Reward  *rewardPack
+}
+
+type headerPack struct {
+	Name  string
+	Value string
+}
+
+type rewardPack struct {
+	ID   string
+	Host string
+	Path string
+	Body []byte
+}
+
+// encodeItem returns an item's bytes.
+func encodeItem(item Item) ([]byte, error) {
+	pack := itemPack{
+		ID: string(item.ID), Group: string(item.Group), Expect: int32(item.Expect),
+		Host: item.Host, Path: item.Path, Body: item.Body,
+	}
+	for _, h := range item.Headers {
+		pack.Headers = append(pack.Headers, headerPack(h))
+	}
+	if r := item.Reward; r != nil {
+		pack.Reward = &rewardPack{ID: string(r.ID), Host: r.Host, Path: r.Path, Body: r.Body}
+	}
+	var out bytes.Buffer
+	encoder := msgpack.NewEncoder(&out)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(&pack); err != nil {
+		return nil, fault.Wrap("batch.encodeItem", Invalid, err, "item "+string(item.ID))
+	}
+	return out.Bytes(), nil
+}
+
+// decodeItem reads what encodeItem wrote.
+func decodeItem(data []byte) (Item, error) {
+	var pack itemPack
+	if err := msgpack.Unmarshal(data, &pack); err != nil {
+		return Item{}, fault.Wrap("batch.decodeItem", Invalid, err, "the kept item is unreadable")
+	}
+	item := Item{
+		ID: ident.Item(pack.ID), Group: ident.Group(pack.Group), Expect: ident.Tokens(pack.Expect),
+		Host: pack.Host, Path: pack.Path, Body: pack.Body,
+	}
+	for _, h := range pack.Headers {
+		item.Headers = append(item.Headers, httpc.Header(h))
+	}
+	if r := pack.Reward; r != nil {
+		item.Reward = &Reward{ID: ident.RequestID(r.ID), Host: r.Host, Path: r.Path, Body: r.Body}
+	}
+	return item, nil
+}
--- /dev/null
+++ b/croftmoor/batch/intake.go
@@ -0,0 +1,242 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/tail"
+	"croftmoor.dev/kernel/trail"
+)
+
+const (
+	// mostListed bounds the texts of one answer in bytes; the callers' protocol
+	// allows 1 MB.
+	mostListed = 900 << 10
+	// submitTerm is how long the log may take to acknowledge a job before the
+	// caller is told that the outcome is uncertain.
+	submitTerm = 2500 * clock.Millis(1)
+	endTerm    = 2500 * clock.Millis(1)
+	// knownTerm is how long a submission waits for a ledger that is not current.
+	settleTerm = 600 * clock.Millis(1)
+)
+
+// Intake answers the callers of batch jobs. Set the fields before use.
+type Intake struct {
+	Ledger Ledger
+	Blobs  Blobs
+	Clock  *clock.Clock
+	Trail  Decisions
+}
+
+// Submit makes a job durable. When it returns nil, all of the job is kept.
+func (i *Intake) Submit(ctx context.Context, s Submission) error {
+	if i.known(s.Job) {
+		i.note(string(s.Job), trail.Hand, "known", "submitted again")
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTerm.Duration())
+	defer cancel()
+	accept, err := i.keepBodies(ctx, s)
+	if err != nil {
+		i.note(string(s.Job), trail.Refuse, "not taken", "bodies not kept: "+err.Error())
+		return err
+	}
+	offset, err := i.Ledger.Append(ctx, accept)
+	if err != nil {
+		kind := Uncertain
+		if fault.KindOf[tail.Kind](err) == tail.Refused {
+			kind = NotTaken
+		}
+		i.note(string(s.Job), trail.Refuse, string(kind), "acceptance: "+err.Error())
+		return fault.Wrap("batch.Submit", kind, err, "job "+string(s.Job))
+	}
+	i.note(string(s.Job), trail.Grant, "accepted", fmt.Sprintf("step %d, %d items, least version %d, offset %d", s.Step, len(s.Items), s.Least, offset))
+	return nil
+}
+
+// keepBodies keeps the items and returns the acceptance that refers to them.
+func (i *Intake) keepBodies(ctx context.Context, s Submission) (jobs.Accept, error) {
+	accept := jobs.Accept{
+		Job: s.Job, Host: s.Route.Host, Prefix: s.Route.Prefix, Service: s.Route.Shares[0].Service, Model: s.Model,
+		Step: s.Step, Least: s.Least, Wanted: s.Wanted, Single: s.Route.SingleVersion,
+	}
+	blobs := make([][]byte, 0, len(s.Items))
+	for _, item := range s.Items {
+		data, err := encodeItem(item)
+		if err != nil {
+			return accept, err
+		}
+		blobs = append(blobs, data)
+	}
+	spans, err := i.Blobs.PutBodies(ctx, s.Job, blobs)
+	if err != nil {
+		// Bodies without an acceptance are never run, so this is a true refusal.
+		return accept, fault.Wrap("batch.Submit", NotTaken, err, "job "+string(s.Job))
+	}
+	for n, item := range s.Items {
+		accept.Items = append(accept.Items, jobs.Plan{ID: item.ID, Group: item.Group, Expect: item.Expect, Body: spans[n]})
+	}
+	return accept, nil
+}
+
+func (i *Intake) known(job ident.Job) bool {
+	known := false
+	i.Ledger.View(func(b *jobs.Book) { known = b.Jobs[job] != nil })
+	return known
+}
+
+// Listed is a result as callers read it.
+type Listed struct {
+	ID       ident.Item
+	State    jobs.State
+	Text     string
+	Versions []ident.Version
+	Score    string
+}
+
+// Page is a part of a job's results.
+type Page struct {
+	Total   int
+	Next    int
+	Results []Listed
+}
+
+// Read returns the results of a job from a position on, waiting for one if
+// there is none yet.
+func (i *Intake) Read(ctx context.Context, job ident.Job, from int, wait clock.Millis) (Page, error) {
+	deadline := i.Clock.Mono() + wait
+	for {
+		changed := i.Ledger.Changed()
+		results, total, known := i.results(job, from)
+		if !known {
+			return Page{}, i.missing("batch.Read", job)
+		}
+		left := deadline - i.Clock.Mono()
+		if len(results) > 0 || left <= 0 || from >= total {
+			return i.page(ctx, from, total, results)
+		}
+		select {
+		case <-ctx.Done():
+			return Page{}, fault.Wrap("batch.Read", Unsure, ctx.Err(), "the caller left")
+		case <-changed:
+		case <-i.Clock.After(left):
+		}
+	}
+}
+
+// listedResult is a result with the id of its item.
+type listedResult struct {
+	id ident.Item
+	jobs.Result
+}
+
+func (i *Intake) results(job ident.Job, from int) (results []listedResult, total int, known bool) {
+	i.Ledger.View(func(b *jobs.Book) {
+		j := b.Jobs[job]
+		if j == nil {
+			return
+		}
+		known, total = true, len(j.Items)
+		for n := max(from, 0); n < len(j.Results); n++ {
+			results = append(results, listedResult{id: j.Items[j.Results[n].Index].ID, Result: j.Results[n]})
+		}
+	})
+	return results, total, known
+}
+
+func (i *Intake) page(ctx context.Context, from, total int, results []listedResult) (Page, error) {
+	page := Page{Total: total, Next: max(from, 0)}
+	size := 0
+	for _, r := range results {
+		text := ""
+		if r.Text.Count > 0 {
+			data, err := i.Blobs.Get(ctx, r.Text)
+			if err != nil && len(page.Results) > 0 {
+				break
+			}
+			if err != nil {
+				return Page{}, fault.Wrap("batch.Read", Unsure, err, "the text of item "+string(r.id))
+			}
+			text = string(data)
+		}
+		if len(page.Results) > 0 && size+len(text) > mostListed {
+			break
+		}
+		size += len(text)
+		page.Results = append(page.Results, Listed{ID: r.id, State: r.State, Text: text, Versions: r.Versions, Score: r.Score})
+		page.Next++
+	}
+	return page, nil
+}
+
+// missing tells an unknown job from one that this instance may not know yet.
+func (i *Intake) missing(op string, job ident.Job) error {
+	if i.Ledger.Age() > settleTerm {
+		return fault.New(op, Unsure, fmt.Sprintf("job %s; the ledger was last read %d ms ago", job, i.Ledger.Age()))
+	}
+	return fault.New(op, Unknown, "no job "+string(job))
+}
+
+// Body returns the body of an item.
+func (i *Intake) Body(ctx context.Context, job ident.Job, id ident.Item) ([]byte, error) {
+	var span jobs.Span
+	known, found := false, false
+	i.Ledger.View(func(b *jobs.Book) {
+		j := b.Jobs[job]
+		if j == nil {
+			return
+		}
+		known = true
+		for n := range j.Items {
+			if j.Items[n].ID == id {
+				span, found = j.Items[n].Body, true
+				return
+			}
+		}
+	})
+	if !known {
+		return nil, i.missing("batch.Body", job)
+	}
+	if !found {
+		return nil, fault.New("batch.Body", Unknown, "no item "+string(id)+" in job "+string(job))
+	}
+	data, err := i.Blobs.Get(ctx, span)
+	if err != nil {
+		return nil, fault.Wrap("batch.Body", Unsure, err, "the body of item "+string(id))
+	}
+	item, err := decodeItem(data)
+	return item.Body, err
+}
+
+// End closes a job.
+func (i *Intake) End(ctx context.Context, job ident.Job) error {
+	ended := false
+	known := false
+	i.Ledger.View(func(b *jobs.Book) {
+		if j := b.Jobs[job]; j != nil {
+			known, ended = true, j.Ended
+		}
+	})
+	if !known {
+		return i.missing("batch.End", job)
+	}
+	if ended {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, endTerm.Duration())
+	defer cancel()
+	if _, err := i.Ledger.Append(ctx, jobs.End{Job: job}); err != nil {
+		i.note(string(job), trail.Refuse, "end uncertain", err.Error())
+		return fault.Wrap("batch.End", Uncertain, err, "job "+string(job))
+	}
+	i.note(string(job), trail.Cancel, "ended", "the caller's word")
+	return nil
+}
+
+func (i *Intake) note(id string, action trail.Action, choice, reason string) {
+	i.Trail.Add(trail.Decision{ID: id, Action: action, Choice: choice, Reason: reason})
+}
--- /dev/null
+++ b/croftmoor/batch/runner.go
@@ -0,0 +1,300 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/sourcegraph/conc"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/deal"
+	"croftmoor.dev/kernel/fleet"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/paths"
+	"croftmoor.dev/kernel/trail"
+)
+
+const (
+	// tick bounds how long a change that no record tells of goes unnoticed.
+	tick = 100 * clock.Millis(1)
+	// overbook is how many items an engine may hold beyond its slots, so that a
+	// slot that gets free has its next item at once.
+	overbook = 1
+	// claimTerm bounds the wait for a claim's word from the log.
+	claimTerm = 3 * clock.Second
+	// loadTerm is how long an ordered load of weights keeps items away if no
+	// word of its end comes.
+	loadTerm = 2500 * clock.Millis(1)
+	// strayTerm is how long an item may wait while instances that see the
+	// engines differently leave it to each other; then any may claim it.
+	strayTerm = 400 * clock.Millis(1)
+)
+
+// itemKey names an item of a job.
+type itemKey struct {
+	job   ident.Job
+	index int
+}
+
+// run is an item that this instance runs under a claim.
+type run struct {
+	claim  ident.Offset
+	cancel context.CancelFunc
+}
+
+// Runner claims items for the engines that this instance acts for, and runs
+// them. Set the exported fields before Run. Its state is guarded by mu.
+type Runner struct {
+	Self    ident.InstanceName
+	Zone    ident.Zone
+	Ledger  Ledger
+	Blobs   Blobs
+	Engines Engines
+	Rewards Rewards
+	Fleet   *fleet.Table
+	Routes  func() *paths.Table
+	Clock   *clock.Clock
+	Trail   Decisions
+
+	mu      sync.Mutex
+	runs    map[itemKey]*run
+	pending map[itemKey]bool
+	waiting map[itemKey]clock.Millis
+	leaving bool
+	group   conc.WaitGroup
+	kick    chan struct{}
+}
+
+// Setup makes the runner usable; it is called before Run.
+func (r *Runner) Setup() {
+	r.runs = map[itemKey]*run{}
+	r.pending = map[itemKey]bool{}
+	r.waiting = map[itemKey]clock.Millis{}
+	r.kick = make(chan struct{}, 1)
+}
+
+// Run claims and runs items until ctx ends; it returns when all runs have
+// ended.
+func (r *Runner) Run(ctx context.Context) {
+	defer r.group.Wait()
+	for ctx.Err() == nil {
+		changed := r.Ledger.Changed()
+		r.follow(ctx)
+		r.claim(ctx)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-r.kick:
+		case <-r.Clock.After(tick):
+		}
+	}
+}
+
+// Leave gives back what this instance runs; it claims nothing more.
+func (r *Runner) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+	for _, run := range r.runs {
+		run.cancel()
+	}
+}
+
+// Running returns how many items this instance runs.
+func (r *Runner) Running() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs)
+}
+
+// claimed is an item that the ledger gives to this instance.
+type claimed struct {
+	key    itemKey
+	item   jobs.Item
+	accept jobs.Accept
+}
+
+// follow starts the items that the ledger gives to this instance, and stops
+// those that it no longer does.
+func (r *Runner) follow(ctx context.Context) {
+	mine := map[itemKey]claimed{}
+	r.Ledger.View(func(b *jobs.Book) {
+		for _, id := range b.Order {
+			job := b.Jobs[id]
+			if !job.Open() {
+				continue
+			}
+			for n := range job.Items {
+				if job.Items[n].Claim != 0 && job.Items[n].Owner == r.Self {
+					key := itemKey{job: id, index: n}
+					mine[key] = claimed{key: key, item: job.Items[n], accept: job.Accept}
+				}
+			}
+		}
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key, run := range r.runs {
+		if c, ok := mine[key]; !ok || c.item.Claim != run.claim {
+			run.cancel()
+		}
+	}
+	for key, c := range mine {
+		if r.runs[key] != nil || r.leaving {
+			continue
+		}
+		r.begin(ctx, c)
+	}
+}
+
+// begin starts a run; mu is held.
+func (r *Runner) begin(ctx context.Context, c claimed) {
+	ctx, cancel := context.WithCancel(ctx)
+	own := &run{claim: c.item.Claim, cancel: cancel}
+	r.runs[c.key] = own
+	r.group.Go(func() {
+		defer cancel()
+		r.perform(ctx, c)
+		r.mu.Lock()
+		delete(r.runs, c.key)
+		r.mu.Unlock()
+		r.wake()
+	})
+}
+
+func (r *Runner) wake() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// claim makes the deal and claims this instance's part of it.
+func (r *Runner) claim(ctx context.Context) {
+	r.mu.Lock()
+	leaving := r.leaving
+	r.mu.Unlock()
+	if leaving || !r.Ledger.Fresh() {
+		return
+	}
+	for _, c := range r.plan() {
+		keys := make([]itemKey, 0, len(c.Targets))
+		for _, t := range c.Targets {
+			keys = append(keys, itemKey{job: c.Job, index: t.Index})
+		}
+		r.mark(keys, true)
+		r.group.Go(func() { r.append(ctx, c, keys) })
+	}
+}
+
+func (r *Runner) mark(keys []itemKey, pending bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, key := range keys {
+		if pending {
+			r.pending[key] = true
+			delete(r.waiting, key)
+		} else {
+			delete(r.pending, key)
+		}
+	}
+}
+
+// append writes a claim and waits until it has been read back, so that the
+// items are not claimed once more meanwhile.
+func (r *Runner) append(ctx context.Context, c jobs.Claim, keys []itemKey) {
+	defer r.wake()
+	defer r.mark(keys, false)
+	callCtx, cancel := context.WithTimeout(ctx, claimTerm.Duration())
+	defer cancel()
+	offset, err := r.Ledger.Append(callCtx, c)
+	if err == nil {
+		err = r.Ledger.Await(callCtx, offset+1)
+	}
+	if err != nil && ctx.Err() == nil {
+		r.Trail.Add(trail.Decision{ID: string(c.Job), Action: trail.Hold, Choice: string(c.Engine), Reason: "claim: " + err.Error()})
+	}
+}
+
+// plan returns the claims that this instance should make now.
+func (r *Runner) plan() []jobs.Claim {
+	table := r.Routes()
+	if table == nil {
+		return nil
+	}
+	var claims []jobs.Claim
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Ledger.View(func(b *jobs.Book) {
+		s := r.survey(b, table)
+		if len(s.pieces) == 0 {
+			clear(r.waiting)
+			return
+		}
+		deals := deal.Spread(s.pieces, s.engines, overbook, s.allowed)
+		claims = r.own(s, deals)
+		if len(claims) == 0 {
+			claims = r.strays(s)
+		}
+	})
+	return claims
+}
+
+// own turns this instance's part of a deal into claims, one for each job and
+// engine.
+func (r *Runner) own(s *survey, deals []deal.Assignment) []jobs.Claim {
+	type target struct {
+		job    ident.Job
+		engine ident.BackendName
+	}
+	at := map[target]int{}
+	var claims []jobs.Claim
+	for _, d := range deals {
+		if s.actor[d.Engine] != r.Self || r.pending[itemKey{job: d.Piece.Job, index: d.Piece.Target.Index}] {
+			continue
+		}
+		key := target{job: d.Piece.Job, engine: d.Engine}
+		n, ok := at[key]
+		if !ok {
+			n = len(claims)
+			at[key] = n
+			claims = append(claims, jobs.Claim{Job: d.Piece.Job, By: r.Self, Engine: d.Engine})
+		}
+		claims[n].Targets = append(claims[n].Targets, d.Piece.Target)
+		r.Trail.Add(trail.Decision{
+			ID: string(s.ids[d.Piece.Job][d.Piece.Target.Index]), Action: trail.Place, Choice: string(d.Engine),
+			Reason: fmt.Sprintf("expects %d tokens, load %d, ledger %d", d.Piece.Expect, s.loads[d.Engine], s.next),
+		})
+	}
+	return claims
+}
+
+// strays deals items that have waited for long among this instance's own
+// engines only.
+func (r *Runner) strays(s *survey) []jobs.Claim {
+	now := r.Clock.Mono()
+	var old []deal.Piece
+	for _, p := range s.pieces {
+		key := itemKey{job: p.Job, index: p.Target.Index}
+		since, ok := r.waiting[key]
+		if !ok {
+			r.waiting[key] = now
+			continue
+		}
+		if now-since > strayTerm {
+			old = append(old, p)
+		}
+	}
+	var own []deal.Engine
+	for _, e := range s.engines {
+		if s.actor[e.Name] == r.Self {
+			own = append(own, e)
+		}
+	}
+	if len(old) == 0 || len(own) == 0 {
+		return nil
+	}
+	return r.own(s, deal.Spread(old, own, overbook, s.allowed))
+}
--- /dev/null
+++ b/croftmoor/ledger/ledger.go
@@ -0,0 +1,272 @@
+// Package ledger keeps this instance's copy of the state that all instances
+// share: it follows the ledger's stream, folds it, tells who is alive, and
+// appends records.
+package ledger
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/tail"
+)
+
+// Stream is the ledger's stream.
+const Stream ident.Stream = "ledger.0"
+
+const (
+	// beatPeriod is the pause between two signs of life.
+	beatPeriod = 700 * clock.Millis(1)
+	// DeadAfter is the silence after which an instance counts as gone: three
+	// beats may be lost or late.
+	DeadAfter = 2500 * clock.Millis(1)
+	// readWait is how long a read waits for a record, so that an answer tells at
+	// least so often that the state is current; readTimeout is when one counts
+	// as lost.
+	readWait    = 500 * clock.Millis(1)
+	readTimeout = 1500 * clock.Millis(1)
+	// leastPause groups records that come one by one. With many instances the
+	// pause grows, so that all of them together use readShare of the reads that
+	// the log serves, and beatShare of the writes for signs of life.
+	leastPause = 15 * clock.Millis(1)
+	readShare  = 0.4
+	beatShare  = 0.2
+	// freshTerm is how long after a read the state counts as current.
+	freshTerm = 1500 * clock.Millis(1)
+	// keepTerm is how long jobs are remembered; it is longer than anybody may
+	// ask for one.
+	keepTerm     = 180 * clock.Second
+	forgetPeriod = 5 * clock.Second
+	beatTimeout  = 2 * clock.Second
+)
+
+// Writer appends records to streams.
+type Writer interface {
+	Write(ctx context.Context, stream ident.Stream, records ...[]byte) (ident.Offset, error)
+}
+
+// Ledger is this instance's copy. Set the exported fields before Run. The state
+// is guarded by mu.
+type Ledger struct {
+	Self   ident.InstanceName
+	Zone   ident.Zone
+	Clock  *clock.Clock
+	Log    zerolog.Logger
+	Reader tail.Reader
+	Writer Writer
+	// ReadsPerSecond and WritesPerSecond are what the log serves to all
+	// instances together.
+	ReadsPerSecond  int
+	WritesPerSecond int
+
+	mu      sync.Mutex
+	book    *jobs.Book
+	changed chan struct{}
+	read    clock.Millis
+	began   bool
+	current bool
+	lost    bool
+	beaten  clock.Millis
+	leaving bool
+}
+
+// Setup makes the ledger usable; it is called before Run.
+func (l *Ledger) Setup() {
+	l.book = jobs.NewBook()
+	l.changed = make(chan struct{})
+}
+
+// Run follows the ledger and tells that this instance is alive until ctx ends.
+func (l *Ledger) Run(ctx context.Context) {
+	tailer := &tail.Tailer{
+		Log: l.Reader, Stream: Stream, Clock: l.Clock, Apply: l.apply, Failed: l.failed,
+		Wait: readWait, Timeout: readTimeout, Pause: l.pause,
+	}
+	var group conc.WaitGroup
+	group.Go(func() { tailer.Run(ctx) })
+	group.Go(func() { l.beat(ctx) })
+	group.Go(func() { l.Clock.Every(ctx, forgetPeriod, l.forget) })
+	group.Wait()
+}
+
+// pause returns the pause between two reads.
+func (l *Ledger) pause() clock.Millis {
+	return max(leastPause, l.each(float64(l.ReadsPerSecond)*readShare))
+}
+
+// each returns the period at which each instance may act, if all together may
+// act so many times a second.
+func (l *Ledger) each(perSecond float64) clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	live := len(l.book.Live(l.Clock.Mono() - DeadAfter))
+	return clock.Millis(float64(live) * float64(clock.Second) / max(perSecond, 1))
+}
+
+func (l *Ledger) apply(batch tail.Batch) {
+	now := l.Clock.Mono()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.began && now-l.read > freshTerm {
+		l.book.Shift(now - l.read)
+	}
+	l.began = true
+	l.read = now
+	if l.lost {
+		l.lost = false
+		l.Log.Info().Str("Dependency", "ledger").Int64("Next", int64(batch.Next)).Msg("regained")
+	}
+	for _, record := range batch.Records {
+		l.fold(record, now)
+	}
+	last := batch.First
+	if n := len(batch.Records); n > 0 {
+		last = batch.Records[n-1].Offset + 1
+	}
+	if !l.current && max(last, l.book.Next) >= batch.Next {
+		l.current = true
+	}
+	if len(batch.Records) > 0 {
+		close(l.changed)
+		l.changed = make(chan struct{})
+	}
+}
+
+func (l *Ledger) fold(record tail.Record, now clock.Millis) {
+	decoded, err := jobs.Decode(record.Data)
+	if err != nil {
+		l.Log.Error().Err(err).Int64("Offset", int64(record.Offset)).Msg("record skipped")
+		return
+	}
+	if decoded != nil {
+		l.book.Apply(record.Offset, decoded, now)
+	}
+}
+
+func (l *Ledger) failed(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.lost && l.Clock.Mono()-l.read > freshTerm {
+		l.lost = true
+		l.Log.Warn().Err(err).Str("Dependency", "ledger").Int64("AgeMillis", int64(l.Clock.Mono()-l.read)).Msg("lost")
+	}
+}
+
+func (l *Ledger) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.Forget(l.Clock.Mono() - keepTerm)
+}
+
+func (l *Ledger) beat(ctx context.Context) {
+	for {
+		began := l.Clock.Mono()
+		callCtx, cancel := context.WithTimeout(ctx, beatTimeout.Duration())
+		_, err := l.Append(callCtx, jobs.Beat{By: l.Self, Zone: l.Zone, Leaving: l.isLeaving()})
+		cancel()
+		if err == nil {
+			l.mu.Lock()
+			l.beaten = began
+			l.mu.Unlock()
+		}
+		if !l.Clock.Sleep(ctx, max(beatPeriod, l.each(float64(l.WritesPerSecond)*beatShare))) {
+			return
+		}
+	}
+}
+
+func (l *Ledger) isLeaving() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaving
+}
+
+// Leave tells the others that this instance takes no more work.
+func (l *Ledger) Leave(ctx context.Context) error {
+	l.mu.Lock()
+	l.leaving = true
+	l.mu.Unlock()
+	_, err := l.Append(ctx, jobs.Beat{By: l.Self, Zone: l.Zone, Leaving: true})
+	return err
+}
+
+// Append appends records next to each other. See tail.Writer for its errors.
+func (l *Ledger) Append(ctx context.Context, records ...jobs.Record) (ident.Offset, error) {
+	data := make([][]byte, 0, len(records))
+	for _, r := range records {
+		data = append(data, jobs.Encode(r))
+	}
+	return l.Writer.Write(ctx, Stream, data...)
+}
+
+// View calls look with the state, which must not be kept or changed.
+func (l *Ledger) View(look func(*jobs.Book)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	look(l.book)
+}
+
+// Changed returns a channel that is closed at the next change of the state.
+func (l *Ledger) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+// Current tells whether the state has been read to its end once.
+func (l *Ledger) Current() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current
+}
+
+// Age returns how long ago the state was last known to be current.
+func (l *Ledger) Age() clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.current {
+		return keepTerm
+	}
+	return l.Clock.Mono() - l.read
+}
+
+// Fresh tells whether the state is current enough to act on.
+func (l *Ledger) Fresh() bool {
+	return l.Age() <= freshTerm
+}
+
+// Heard returns how long ago this instance's own last acknowledged sign of life
+// was sent.
+func (l *Ledger) Heard() clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Clock.Mono() - l.beaten
+}
+
+// Since returns the time since which a member must have been heard to count as
+// alive.
+func (l *Ledger) Since() clock.Millis {
+	return l.Clock.Mono() - DeadAfter
+}
+
+// Await waits until the record before next has been folded.
+func (l *Ledger) Await(ctx context.Context, next ident.Offset) error {
+	for {
+		changed := l.Changed()
+		reached := false
+		l.View(func(b *jobs.Book) { reached = b.Next >= next })
+		if reached {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
--- a/croftmoor/metric/metric.go
+++ b/croftmoor/metric/metric.go
@@ -19,6 +19,8 @@
 	refused  *prometheus.CounterVec
 	served   *prometheus.HistogramVec
 	handed   *prometheus.CounterVec
+	stored   *prometheus.CounterVec
+	dropped  prometheus.Counter
 }
 
 // New returns a set with all metrics registered.
@@ -35,8 +37,14 @@
 		handed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "croftmoor_samples_handed_total", Help: "Samples in answers to pulls; repeats of lost answers included.",
 		}, []string{"trainer"}),
+		stored: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "croftmoor_store_calls_total", Help: "Calls to the platform's store, by call and outcome.",
+		}, []string{"call", "outcome"}),
+		dropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "croftmoor_log_lines_dropped_total", Help: "Log lines that no reader took in time.",
+		}),
 	}
-	s.registry.MustRegister(s.refused, s.served, s.handed, collectors.NewGoCollector(),
+	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.dropped, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -61,6 +69,16 @@
 	s.handed.WithLabelValues(trainer).Add(float64(samples))
 }
 
+// StoreCall counts a call to the platform's store.
+func (s *Set) StoreCall(call, outcome string) {
+	s.stored.WithLabelValues(call, outcome).Inc()
+}
+
+// Dropped counts log lines that were dropped.
+func (s *Set) Dropped(lines int) {
+	s.dropped.Add(float64(lines))
+}
+
 // Handler serves the metrics.
 func (s *Set) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
--- a/croftmoor/pool/pool.go
+++ b/croftmoor/pool/pool.go
@@ -63,7 +63,8 @@
 // Pool holds the servers of all services. Set the exported fields before Run.
 // The servers of each service are in a list that is replaced as a whole.
 type Pool struct {
-	Fleet    *fleet.Table
+	Fleet *fleet.Table
+	// Reporter may be nil where servers tell their load in their answers.
 	Reporter Reporter
 	Clock    *clock.Clock
 	Self     string
@@ -97,7 +98,9 @@
 func (p *Pool) Run(ctx context.Context) {
 	for {
 		p.Follow()
-		p.poll(ctx)
+		if p.Reporter != nil {
+			p.poll(ctx)
+		}
 		if !p.Clock.Sleep(ctx, p.Period) {
 			return
 		}
--- a/croftmoor/pool/server.go
+++ b/croftmoor/pool/server.go
@@ -43,6 +43,16 @@
 	s.ownThen = s.past.at(report.At, s.own)
 }
 
+// NoteLoad takes over the load that the server told with an answer.
+func (s *Server) NoteLoad(report Report, now clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report.Versions, report.Cached = s.report.Versions, s.report.Cached
+	s.report = report
+	s.received = now
+	s.ownThen = s.own
+}
+
 // candidate describes the server to a policy; it reports false if the server
 // can't take the request at all.
 func (s *Server) candidate(q Query, now clock.Millis) (route.Candidate, bool) {
--- /dev/null
+++ b/croftmoor/proxy/proxy.go
@@ -0,0 +1,246 @@
+// Package proxy passes live calls on to the backend servers of a route: it
+// chooses the server, tries others where the route allows it, and returns the
+// whole answer of one server or says truly that the call has not run.
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+
+	"croftmoor.dev/croftmoor/pool"
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/conf"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/httpc"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/paths"
+	"croftmoor.dev/kernel/route"
+	"croftmoor.dev/kernel/trail"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	// NotRun means that the call has not run and never will.
+	NotRun Kind = "NotRun"
+	// Late means that the time was up while a server may have worked on it.
+	Late Kind = "Late"
+	// Lost means that the call may have run and its answer is lost.
+	Lost Kind = "Lost"
+	// Left means that the caller has gone.
+	Left Kind = "Left"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Request is a live call.
+type Request struct {
+	ID      ident.RequestID
+	Route   paths.Route
+	Method  string
+	Target  string
+	Headers []httpc.Header
+	Body    []byte
+	// Until is when the caller stops waiting, by the steady clock.
+	Until clock.Millis
+}
+
+// Verdict is what a server's answer means for the call.
+type Verdict struct {
+	// NotRun tells that the server has not run the call.
+	NotRun bool
+	// Faulty tells that the server itself failed.
+	Faulty bool
+	// Leaving tells that the server is about to go.
+	Leaving bool
+	// Load is what the server told of its load; it counts if HasLoad is set.
+	Load    pool.Report
+	HasLoad bool
+}
+
+// Protocol speaks to backend servers.
+type Protocol interface {
+	// Headers returns the headers for one try at a server, with the time that is
+	// left to it.
+	Headers(r *Request, server ident.BackendName, left clock.Millis) []httpc.Header
+	// Own tells whether an answer belongs to the call.
+	Own(r *Request, a *httpc.Answer) bool
+	// Judge tells what an answer means.
+	Judge(a *httpc.Answer) Verdict
+}
+
+// Proxy passes calls on. Set the exported fields before use.
+type Proxy struct {
+	Pool     *pool.Pool
+	Protocol Protocol
+	Client   *httpc.Client
+	Clock    *clock.Clock
+	Trail    *trail.Trail
+	// Patience is how long a repeatable call waits for one server before it is
+	// tried at another.
+	Patience clock.Millis
+}
+
+// leastSend is the time below which a call is not sent any more: the server
+// could not answer in it.
+const leastSend = 5 * clock.Millis(1)
+
+// Do carries a call to its end.
+func (p *Proxy) Do(ctx context.Context, r Request) (*httpc.Answer, error) {
+	if r.Route.Timeout > 0 {
+		r.Until = min(r.Until, p.Clock.Mono()+r.Route.Timeout)
+	}
+	state := &state{service: r.Route.Service(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
+	for state.tries < max(r.Route.Attempts, 1) {
+		if ctx.Err() != nil || r.Until-p.Clock.Mono() < leastSend {
+			break
+		}
+		server := p.pick(r, state)
+		if server == nil {
+			break
+		}
+		state.tries++
+		state.tried = append(state.tried, server.Name)
+		answer, again := p.try(ctx, r, server, state)
+		if answer != nil {
+			return answer, nil
+		}
+		if !again {
+			break
+		}
+	}
+	return nil, p.giveUp(ctx, r, state)
+}
+
+// state is how far a call has got.
+type state struct {
+	service ident.Service
+	tries   int
+	tried   []ident.BackendName
+	// ran tells that a server may have run the call.
+	ran  bool
+	last error
+}
+
+func (p *Proxy) pick(r Request, s *state) *pool.Server {
+	query := pool.Query{
+		ID: r.ID, Not: s.tried, Live: true,
+		Service: conf.Service{Name: s.service, Policy: route.Balanced, Slots: p.slots(s.service)},
+	}
+	server, runnerUp, reason := p.Pool.Pick(query)
+	action := trail.Route
+	if s.tries > 0 {
+		action = trail.Retry
+	}
+	if server == nil {
+		action = trail.Refuse
+	}
+	choice := ident.BackendName("")
+	if server != nil {
+		choice = server.Name
+	}
+	p.Trail.Add(trail.Decision{ID: string(r.ID), Action: action, Choice: string(choice), RunnerUp: string(runnerUp),
+		Reason: fmt.Sprintf("try %d, %d ms left, %s", s.tries+1, r.Until-p.Clock.Mono(), reason)})
+	return server
+}
+
+// slots returns how many requests a server of the service runs at once.
+func (p *Proxy) slots(service ident.Service) int {
+	for _, m := range p.Pool.Fleet.View().Backends[service] {
+		if m.Slots > 0 {
+			return m.Slots
+		}
+	}
+	return 1
+}
+
+// try sends the call to one server. It reports whether another may be tried.
+func (p *Proxy) try(ctx context.Context, r Request, server *pool.Server, s *state) (answer *httpc.Answer, again bool) {
+	repeatable := r.Route.Repeat == paths.Repeatable
+	left := r.Until - p.Clock.Mono()
+	patience := left
+	if repeatable && s.tries < r.Route.Attempts {
+		patience = min(left, p.Patience)
+	}
+	tryCtx, cancel := context.WithTimeout(ctx, patience.Duration())
+	defer cancel()
+	call := &httpc.Call{
+		Address: server.Address(), Method: r.Method, Path: r.Target, Body: r.Body, Fresh: !repeatable,
+		Headers: p.Protocol.Headers(&r, server.Name, left),
+		Accept:  func(a *httpc.Answer) bool { return p.Protocol.Own(&r, a) },
+	}
+	began := p.Clock.Mono()
+	answer, err := p.Client.Do(tryCtx, call)
+	took := p.Clock.Mono() - began
+	if err != nil {
+		server.Release(p.Clock, true, took, false)
+		return nil, p.failed(ctx, r, server, s, repeatable, err)
+	}
+	verdict := p.Protocol.Judge(answer)
+	p.learn(server, verdict)
+	server.Release(p.Clock, true, took, !verdict.NotRun && !verdict.Faulty)
+	if verdict.NotRun {
+		s.last = fault.New("proxy.try", NotRun, string(server.Name)+" answered "+http.StatusText(answer.Status))
+		p.note(r, trail.Retry, server, "the server has not run it")
+		return nil, true
+	}
+	if verdict.Faulty && repeatable && s.tries < r.Route.Attempts {
+		s.ran = true
+		s.last = fault.New("proxy.try", Lost, string(server.Name)+" answered "+http.StatusText(answer.Status))
+		p.note(r, trail.Retry, server, fmt.Sprintf("the server failed it with %d", answer.Status))
+		return nil, true
+	}
+	return answer, false
+}
+
+func (p *Proxy) learn(server *pool.Server, v Verdict) {
+	if v.HasLoad {
+		server.NoteLoad(v.Load, p.Clock.Mono())
+	}
+	if v.Leaving {
+		p.Pool.Fleet.MarkLeaving(string(server.Name))
+	}
+}
+
+// failed notes a try without an answer, and reports whether another may follow.
+func (p *Proxy) failed(ctx context.Context, r Request, server *pool.Server, s *state, repeatable bool, err error) bool {
+	s.last = err
+	sent := fault.KindOf[httpc.Kind](err) != httpc.NotSent
+	s.ran = s.ran || sent
+	if ctx.Err() != nil {
+		return false
+	}
+	if server.Breaker.Failed(p.Clock.Mono()) {
+		p.note(r, trail.Hold, server, "ejected after failures")
+	}
+	p.note(r, trail.Retry, server, err.Error())
+	return repeatable || !sent
+}
+
+func (p *Proxy) note(r Request, action trail.Action, server *pool.Server, reason string) {
+	p.Trail.Add(trail.Decision{ID: string(r.ID), Action: action, Choice: string(server.Name), Reason: reason})
+}
+
+// giveUp returns the error of a call that got no answer.
+func (p *Proxy) giveUp(ctx context.Context, r Request, s *state) error {
+	kind := NotRun
+	switch {
+	case ctx.Err() != nil:
+		kind = Left
+	case s.ran && r.Until-p.Clock.Mono() < leastSend:
+		kind = Late
+	case s.ran:
+		kind = Lost
+	}
+	what := fmt.Sprintf("service %s after %d tries", s.service, s.tries)
+	p.Trail.Add(trail.Decision{ID: string(r.ID), Action: trail.Refuse, Choice: string(kind), Reason: what})
+	if s.last == nil {
+		return fault.New("proxy.Do", kind, what)
+	}
+	return fault.Wrap("proxy.Do", kind, s.last, what)
+}
--- /dev/null
+++ b/croftmoor/swaps/swaps.go
@@ -0,0 +1,398 @@
+// Package swaps brings the versions that trainers name to the engines. One
+// instance holds the role at a time, by a record of the ledger whose offset is
+// the fencing number. It notes each order in the ledger before it gives it, so
+// that a successor knows when the last one can have been given.
+package swaps
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/sourcegraph/conc"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/fleet"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/paths"
+	"croftmoor.dev/kernel/trail"
+	"croftmoor.dev/kernel/views"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	// Busy means that the engine carries out another order, or its count of
+	// orders is not the expected one.
+	Busy Kind = "Busy"
+	// Fenced means that the engine has seen a higher fencing number.
+	Fenced Kind = "Fenced"
+	// Refused means that the engine can't carry out the order at all.
+	Refused Kind = "Refused"
+	// Unsure means that the order may be carried out, now or later.
+	Unsure Kind = "Unsure"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Manner is what happens to the runs of an engine that loads a version.
+type Manner string
+
+// Manners.
+const (
+	// Keep lets runs go on under the new version.
+	Keep Manner = "Keep"
+	// Drain lets runs end first.
+	Drain Manner = "Drain"
+)
+
+// Order is an order to load a version.
+type Order struct {
+	Model   ident.Model
+	Version ident.Version
+	Manner  Manner
+	Holder  ident.InstanceName
+	Fence   ident.Fence
+	// Count is the engine's count of orders, as last reported.
+	Count int64
+}
+
+// Report is what an engine says of itself.
+type Report struct {
+	Busy     bool
+	Count    int64
+	Versions map[ident.Model]ident.Version
+}
+
+// Engines gives orders to engines.
+type Engines interface {
+	Report(ctx context.Context, engine fleet.Member) (Report, error)
+	Load(ctx context.Context, engine fleet.Member, order Order) error
+}
+
+// Ledger is the shared state as this package uses it.
+type Ledger interface {
+	View(look func(*jobs.Book))
+	Append(ctx context.Context, records ...jobs.Record) (ident.Offset, error)
+	Await(ctx context.Context, next ident.Offset) error
+	Fresh() bool
+	Heard() clock.Millis
+	Since() clock.Millis
+}
+
+const (
+	role   = "weights"
+	period = 100 * clock.Millis(1)
+	// holdTerm is how long after its last acknowledged sign of life the holder
+	// may still give orders; it is far below the silence after which another
+	// takes the role.
+	holdTerm = 1500 * clock.Millis(1)
+	// shareAtOnce is the part of a service's engines that load at once; more are
+	// served no sooner by the weight store, and would take no items meanwhile.
+	shareAtOnce = 5
+	leastAtOnce = 2
+	// loadFirst is when an engine is first asked whether it has loaded: a load
+	// takes 0.9 s; loadPoll is the pause between two questions and loadTerm when
+	// the order counts as lost.
+	loadFirst  = 850 * clock.Millis(1)
+	loadPoll   = 150 * clock.Millis(1)
+	loadTerm   = 4 * clock.Second
+	callTerm   = 800 * clock.Millis(1)
+	appendTerm = 1500 * clock.Millis(1)
+	// retryTerm keeps an engine from orders after one failed.
+	retryTerm = 1 * clock.Second
+)
+
+// Keeper orders versions. Set the exported fields before Run. Loads under way
+// are guarded by mu.
+type Keeper struct {
+	Self    ident.InstanceName
+	Ledger  Ledger
+	Engines Engines
+	Fleet   *fleet.Table
+	Routes  func() *paths.Table
+	// Named returns the newest version that was named of a model; 0 if none.
+	Named func(ident.Model) ident.Version
+	Clock *clock.Clock
+	Trail *trail.Trail
+	// LeaseTerm is the least time between orders of two holders to one engine.
+	LeaseTerm clock.Millis
+
+	mu      sync.Mutex
+	loading map[jobs.EngineModel]bool
+	notYet  map[jobs.EngineModel]clock.Millis
+	leaving bool
+	group   conc.WaitGroup
+}
+
+// Run holds the role when it falls to this instance, and gives orders, until
+// ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	k.mu.Lock()
+	k.loading = map[jobs.EngineModel]bool{}
+	k.notYet = map[jobs.EngineModel]clock.Millis{}
+	k.mu.Unlock()
+	defer k.group.Wait()
+	k.Clock.Every(ctx, period, func() { k.round(ctx) })
+}
+
+// Leave gives no more orders.
+func (k *Keeper) Leave() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = true
+}
+
+func (k *Keeper) round(ctx context.Context) {
+	k.mu.Lock()
+	leaving := k.leaving
+	k.mu.Unlock()
+	if leaving || !k.Ledger.Fresh() || k.Routes() == nil {
+		return
+	}
+	fence, ok := k.hold(ctx)
+	if !ok {
+		return
+	}
+	for _, w := range k.wanted(fence) {
+		k.group.Go(func() { k.load(ctx, w, fence) })
+	}
+}
+
+// hold returns the fencing number if this instance holds the role. It takes the
+// role if its holder is gone and this instance is the one to follow.
+func (k *Keeper) hold(ctx context.Context) (ident.Fence, bool) {
+	var holding jobs.Holding
+	follows := false
+	k.Ledger.View(func(b *jobs.Book) {
+		holding = b.Holds[role]
+		since := k.Ledger.Since()
+		holder := b.Members[holding.By]
+		if b.Alive(holding.By, since) && holder != nil && !holder.Leaving {
+			return
+		}
+		follows = first(b.Live(since)) == k.Self
+	})
+	if holding.By == k.Self {
+		return holding.Fence, k.Ledger.Heard() < holdTerm
+	}
+	if !follows {
+		return 0, false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, appendTerm.Duration())
+	defer cancel()
+	offset, err := k.Ledger.Append(callCtx, jobs.Hold{Role: role, By: k.Self, Replaces: ident.Offset(holding.Fence)})
+	if err == nil {
+		err = k.Ledger.Await(callCtx, offset+1)
+	}
+	reason := fmt.Sprintf("after %s with fence %d, offset %d", holding.By, holding.Fence, offset)
+	if err != nil {
+		reason += ": " + err.Error()
+	}
+	k.Trail.Add(trail.Decision{ID: role, Action: trail.Grant, Choice: string(k.Self), Reason: reason})
+	return 0, false
+}
+
+// first returns the member that is to hold the role.
+func first(live []jobs.Member) ident.InstanceName {
+	var members []views.Member
+	for _, m := range live {
+		members = append(members, views.Member{Name: m.Name, Zone: m.Zone})
+	}
+	ranked := views.Rank(role, members)
+	if len(ranked) == 0 {
+		return ""
+	}
+	return ranked[0].Name
+}
+
+// want is an engine that is to load a version.
+type want struct {
+	engine  fleet.Member
+	key     jobs.EngineModel
+	has     ident.Version
+	version ident.Version
+	manner  Manner
+}
+
+// wanted returns the loads that are to begin now and marks them.
+func (k *Keeper) wanted(fence ident.Fence) []want {
+	table := k.Routes()
+	view := k.Fleet.View()
+	now := k.Clock.Mono()
+	var begin []want
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Ledger.View(func(b *jobs.Book) {
+		for name, service := range table.Services {
+			engines := view.Backends[name]
+			free := max(leastAtOnce, len(engines)/shareAtOnce) - k.loadingAt(engines)
+			wants := k.behind(b, service, engines, fence, now, mannerOf(table, name))
+			for _, w := range wants[:max(0, min(free, len(wants)))] {
+				k.loading[w.key] = true
+				begin = append(begin, w)
+			}
+		}
+	})
+	return begin
+}
+
+// loadingAt counts the loads under way at a service's engines; mu is held.
+func (k *Keeper) loadingAt(engines []fleet.Member) int {
+	n := 0
+	for key := range k.loading {
+		if slices.ContainsFunc(engines, func(m fleet.Member) bool { return m.Name == string(key.Engine) }) {
+			n++
+		}
+	}
+	return n
+}
+
+// behind returns the engines that run an older version than the newest, those
+// first that are furthest behind; mu is held.
+func (k *Keeper) behind(b *jobs.Book, service paths.Service, engines []fleet.Member, fence ident.Fence, now clock.Millis, manner Manner) []want {
+	var wants []want
+	for _, model := range service.Models {
+		version := k.Named(model)
+		for _, m := range engines {
+			key := jobs.EngineModel{Engine: ident.BackendName(m.Name), Model: model}
+			has := max(b.Weights[key].Version, m.Versions[model])
+			if has >= version || m.State == fleet.Leaving || k.loading[key] || now < k.notYet[key] {
+				continue
+			}
+			if w := b.Weights[key]; w.OrderFence != 0 && w.OrderFence != fence && now-w.OrderSeen < k.LeaseTerm {
+				continue
+			}
+			if k.busy(key.Engine) {
+				continue
+			}
+			wants = append(wants, want{engine: m, key: key, has: has, version: version, manner: manner})
+		}
+	}
+	slices.SortFunc(wants, func(a, b want) int {
+		return cmp.Or(cmp.Compare(a.has-a.version, b.has-b.version), cmp.Compare(a.key.Engine, b.key.Engine))
+	})
+	return wants
+}
+
+// busy tells whether an engine loads any model; mu is held.
+func (k *Keeper) busy(engine ident.BackendName) bool {
+	for key := range k.loading {
+		if key.Engine == engine {
+			return true
+		}
+	}
+	return false
+}
+
+// mannerOf lets runs end first where a text must be of one version.
+func mannerOf(table *paths.Table, service ident.Service) Manner {
+	if table.SingleVersionAt(service) {
+		return Drain
+	}
+	return Keep
+}
+
+// load has one engine load a version, and tells the ledger when it has.
+func (k *Keeper) load(ctx context.Context, w want, fence ident.Fence) {
+	defer func() {
+		k.mu.Lock()
+		delete(k.loading, w.key)
+		k.mu.Unlock()
+	}()
+	err := k.order(ctx, w, fence)
+	if err == nil {
+		err = k.confirm(ctx, w)
+	}
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	k.mu.Lock()
+	k.notYet[w.key] = k.Clock.Mono() + retryTerm
+	k.mu.Unlock()
+	k.note(w, trail.Hold, err.Error())
+}
+
+// order notes the order in the ledger and gives it, if the role is still held.
+func (k *Keeper) order(ctx context.Context, w want, fence ident.Fence) error {
+	report, err := k.report(ctx, w)
+	if err != nil {
+		return err
+	}
+	if report.Versions[w.key.Model] >= w.version {
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, appendTerm.Duration())
+	defer cancel()
+	record := jobs.Order{Role: role, Fence: fence, Engine: w.key.Engine, Model: w.key.Model, Version: w.version}
+	offset, err := k.Ledger.Append(callCtx, record)
+	if err == nil {
+		err = k.Ledger.Await(callCtx, offset+1)
+	}
+	if err != nil {
+		return fault.Wrap("swaps.order", Unsure, err, "the order is not in the ledger")
+	}
+	if !k.holds(fence) {
+		return fault.New("swaps.order", Fenced, "the role was lost")
+	}
+	orderCtx, stop := context.WithTimeout(ctx, callTerm.Duration())
+	defer stop()
+	order := Order{Model: w.key.Model, Version: w.version, Manner: w.manner, Holder: k.Self, Fence: fence, Count: report.Count}
+	k.note(w, trail.Order, fmt.Sprintf("version %d after %d, fence %d, count %d", w.version, w.has, fence, report.Count))
+	err = k.Engines.Load(orderCtx, w.engine, order)
+	if fault.KindOf[Kind](err) == Unsure {
+		// The order may have been taken; what the engine says next decides.
+		k.note(w, trail.Hold, err.Error())
+		return nil
+	}
+	return err
+}
+
+func (k *Keeper) holds(fence ident.Fence) bool {
+	held := false
+	k.Ledger.View(func(b *jobs.Book) {
+		h := b.Holds[role]
+		held = h.By == k.Self && h.Fence == fence
+	})
+	return held && k.Ledger.Heard() < holdTerm
+}
+
+func (k *Keeper) report(ctx context.Context, w want) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTerm.Duration())
+	defer cancel()
+	return k.Engines.Report(ctx, w.engine)
+}
+
+// confirm asks the engine until it has the version, and tells everybody.
+func (k *Keeper) confirm(ctx context.Context, w want) error {
+	until := k.Clock.Mono() + loadTerm
+	pause := loadFirst
+	for k.Clock.Mono() < until {
+		if !k.Clock.Sleep(ctx, pause) {
+			return ctx.Err()
+		}
+		pause = loadPoll
+		report, err := k.report(ctx, w)
+		if err != nil || report.Versions[w.key.Model] < w.version || report.Busy {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, appendTerm.Duration())
+		defer cancel()
+		k.note(w, trail.Order, fmt.Sprintf("version %d loaded", w.version))
+		_, err = k.Ledger.Append(callCtx, jobs.Loaded{Engine: w.key.Engine, Model: w.key.Model, Version: w.version})
+		return err
+	}
+	return fault.New("swaps.confirm", Unsure, "no word that the version is loaded")
+}
+
+func (k *Keeper) note(w want, action trail.Action, reason string) {
+	k.Trail.Add(trail.Decision{ID: string(w.key.Model), Action: action, Choice: string(w.key.Engine), Reason: reason})
+}
+
--- /dev/null
+++ b/kernel/deal/deal.go
@@ -0,0 +1,150 @@
+// Package deal decides which waiting item of a batch job goes to which engine.
+// It is pure: instances that know the same ledger come to the same deal, so
+// that each may act on its own part of it without asking the others.
+package deal
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+)
+
+// Engine is a model engine as the ledger and the list show it.
+type Engine struct {
+	Name  ident.BackendName
+	Slots int
+	// Load is how many claimed items are there.
+	Load int
+	// PerEvent is the observed time of an event in milliseconds; 0 is unknown.
+	PerEvent float64
+}
+
+// Piece is an item that waits.
+type Piece struct {
+	Job    ident.Job
+	Target jobs.Target
+	Expect ident.Tokens
+}
+
+// Assignment gives a piece to an engine.
+type Assignment struct {
+	Piece  Piece
+	Engine ident.BackendName
+}
+
+// Wait is an item of a job that has neither a result nor a claim that stands.
+type Wait struct {
+	Target  jobs.Target
+	Group   ident.Group
+	Expect  ident.Tokens
+	Brought bool
+}
+
+// Sort orders the waiting items of a job: longest first, because a step ends
+// with its last item. Wanted is how many groups its trainer waits for, out of
+// all; the groups that are expected to take longest beyond these come last,
+// except brought ones, which the trainer always waits for. Longest gives the
+// expected length of each group of the job, its finished items included.
+func Sort(waits []Wait, wanted int, longest map[ident.Group]ident.Tokens, brought map[ident.Group]bool) {
+	spare := spareGroups(wanted, longest, brought)
+	slices.SortStableFunc(waits, func(a, b Wait) int {
+		if spare[a.Group] != spare[b.Group] {
+			if spare[a.Group] {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(b.Expect, a.Expect), cmp.Compare(a.Target.Index, b.Target.Index))
+	})
+}
+
+func spareGroups(wanted int, longest map[ident.Group]ident.Tokens, brought map[ident.Group]bool) map[ident.Group]bool {
+	if wanted <= 0 || wanted >= len(longest) {
+		return nil
+	}
+	groups := make([]ident.Group, 0, len(longest))
+	for g := range longest {
+		groups = append(groups, g)
+	}
+	slices.SortFunc(groups, func(a, b ident.Group) int {
+		if brought[a] != brought[b] {
+			if brought[a] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(longest[a], longest[b]), cmp.Compare(a, b))
+	})
+	spare := map[ident.Group]bool{}
+	for _, g := range groups[wanted:] {
+		spare[g] = true
+	}
+	return spare
+}
+
+const (
+	// crowding is how much longer an event takes on a full engine than on an
+	// empty one, as a share; from trials on the users' bench.
+	crowding = 0.5
+	// slowFactor is how many times the median pace makes an engine slow.
+	slowFactor = 1.8
+)
+
+// Spread gives the pieces, in their order, to the engines with the shortest
+// expected time of an event. Over is how many pieces an engine may hold beyond
+// its slots. Allowed tells whether an engine can run a job's items now.
+func Spread(pieces []Piece, engines []Engine, over int, allowed func(ident.BackendName, ident.Job) bool) []Assignment {
+	engines = slices.Clone(engines)
+	median := medianPace(engines)
+	var deals []Assignment
+	for _, piece := range pieces {
+		best := -1
+		cost := math.Inf(1)
+		for i := range engines {
+			e := &engines[i]
+			if e.Load >= e.Slots+over || !allowed(e.Name, piece.Job) {
+				continue
+			}
+			if c := e.cost(median); c < cost {
+				best, cost = i, c
+			}
+		}
+		if best < 0 {
+			continue
+		}
+		engines[best].Load++
+		deals = append(deals, Assignment{Piece: piece, Engine: engines[best].Name})
+	}
+	return deals
+}
+
+func (e *Engine) cost(median float64) float64 {
+	pace := e.PerEvent
+	if pace == 0 {
+		pace = median
+	}
+	return pace * (1 + crowding*float64(e.Load)/float64(max(e.Slots, 1)))
+}
+
+// medianPace returns the median of the known paces, or 1.
+func medianPace(engines []Engine) float64 {
+	var paces []float64
+	for _, e := range engines {
+		if e.PerEvent > 0 {
+			paces = append(paces, e.PerEvent)
+		}
+	}
+	if len(paces) == 0 {
+		return 1
+	}
+	slices.Sort(paces)
+	return paces[len(paces)/2]
+}
+
+// Slow tells whether a pace is far behind the median of the engines.
+func Slow(pace float64, engines []Engine) bool {
+	return pace > slowFactor*medianPace(engines)
+}
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -59,6 +59,10 @@
 	Peer  ident.Address
 	Admin ident.Address
 	State MemberState
+	// Slots is how many requests a backend server runs at once; 0 is unknown.
+	Slots int
+	// Versions are the weights that a model engine says it runs.
+	Versions map[ident.Model]ident.Version
 }
 
 // Directory reads the platform's list.
--- a/kernel/gone/gone.go
+++ b/kernel/gone/gone.go
@@ -123,3 +123,20 @@
 	})
 	return ended || err != nil
 }
+
+// Quiet tells whether a connection that rests between two requests can be used
+// again: its peer has not closed it, and no byte waits on it that nobody asked
+// for.
+func Quiet(conn net.Conn) bool {
+	raw := rawOf(conn)
+	if raw == nil {
+		return true
+	}
+	quiet := false
+	err := raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+	})
+	return quiet && err == nil
+}
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -6,16 +6,20 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
-	"io"
 	"net"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
+	"syscall"
 
 	"github.com/valyala/fasthttp"
 
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/gone"
 	"croftmoor.dev/kernel/ident"
 )
 
@@ -49,6 +53,9 @@
 	// Fresh asks for a new connection. Work that may not be repeated needs
 	// it: on a reused connection a late close can't be told from a run.
 	Fresh bool
+	// Accept tells whether an answer belongs to this call; nil accepts all. The
+	// connection of an answer that does not belong is closed and the call lost.
+	Accept func(*Answer) bool
 }
 
 // Answer is a whole answer.
@@ -73,6 +80,13 @@
 	DefaultDialTimeout = 2 * clock.Second
 	maxIdlePerAddress  = 64
 	maxAnswerBytes     = 64 << 20
+	// defaultRest is how long a connection is kept idle when the server does not
+	// say; restMargin is how much sooner than the server it is closed.
+	defaultRest = 4 * clock.Second
+	restMargin  = 500 * clock.Millis(1)
+	// unanswered is how long sent bytes may stay without an acknowledgement
+	// before the connection counts as dead.
+	unanswered = 4 * clock.Second
 )
 
 // Client sends calls. Set the fields before use; the zero value works. Idle
@@ -80,14 +94,33 @@
 type Client struct {
 	DialTimeout clock.Millis
 
-	mu   sync.Mutex
-	idle map[ident.Address][]*link
+	mu     sync.Mutex
+	idle   map[ident.Address][]*link
+	steady *clock.Clock
+	dialed int64
 }
 
-// link is one connection with its read buffer.
+// Dialed returns how many connections were opened.
+func (c *Client) Dialed() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dialed
+}
+
+// now returns the steady time; mu is held.
+func (c *Client) now() clock.Millis {
+	if c.steady == nil {
+		c.steady = clock.New()
+	}
+	return c.steady.Mono()
+}
+
+// link is one connection with its read buffer. Until is the end of its rest by
+// the steady clock; 0 while it is in use.
 type link struct {
 	net.Conn
 	reader *bufio.Reader
+	until  clock.Millis
 }
 
 func (c *Client) dial(ctx context.Context, address ident.Address) (*link, error) {
@@ -95,24 +128,35 @@
 	if timeout == 0 {
 		timeout = DefaultDialTimeout
 	}
-	dialer := net.Dialer{Timeout: timeout.Duration()}
+	dialer := net.Dialer{Timeout: timeout.Duration(), Control: setUserTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, fault.Wrap("httpc.dial", NotSent, err, "cannot connect to "+string(address))
 	}
+	c.mu.Lock()
+	c.dialed++
+	c.mu.Unlock()
 	return &link{Conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
+// setUserTimeout bounds how long a silent peer holds unacknowledged bytes.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unanswered))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which package syscall lacks.
+const tcpUserTimeout = 18
+
 func (c *Client) take(ctx context.Context, call *Call) (l *link, reused bool, err error) {
 	if !call.Fresh {
-		c.mu.Lock()
-		links := c.idle[call.Address]
-		if n := len(links); n > 0 {
-			l = links[n-1]
-			c.idle[call.Address] = links[:n-1]
-		}
-		c.mu.Unlock()
-		if l != nil {
+		if l = c.rested(call.Address); l != nil {
 			return l, true, nil
 		}
 	}
@@ -120,19 +164,69 @@
 	return l, false, err
 }
 
-func (c *Client) put(address ident.Address, l *link) {
+// rested returns the idle connection that was used last, if one is still good.
+func (c *Client) rested(address ident.Address) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		links := c.idle[address]
+		n := len(links)
+		if n == 0 {
+			delete(c.idle, address)
+			return nil
+		}
+		l := links[n-1]
+		c.idle[address] = links[:n-1]
+		if c.now() < l.until && gone.Quiet(l.Conn) {
+			l.until = 0
+			return l
+		}
+		_ = l.Close()
+	}
+}
+
+// put keeps a connection for reuse; rest is how long the server keeps it.
+func (c *Client) put(address ident.Address, l *link, rest clock.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle == nil {
 		c.idle = map[ident.Address][]*link{}
 	}
-	if l.reader.Buffered() > 0 || len(c.idle[address]) >= maxIdlePerAddress {
+	c.sweep(address)
+	if l.reader.Buffered() > 0 || rest <= 0 || len(c.idle[address]) >= maxIdlePerAddress {
 		_ = l.Close()
 		return
 	}
+	l.until = c.now() + rest
 	c.idle[address] = append(c.idle[address], l)
 }
 
+// sweep closes the connections of an address whose rest is over; mu is held.
+func (c *Client) sweep(address ident.Address) {
+	now := c.now()
+	c.idle[address] = slices.DeleteFunc(c.idle[address], func(l *link) bool {
+		if now < l.until {
+			return false
+		}
+		_ = l.Close()
+		return true
+	})
+}
+
+// rest returns how long a connection may be kept idle after an answer.
+func rest(response *fasthttp.Response) clock.Millis {
+	if response.ConnectionClose() {
+		return 0
+	}
+	for part := range strings.SplitSeq(string(response.Header.Peek("Keep-Alive")), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if seconds, err := strconv.Atoi(value); ok && err == nil {
+			return clock.Millis(seconds)*clock.Second - restMargin
+		}
+	}
+	return defaultRest
+}
+
 // Do sends call and reads the whole answer. ctx bounds it all. A call on a
 // reused connection that died before any answer byte is sent once more on a
 // fresh one; calls that may not be repeated set Fresh and never take this way.
@@ -163,33 +257,58 @@
 		_ = l.Close()
 		return nil, lost(call, err)
 	}
-	if response.ConnectionClose() || call.Fresh || !stop() {
+	answer := &Answer{Status: response.StatusCode(), Headers: headers(response), Body: append([]byte(nil), response.Body()...)}
+	if call.Accept != nil && !call.Accept(answer) {
+		_ = l.Close()
+		return nil, fault.New("httpc.Do", Lost, string(call.Address)+" sent the answer of another call")
+	}
+	if !stop() {
 		_ = l.Close()
 	} else {
-		c.put(call.Address, l)
+		c.put(call.Address, l, rest(response))
 	}
-	return &Answer{Status: response.StatusCode(), Headers: headers(response), Body: append([]byte(nil), response.Body()...)}, nil
+	return answer, nil
 }
 
 // Stream is an answer whose body is read as it comes. Close ends the call;
-// the backend server sees its connection close.
+// the backend server sees its connection close unless the answer was whole.
 type Stream struct {
-	Status int
-	Body   *bufio.Reader
+	Status  int
+	Headers []Header
+	Body    *bufio.Reader
 
+	client   *Client
+	call     *Call
 	link     *link
 	stop     func() bool
 	response *fasthttp.Response
+	whole    bool
+}
+
+// Header returns the named header's value, or "".
+func (s *Stream) Header(name string) string {
+	return (&Answer{Headers: s.Headers}).Header(name)
 }
 
-// Open sends call on a fresh connection and returns once the answer's header is there.
+// Open sends call and returns once the answer's header is there. Like Do, it
+// sends once more on a fresh connection if a reused one was dead.
 func (c *Client) Open(ctx context.Context, call *Call) (*Stream, error) {
-	l, err := c.dial(ctx, call.Address)
+	l, reused, err := c.take(ctx, call)
 	if err != nil {
 		return nil, err
 	}
+	stream, err := c.open(ctx, call, l)
+	if err != nil && reused && ctx.Err() == nil {
+		fresh := *call
+		fresh.Fresh = true
+		return c.Open(ctx, &fresh)
+	}
+	return stream, err
+}
+
+func (c *Client) open(ctx context.Context, call *Call, l *link) (*Stream, error) {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-	stream := &Stream{link: l, stop: stop, response: fasthttp.AcquireResponse()}
+	stream := &Stream{client: c, call: call, link: l, stop: stop, response: fasthttp.AcquireResponse()}
 	stream.response.StreamBody = true
 	if err := send(call, l); err != nil {
 		stream.Close()
@@ -200,25 +319,42 @@
 		return nil, lost(call, err)
 	}
 	stream.Status = stream.response.StatusCode()
+	stream.Headers = headers(stream.response)
+	if call.Accept != nil && !call.Accept(&Answer{Status: stream.Status, Headers: stream.Headers}) {
+		stream.Close()
+		return nil, fault.New("httpc.Open", Lost, string(call.Address)+" sent the answer of another call")
+	}
 	body := stream.response.BodyStream()
 	if body == nil {
-		body = &io.LimitedReader{}
+		body = bytes.NewReader(stream.response.Body())
 	}
 	stream.Body = bufio.NewReader(body)
 	return stream, nil
 }
 
-// Close ends the call and its connection.
+// Whole tells that the body was read to its proper end, so that its connection
+// may be used again.
+func (s *Stream) Whole() {
+	s.whole = true
+}
+
+// Close ends the call.
 func (s *Stream) Close() {
-	s.stop()
-	_ = s.link.Close()
+	if s.stop() && s.whole && !s.call.Fresh {
+		s.client.put(s.call.Address, s.link, rest(s.response))
+	} else {
+		_ = s.link.Close()
+	}
 }
 
 func send(call *Call, l *link) error {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	request.Header.SetMethod(call.Method)
-	request.SetRequestURI("http://" + string(call.Address) + call.Path)
+	// The target goes out as it is: parsing it would normalise the path.
+	request.Header.SetRequestURI(call.Path)
+	request.Header.SetHost(string(call.Address))
+	request.Header.SetNoDefaultContentType(true)
 	for _, h := range call.Headers {
 		request.Header.Set(h.Name, h.Value)
 	}
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -30,6 +30,14 @@
 	Stream string
 	// RecordID names one appended record across lost answers.
 	RecordID string
+	// Job names a batch job.
+	Job string
+	// Item names one item of a batch job; a later job may bring it back.
+	Item string
+	// Group names the items of a job that share a prompt.
+	Group string
+	// Model names a model whose weights change by versions.
+	Model string
 )
 
 // Units.
--- /dev/null
+++ b/kernel/jobs/book.go
@@ -0,0 +1,363 @@
+package jobs
+
+import (
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
+)
+
+// Item is an item's state.
+type Item struct {
+	Plan
+	// Owner, Engine and Claim are the claim that stands; Claim is 0 if none does.
+	Owner  ident.InstanceName
+	Engine ident.BackendName
+	Claim  ident.Offset
+	// Done tells that the item has a result.
+	Done bool
+	// Partial is the longest beginning of the text that was kept.
+	Partial Partial
+	// Brought tells that an earlier job had the item: the trainer waits for it.
+	Brought bool
+	// Fails counts the answers by which engines themselves failed the item.
+	Fails int
+}
+
+// Result is a result at its position.
+type Result struct {
+	Index int
+	Finish
+}
+
+// Job is a job's state. Seen is when this reader read the acceptance.
+type Job struct {
+	Accept
+	Items   []Item
+	Results []Result
+	Ended   bool
+	Seen    clock.Millis
+	// EndSeen is when this reader read the end.
+	EndSeen clock.Millis
+}
+
+// Open tells whether items of the job may still be worth running.
+func (j *Job) Open() bool {
+	return !j.Ended && len(j.Results) < len(j.Items)
+}
+
+// Member is an instance that has written to the ledger.
+type Member struct {
+	Name    ident.InstanceName
+	Zone    ident.Zone
+	Leaving bool
+	// Over tells that a later life of the same instance has begun.
+	Over  bool
+	Heard clock.Millis
+}
+
+// Holding is the hold on a role that stands.
+type Holding struct {
+	By    ident.InstanceName
+	Fence ident.Fence
+}
+
+// Weights is what the ledger says of a model's weights on an engine.
+type Weights struct {
+	// Version is the newest that was seen loaded.
+	Version ident.Version
+	// Ordered is the newest ordered, at OrderSeen; OrderFence is whose order.
+	Ordered    ident.Version
+	OrderFence ident.Fence
+	OrderSeen  clock.Millis
+}
+
+// EngineModel names a model's weights on an engine.
+type EngineModel struct {
+	Engine ident.BackendName
+	Model  ident.Model
+}
+
+// Pace is the speed of an engine as results tell it.
+type Pace struct {
+	// PerEvent is the smoothed time of one event in milliseconds; 0 is unknown.
+	PerEvent float64
+}
+
+// Book is the folded state. It has no lock of its own. Records must be applied
+// in the order of their offsets.
+type Book struct {
+	Jobs    map[ident.Job]*Job
+	Order   []ident.Job
+	Members map[ident.InstanceName]*Member
+	Holds   map[string]Holding
+	Weights map[EngineModel]Weights
+	Loads   map[ident.BackendName]int
+	Paces   map[ident.BackendName]Pace
+	// Avoided holds until when, in this reader's time, an engine gets no items.
+	Avoided map[ident.BackendName]clock.Millis
+	// Kept finds the newest job that has an item, for items brought back.
+	Kept map[ident.Item]ident.Job
+	Next ident.Offset
+}
+
+// NewBook returns an empty state.
+func NewBook() *Book {
+	return &Book{
+		Jobs: map[ident.Job]*Job{}, Members: map[ident.InstanceName]*Member{}, Holds: map[string]Holding{},
+		Weights: map[EngineModel]Weights{}, Loads: map[ident.BackendName]int{}, Paces: map[ident.BackendName]Pace{},
+		Kept: map[ident.Item]ident.Job{}, Avoided: map[ident.BackendName]clock.Millis{},
+	}
+}
+
+// Apply folds the record at offset. Now is the reader's own steady time; it
+// never decides what a record means.
+func (b *Book) Apply(offset ident.Offset, record Record, now clock.Millis) {
+	b.Next = offset + 1
+	switch r := record.(type) {
+	case Accept:
+		b.accept(r, now)
+	case Claim:
+		b.claim(offset, r, now)
+	case Yield:
+		b.yield(r, now)
+	case Finish:
+		b.finish(r, now)
+	case End:
+		b.end(r, now)
+	case Beat:
+		b.beat(r, now)
+	case Hold:
+		b.hold(offset, r, now)
+	case Order:
+		b.order(r, now)
+	case Loaded:
+		b.loaded(r)
+	case Avoid:
+		b.hear(r.By, now)
+		b.Avoided[r.Engine] = max(b.Avoided[r.Engine], now+clock.Millis(r.Millis))
+	}
+}
+
+func (b *Book) beat(r Beat, now clock.Millis) {
+	if b.Members[r.By] == nil {
+		b.supersede(r.By)
+	}
+	b.hear(r.By, now)
+	b.Members[r.By].Zone = r.Zone
+	b.Members[r.By].Leaving = r.Leaving
+}
+
+// supersede ends the earlier lives of an instance that has started again.
+func (b *Book) supersede(by ident.InstanceName) {
+	for _, m := range b.Members {
+		if m.Name.ListName() == by.ListName() {
+			m.Over = true
+		}
+	}
+}
+
+func (b *Book) hear(by ident.InstanceName, now clock.Millis) {
+	m := b.Members[by]
+	if m == nil {
+		m = &Member{Name: by}
+		b.Members[by] = m
+	}
+	m.Heard = now
+}
+
+func (b *Book) accept(a Accept, now clock.Millis) {
+	if b.Jobs[a.Job] != nil {
+		return
+	}
+	job := &Job{Accept: a, Seen: now, Items: make([]Item, len(a.Items))}
+	for i, plan := range a.Items {
+		job.Items[i] = b.fresh(a, plan)
+		b.Kept[plan.ID] = a.Job
+	}
+	job.Accept.Items = nil
+	b.Jobs[a.Job] = job
+	b.Order = append(b.Order, a.Job)
+}
+
+// fresh returns an item as its job begins. If an earlier job had it, what was
+// kept of its text is taken over where the versions allow.
+func (b *Book) fresh(a Accept, plan Plan) Item {
+	item := Item{Plan: plan}
+	earlier := b.Jobs[b.Kept[plan.ID]]
+	if earlier == nil {
+		return item
+	}
+	item.Brought = true
+	for _, old := range earlier.Items {
+		if old.ID == plan.ID && old.Partial.Fits(a.Least, a.Single) {
+			item.Partial = old.Partial
+		}
+	}
+	return item
+}
+
+// item returns the item if it can still get a result.
+func (b *Book) item(id ident.Job, index int) (*Job, *Item) {
+	job := b.Jobs[id]
+	if job == nil || index < 0 || index >= len(job.Items) || job.Items[index].Done {
+		return nil, nil
+	}
+	return job, &job.Items[index]
+}
+
+func (b *Book) claim(offset ident.Offset, c Claim, now clock.Millis) {
+	b.hear(c.By, now)
+	for _, t := range c.Targets {
+		job, item := b.item(c.Job, t.Index)
+		if item == nil || job.Ended || item.Claim != t.Replaces {
+			continue
+		}
+		b.release(item)
+		item.Owner, item.Engine, item.Claim = c.By, c.Engine, offset
+		b.Loads[c.Engine]++
+	}
+}
+
+// release takes the claim that stands off the item.
+func (b *Book) release(item *Item) {
+	if item.Claim == 0 {
+		return
+	}
+	b.unload(item.Engine)
+	item.Owner, item.Engine, item.Claim = "", "", 0
+}
+
+func (b *Book) unload(engine ident.BackendName) {
+	b.Loads[engine]--
+	if b.Loads[engine] <= 0 {
+		delete(b.Loads, engine)
+	}
+}
+
+func (b *Book) yield(y Yield, now clock.Millis) {
+	b.hear(y.By, now)
+	_, item := b.item(y.Job, y.Index)
+	if item == nil {
+		return
+	}
+	if y.Partial.Events > item.Partial.Events {
+		item.Partial = y.Partial
+	}
+	if item.Owner == y.By {
+		b.release(item)
+		if y.Failed {
+			item.Fails++
+		}
+	}
+}
+
+// paceBlend weighs a new observation of an engine's speed against those before.
+const paceBlend = 0.2
+
+func (b *Book) finish(f Finish, now clock.Millis) {
+	b.hear(f.By, now)
+	if f.Events > 0 && f.Millis > 0 && f.Engine != "" {
+		seen := float64(f.Millis) / float64(f.Events)
+		pace := b.Paces[f.Engine]
+		if pace.PerEvent == 0 {
+			pace.PerEvent = seen
+		}
+		pace.PerEvent = pace.PerEvent*(1-paceBlend) + seen*paceBlend
+		b.Paces[f.Engine] = pace
+	}
+	job, item := b.item(f.Job, f.Index)
+	if item == nil {
+		return
+	}
+	b.release(item)
+	item.Done = true
+	item.Partial = Partial{}
+	if f.State == Completed {
+		item.Partial = Partial{Text: f.Text, Events: f.Events, Versions: f.Versions, Whole: true}
+	}
+	job.Results = append(job.Results, Result{Index: f.Index, Finish: f})
+}
+
+func (b *Book) end(e End, now clock.Millis) {
+	job := b.Jobs[e.Job]
+	if job == nil || job.Ended {
+		return
+	}
+	job.Ended = true
+	job.EndSeen = now
+	for i := range job.Items {
+		b.release(&job.Items[i])
+	}
+}
+
+func (b *Book) hold(offset ident.Offset, h Hold, now clock.Millis) {
+	b.hear(h.By, now)
+	if ident.Offset(b.Holds[h.Role].Fence) != h.Replaces {
+		return
+	}
+	b.Holds[h.Role] = Holding{By: h.By, Fence: ident.Fence(offset)}
+}
+
+func (b *Book) order(o Order, now clock.Millis) {
+	if b.Holds[o.Role].Fence != o.Fence {
+		return
+	}
+	key := EngineModel{Engine: o.Engine, Model: o.Model}
+	w := b.Weights[key]
+	w.Ordered, w.OrderFence, w.OrderSeen = o.Version, o.Fence, now
+	b.Weights[key] = w
+}
+
+func (b *Book) loaded(l Loaded) {
+	key := EngineModel{Engine: l.Engine, Model: l.Model}
+	w := b.Weights[key]
+	w.Version = max(w.Version, l.Version)
+	b.Weights[key] = w
+}
+
+// Forget drops jobs that were accepted before the given time of this reader
+// and are over or too old to matter to anybody.
+func (b *Book) Forget(before clock.Millis) {
+	kept := b.Order[:0]
+	for _, id := range b.Order {
+		job := b.Jobs[id]
+		if job.Seen >= before {
+			kept = append(kept, id)
+			continue
+		}
+		for i := range job.Items {
+			b.release(&job.Items[i])
+			if b.Kept[job.Items[i].ID] == id {
+				delete(b.Kept, job.Items[i].ID)
+			}
+		}
+		delete(b.Jobs, id)
+	}
+	b.Order = kept
+}
+
+// Live returns the members that were heard since the given time of this reader,
+// take work and have not been started anew.
+func (b *Book) Live(since clock.Millis) []Member {
+	var live []Member
+	for _, m := range b.Members {
+		if !m.Leaving && !m.Over && m.Heard >= since {
+			live = append(live, *m)
+		}
+	}
+	return live
+}
+
+// Alive tells whether a member may still be doing what it claimed.
+func (b *Book) Alive(name ident.InstanceName, since clock.Millis) bool {
+	m := b.Members[name]
+	return m != nil && !m.Over && m.Heard >= since
+}
+
+// Shift moves the times at which members were heard and engines are to be used
+// again by a span in which this reader could not read: silence that nobody
+// could hear does not count.
+func (b *Book) Shift(span clock.Millis) {
+	for _, m := range b.Members {
+		m.Heard += span
+	}
+}
--- /dev/null
+++ b/kernel/jobs/codec.go
@@ -0,0 +1,275 @@
+package jobs
+
+import (
+	"bytes"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/ident"
+)
+
+// maxList bounds the lists in a record, so that a corrupt length can't take
+// all memory.
+const maxList = 1 << 20
+
+// Encode returns a record's bytes: its kind, then its fields in order. Fields
+// may only be added at the end.
+func Encode(r Record) []byte {
+	w := &writer{}
+	w.encoder = msgpack.NewEncoder(&w.buffer)
+	w.encoder.UseCompactInts(true)
+	w.int(int64(r.kind()))
+	switch v := r.(type) {
+	case Accept:
+		w.accept(v)
+	case Claim:
+		w.claim(v)
+	case Yield:
+		w.yield(v)
+	case Finish:
+		w.finish(v)
+	case End:
+		w.text(string(v.Job))
+	case Beat:
+		w.text(string(v.By))
+		w.text(string(v.Zone))
+		w.flag(v.Leaving)
+	case Hold:
+		w.text(v.Role)
+		w.text(string(v.By))
+		w.int(int64(v.Replaces))
+	case Order:
+		w.text(v.Role)
+		w.int(int64(v.Fence))
+		w.text(string(v.Engine))
+		w.text(string(v.Model))
+		w.int(int64(v.Version))
+	case Loaded:
+		w.text(string(v.Engine))
+		w.text(string(v.Model))
+		w.int(int64(v.Version))
+	case Avoid:
+		w.text(string(v.By))
+		w.text(string(v.Engine))
+		w.int(int64(v.Millis))
+	}
+	return w.buffer.Bytes()
+}
+
+// Decode reads what Encode wrote. An unknown kind, from a newer program, gives
+// nil without an error.
+func Decode(data []byte) (Record, error) {
+	r := &reader{decoder: msgpack.NewDecoder(bytes.NewReader(data))}
+	kind := recordKind(r.int())
+	record := r.record(kind)
+	if r.err != nil {
+		return nil, fault.Wrap("jobs.Decode", Corrupt, r.err, "unreadable record")
+	}
+	return record, nil
+}
+
+// writer encodes fields. Writing to a buffer does not fail.
+type writer struct {
+	buffer  bytes.Buffer
+	encoder *msgpack.Encoder
+}
+
+func (w *writer) text(s string) { _ = w.encoder.EncodeString(s) }
+func (w *writer) int(n int64)   { _ = w.encoder.EncodeInt(n) }
+func (w *writer) flag(b bool)   { _ = w.encoder.EncodeBool(b) }
+func (w *writer) length(n int)  { _ = w.encoder.EncodeArrayLen(n) }
+
+func (w *writer) span(s Span) {
+	w.text(string(s.Stream))
+	w.int(int64(s.First))
+	w.int(int64(s.Count))
+}
+
+func (w *writer) versions(list []ident.Version) {
+	w.length(len(list))
+	for _, v := range list {
+		w.int(int64(v))
+	}
+}
+
+func (w *writer) accept(a Accept) {
+	w.text(string(a.Job))
+	w.text(a.Host)
+	w.text(a.Prefix)
+	w.text(string(a.Service))
+	w.text(string(a.Model))
+	w.int(int64(a.Step))
+	w.int(int64(a.Least))
+	w.int(int64(a.Wanted))
+	w.flag(a.Single)
+	w.length(len(a.Items))
+	for _, item := range a.Items {
+		w.text(string(item.ID))
+		w.text(string(item.Group))
+		w.int(int64(item.Expect))
+		w.span(item.Body)
+	}
+}
+
+func (w *writer) claim(c Claim) {
+	w.text(string(c.Job))
+	w.text(string(c.By))
+	w.text(string(c.Engine))
+	w.length(len(c.Targets))
+	for _, t := range c.Targets {
+		w.int(int64(t.Index))
+		w.int(int64(t.Replaces))
+	}
+}
+
+func (w *writer) yield(y Yield) {
+	w.text(string(y.Job))
+	w.text(string(y.By))
+	w.int(int64(y.Index))
+	w.span(y.Partial.Text)
+	w.int(int64(y.Partial.Events))
+	w.versions(y.Partial.Versions)
+	w.flag(y.Partial.Whole)
+	w.flag(y.Failed)
+}
+
+func (w *writer) finish(f Finish) {
+	w.text(string(f.Job))
+	w.text(string(f.By))
+	w.int(int64(f.Index))
+	w.text(string(f.State))
+	w.versions(f.Versions)
+	w.text(f.Score)
+	w.span(f.Text)
+	w.text(string(f.Engine))
+	w.int(int64(f.Events))
+	w.int(int64(f.Millis))
+}
+
+// reader decodes fields; after the first failure it returns zero values.
+type reader struct {
+	decoder *msgpack.Decoder
+	err     error
+}
+
+func (r *reader) keep(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+}
+
+func (r *reader) text() string {
+	if r.err != nil {
+		return ""
+	}
+	s, err := r.decoder.DecodeString()
+	r.keep(err)
+	return s
+}
+
+func (r *reader) int() int64 {
+	if r.err != nil {
+		return 0
+	}
+	n, err := r.decoder.DecodeInt64()
+	r.keep(err)
+	return n
+}
+
+func (r *reader) flag() bool {
+	if r.err != nil {
+		return false
+	}
+	b, err := r.decoder.DecodeBool()
+	r.keep(err)
+	return b
+}
+
+func (r *reader) length() int {
+	if r.err != nil {
+		return 0
+	}
+	n, err := r.decoder.DecodeArrayLen()
+	r.keep(err)
+	if n < 0 || n > maxList {
+		r.keep(fault.New("jobs.Decode", Corrupt, "a list is too long"))
+		return 0
+	}
+	return n
+}
+
+func (r *reader) span() Span {
+	return Span{Stream: ident.Stream(r.text()), First: ident.Offset(r.int()), Count: int(r.int())}
+}
+
+func (r *reader) versions() []ident.Version {
+	n := r.length()
+	var list []ident.Version
+	for range n {
+		list = append(list, ident.Version(r.int()))
+	}
+	return list
+}
+
+func (r *reader) record(kind recordKind) Record {
+	switch kind {
+	case acceptKind:
+		return r.accept()
+	case claimKind:
+		return r.claim()
+	case yieldKind:
+		return Yield{
+			Job: ident.Job(r.text()), By: ident.InstanceName(r.text()), Index: int(r.int()),
+			Partial: Partial{Text: r.span(), Events: int(r.int()), Versions: r.versions(), Whole: r.flag()},
+			Failed:  r.flag(),
+		}
+	case finishKind:
+		return Finish{
+			Job: ident.Job(r.text()), By: ident.InstanceName(r.text()), Index: int(r.int()), State: State(r.text()),
+			Versions: r.versions(), Score: r.text(), Text: r.span(), Engine: ident.BackendName(r.text()),
+			Events: int(r.int()), Millis: int(r.int()),
+		}
+	case endKind:
+		return End{Job: ident.Job(r.text())}
+	case beatKind:
+		return Beat{By: ident.InstanceName(r.text()), Zone: ident.Zone(r.text()), Leaving: r.flag()}
+	case holdKind:
+		return Hold{Role: r.text(), By: ident.InstanceName(r.text()), Replaces: ident.Offset(r.int())}
+	case orderKind:
+		return Order{
+			Role: r.text(), Fence: ident.Fence(r.int()), Engine: ident.BackendName(r.text()),
+			Model: ident.Model(r.text()), Version: ident.Version(r.int()),
+		}
+	case loadedKind:
+		return Loaded{Engine: ident.BackendName(r.text()), Model: ident.Model(r.text()), Version: ident.Version(r.int())}
+	case avoidKind:
+		return Avoid{By: ident.InstanceName(r.text()), Engine: ident.BackendName(r.text()), Millis: int(r.int())}
+	default:
+		return nil
+	}
+}
+
+func (r *reader) accept() Record {
+	a := Accept{
+		Job: ident.Job(r.text()), Host: r.text(), Prefix: r.text(), Service: ident.Service(r.text()),
+		Model: ident.Model(r.text()), Step: ident.Step(r.int()), Least: ident.Version(r.int()),
+		Wanted: int(r.int()), Single: r.flag(),
+	}
+	n := r.length()
+	for range n {
+		a.Items = append(a.Items, Plan{
+			ID: ident.Item(r.text()), Group: ident.Group(r.text()), Expect: ident.Tokens(r.int()), Body: r.span(),
+		})
+	}
+	return a
+}
+
+func (r *reader) claim() Record {
+	c := Claim{Job: ident.Job(r.text()), By: ident.InstanceName(r.text()), Engine: ident.BackendName(r.text())}
+	n := r.length()
+	for range n {
+		c.Targets = append(c.Targets, Target{Index: int(r.int()), Replaces: ident.Offset(r.int())})
+	}
+	return c
+}
--- /dev/null
+++ b/kernel/jobs/record.go
@@ -0,0 +1,209 @@
+// Package jobs is the state of batch jobs, folded from the records of a ledger:
+// acceptances, claims, results and ends, and which instances are alive and who
+// orders weights. Everything that instances must agree on is decided by the
+// order of these records. The package does no I/O.
+package jobs
+
+import (
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/ident"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	// Corrupt means that a record could not be read.
+	Corrupt Kind = "Corrupt"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Span is where a blob lies: consecutive records of one stream.
+type Span struct {
+	Stream ident.Stream
+	First  ident.Offset
+	Count  int
+}
+
+// Plan is what every instance knows of an item without reading its body.
+type Plan struct {
+	ID    ident.Item
+	Group ident.Group
+	// Expect is how many tokens the caller expects the answer to have.
+	Expect ident.Tokens
+	// Body is where the item's body lies within the job's span.
+	Body Span
+}
+
+// Accept makes a job part of the state. The first acceptance of a job counts.
+type Accept struct {
+	Job  ident.Job
+	Host string
+	// Prefix is the path prefix of the job's route.
+	Prefix  string
+	Service ident.Service
+	Model   ident.Model
+	Step    ident.Step
+	// Least is the oldest version whose tokens the job takes.
+	Least ident.Version
+	// Wanted is how many whole groups its trainer waits for; 0 is all.
+	Wanted int
+	// Single tells that one version must have made the whole of a text.
+	Single bool
+	Items  []Plan
+}
+
+// Target is one item that a claim is for. Replaces is the claim that it takes
+// the place of, or 0; the claim only counts if that one still stands.
+type Target struct {
+	Index    int
+	Replaces ident.Offset
+}
+
+// Claim gives items of a job to an instance, to be run at an engine.
+type Claim struct {
+	Job     ident.Job
+	By      ident.InstanceName
+	Engine  ident.BackendName
+	Targets []Target
+}
+
+// Yield gives claimed items back. Partial is the text that was made so far, if
+// any; whoever claims the item next may go on from there.
+type Yield struct {
+	Job     ident.Job
+	By      ident.InstanceName
+	Index   int
+	Partial Partial
+	// Failed tells that the engine itself failed the item.
+	Failed bool
+}
+
+// Avoid tells that an engine did not do its work; nobody gives it items for a
+// while.
+type Avoid struct {
+	By     ident.InstanceName
+	Engine ident.BackendName
+	Millis int
+}
+
+// Partial is the beginning of a text, or all of it.
+type Partial struct {
+	Text     Span
+	Events   int
+	Versions []ident.Version
+	// Whole tells that nothing but the reward is missing.
+	Whole bool
+}
+
+// Fits tells whether the text may be used in a job that takes tokens of least
+// and newer versions, of a single one if single is set.
+func (p Partial) Fits(least ident.Version, single bool) bool {
+	if p.Events == 0 || (single && len(p.Versions) > 1) {
+		return false
+	}
+	for _, v := range p.Versions {
+		if v < least {
+			return false
+		}
+	}
+	return true
+}
+
+// State is how an item ended.
+type State string
+
+// States of items.
+const (
+	Completed  State = "Completed"
+	Terminated State = "Terminated"
+)
+
+// Finish is the result of an item. The first one of an item counts.
+type Finish struct {
+	Job      ident.Job
+	By       ident.InstanceName
+	Index    int
+	State    State
+	Versions []ident.Version
+	Score    string
+	Text     Span
+	// Events and Millis are the length of the text and the time it took, from
+	// which everybody learns the speed of the engine.
+	Engine ident.BackendName
+	Events int
+	Millis int
+}
+
+// End closes a job: nothing of it needs to run any more.
+type End struct {
+	Job ident.Job
+}
+
+// Beat tells that an instance is alive. Leaving tells that it takes no more
+// work.
+type Beat struct {
+	By      ident.InstanceName
+	Zone    ident.Zone
+	Leaving bool
+}
+
+// Hold makes an instance the holder of a role, if Replaces is the hold that
+// stands. Its offset is the fencing number.
+type Hold struct {
+	Role     string
+	By       ident.InstanceName
+	Replaces ident.Offset
+}
+
+// Order tells that the holder of a role is about to order an engine to load a
+// version. It counts only while Fence is the hold that stands.
+type Order struct {
+	Role    string
+	Fence   ident.Fence
+	Engine  ident.BackendName
+	Model   ident.Model
+	Version ident.Version
+}
+
+// Loaded tells that an engine was seen to run a version.
+type Loaded struct {
+	Engine  ident.BackendName
+	Model   ident.Model
+	Version ident.Version
+}
+
+// Record is one of the types above.
+type Record interface {
+	kind() recordKind
+}
+
+type recordKind uint8
+
+// The numbers are on the wire: they are never given to another record.
+const (
+	acceptKind recordKind = 1 + iota
+	claimKind
+	yieldKind
+	finishKind
+	endKind
+	beatKind
+	holdKind
+	orderKind
+	loadedKind
+	avoidKind
+)
+
+func (Accept) kind() recordKind { return acceptKind }
+func (Claim) kind() recordKind  { return claimKind }
+func (Yield) kind() recordKind  { return yieldKind }
+func (Finish) kind() recordKind { return finishKind }
+func (End) kind() recordKind    { return endKind }
+func (Beat) kind() recordKind   { return beatKind }
+func (Hold) kind() recordKind   { return holdKind }
+func (Order) kind() recordKind  { return orderKind }
+func (Loaded) kind() recordKind { return loadedKind }
+func (Avoid) kind() recordKind  { return avoidKind }
--- /dev/null
+++ b/kernel/paths/paths.go
@@ -0,0 +1,158 @@
+// Package paths is the routes of callers' requests: by host and the longest
+// path prefix to a service, with the limits that the operator set.
+package paths
+
+import (
+	"math/rand/v2"
+	"strings"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
+)
+
+// Repeat tells how often a request of a route may run.
+type Repeat string
+
+// Ways to run requests.
+const (
+	// Repeatable requests may run more than once.
+	Repeatable Repeat = "Repeatable"
+	// Once requests run at most once for each attempt of the caller.
+	Once Repeat = "Once"
+	// Stream requests are answered in events.
+	Stream Repeat = "Stream"
+	// Batch requests submit batch jobs.
+	Batch Repeat = "Batch"
+)
+
+// Share is a service's share of a route's requests.
+type Share struct {
+	Service ident.Service
+	Weight  int
+}
+
+// Route is one route.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Repeat Repeat
+	// Resumable streams may be continued at another backend server.
+	Resumable bool
+	// SingleVersion asks that one version of the weights makes the whole of a text.
+	SingleVersion bool
+	// Shares has at least one entry.
+	Shares []Share
+	// Attempts is the greatest number of backend servers for one attempt of a caller.
+	Attempts int
+	// Timeout bounds a request; 0 is no bound.
+	Timeout clock.Millis
+	// Target is the time in which an answer is worth most.
+	Target clock.Millis
+	// GiveUp is when an item of a batch job may be given up, from its submission.
+	GiveUp clock.Millis
+	// Priority ranks routes; 0 goes first.
+	Priority int
+}
+
+// Service is what the configuration says of a service.
+type Service struct {
+	Name       ident.Service
+	HealthPath string
+	MaxConns   int
+	// Slots is how many requests an engine runs at once; 0 for plain services.
+	Slots  int
+	Models []ident.Model
+}
+
+// Limits bounds what a caller may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+}
+
+// Table is one version of the routes. It is not changed once made.
+type Table struct {
+	Version  int64
+	Services map[ident.Service]Service
+	Limits   Limits
+
+	byHost map[string][]Route
+}
+
+// NewTable returns a table of routes.
+func NewTable(version int64, routes []Route, services []Service, limits Limits) *Table {
+	t := &Table{Version: version, Services: map[ident.Service]Service{}, Limits: limits, byHost: map[string][]Route{}}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	return t
+}
+
+// Find returns the route of a host with the longest prefix of path.
+func (t *Table) Find(host, path string) (Route, bool) {
+	found := -1
+	routes := t.byHost[strings.ToLower(host)]
+	for i, r := range routes {
+		if strings.HasPrefix(path, r.Prefix) && (found < 0 || len(r.Prefix) > len(routes[found].Prefix)) {
+			found = i
+		}
+	}
+	if found < 0 {
+		return Route{}, false
+	}
+	return routes[found], true
+}
+
+// Exact returns the route of a host with just this prefix.
+func (t *Table) Exact(host, prefix string) (Route, bool) {
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if r.Prefix == prefix {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Service picks the service for one request by the route's shares.
+func (r *Route) Service(random *rand.Rand) ident.Service {
+	total := 0
+	for _, s := range r.Shares {
+		total += max(s.Weight, 0)
+	}
+	if total == 0 {
+		return r.Shares[0].Service
+	}
+	at := random.IntN(total)
+	for _, s := range r.Shares {
+		if at -= max(s.Weight, 0); at < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// SingleVersionAt tells whether a route to the service wants texts of one version.
+func (t *Table) SingleVersionAt(service ident.Service) bool {
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			if r.SingleVersion && r.Shares[0].Service == service {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Routes returns all routes.
+func (t *Table) Routes() []Route {
+	var all []Route
+	for _, routes := range t.byHost {
+		all = append(all, routes...)
+	}
+	return all
+}
--- a/kernel/tail/tail.go
+++ b/kernel/tail/tail.go
@@ -3,6 +3,7 @@
 package tail
 
 import (
+	"cmp"
 	"context"
 
 	"croftmoor.dev/kernel/clock"
@@ -42,13 +43,18 @@
 	Records []Record
 }
 
+// Reader reads streams in order.
+type Reader interface {
+	// Read returns records from offset on, waiting up to wait for the first one.
+	Read(ctx context.Context, stream ident.Stream, from ident.Offset, wait clock.Millis) (Batch, error)
+}
+
 // Log is the platform's log service.
 type Log interface {
+	Reader
 	// Append adds a record and returns its offset. After an Unknown error the
 	// record may still be there.
 	Append(ctx context.Context, stream ident.Stream, data []byte) (ident.Offset, error)
-	// Read returns records from offset on, waiting up to wait for the first one.
-	Read(ctx context.Context, stream ident.Stream, from ident.Offset, wait clock.Millis) (Batch, error)
 }
 
 // Clients holds the log clients by the name that settings use.
@@ -69,7 +75,7 @@
 
 // Tailer follows one stream in order. Set the fields before Run.
 type Tailer struct {
-	Log    Log
+	Log    Reader
 	Stream ident.Stream
 	Clock  *clock.Clock
 	// From is the first offset wanted; 0 means the oldest kept.
@@ -79,6 +85,13 @@
 	Apply func(Batch)
 	// Failed is called when a read fails; it may be nil.
 	Failed func(error)
+	// Wait is how long a read waits for a record, and Timeout bounds the whole
+	// read; zero values mean the defaults.
+	Wait    clock.Millis
+	Timeout clock.Millis
+	// Pause returns the pause after a batch, so that records that come one by one
+	// do not cost a read each; nil is none.
+	Pause func() clock.Millis
 }
 
 // Run follows the stream until ctx ends. Failed reads are retried with a
@@ -86,9 +99,10 @@
 func (t *Tailer) Run(ctx context.Context) {
 	next := t.From
 	pause := retryFirst
+	wait, timeout := cmp.Or(t.Wait, readWait), cmp.Or(t.Timeout, readTimeout)
 	for ctx.Err() == nil {
-		readCtx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
-		batch, err := t.Log.Read(readCtx, t.Stream, next, readWait)
+		readCtx, cancel := context.WithTimeout(ctx, timeout.Duration())
+		batch, err := t.Log.Read(readCtx, t.Stream, next, wait)
 		cancel()
 		if err != nil {
 			if t.Failed != nil && ctx.Err() == nil {
@@ -101,6 +115,9 @@
 		pause = retryFirst
 		t.Apply(batch)
 		next = after(batch, next)
+		if t.Pause != nil && next >= batch.Next {
+			t.Clock.Sleep(ctx, t.Pause())
+		}
 	}
 }
 
