--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -6,9 +6,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
+	"io"
 	"net"
+	"net/http/httputil"
 	"slices"
 	"strconv"
 	"strings"
@@ -214,11 +215,11 @@
 }
 
 // rest returns how long a connection may be kept idle after an answer.
-func rest(response *fasthttp.Response) clock.Millis {
-	if response.ConnectionClose() {
+func rest(head *fasthttp.ResponseHeader) clock.Millis {
+	if head.ConnectionClose() {
 		return 0
 	}
-	for part := range strings.SplitSeq(string(response.Header.Peek("Keep-Alive")), ",") {
+	for part := range strings.SplitSeq(string(head.Peek("Keep-Alive")), ",") {
 		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if seconds, err := strconv.Atoi(value); ok && err == nil {
 			return clock.Millis(seconds)*clock.Second - restMargin
@@ -257,7 +258,7 @@
 		_ = l.Close()
 		return nil, lost(call, err)
 	}
-	answer := &Answer{Status: response.StatusCode(), Headers: headers(response), Body: append([]byte(nil), response.Body()...)}
+	answer := &Answer{Status: response.StatusCode(), Headers: headers(&response.Header), Body: append([]byte(nil), response.Body()...)}
 	if call.Accept != nil && !call.Accept(answer) {
 		_ = l.Close()
 		return nil, fault.New("httpc.Do", Lost, string(call.Address)+" sent the answer of another call")
@@ -265,7 +266,7 @@
 	if !stop() {
 		_ = l.Close()
 	} else {
-		c.put(call.Address, l, rest(response))
+		c.put(call.Address, l, rest(&response.Header))
 	}
 	return answer, nil
 }
@@ -277,12 +278,12 @@
 	Headers []Header
 	Body    *bufio.Reader
 
-	client   *Client
-	call     *Call
-	link     *link
-	stop     func() bool
-	response *fasthttp.Response
-	whole    bool
+	client *Client
+	call   *Call
+	link   *link
+	stop   func() bool
+	head   fasthttp.ResponseHeader
+	whole  bool
 }
 
 // Header returns the named header's value, or "".
@@ -308,30 +309,78 @@
 
 func (c *Client) open(ctx context.Context, call *Call, l *link) (*Stream, error) {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-	stream := &Stream{client: c, call: call, link: l, stop: stop, response: fasthttp.AcquireResponse()}
-	stream.response.StreamBody = true
+	stream := &Stream{client: c, call: call, link: l, stop: stop}
 	if err := send(call, l); err != nil {
 		stream.Close()
 		return nil, err
 	}
-	if err := stream.response.ReadLimitBody(l.reader, 0); err != nil {
+	if err := stream.head.Read(l.reader); err != nil {
 		stream.Close()
 		return nil, lost(call, err)
 	}
-	stream.Status = stream.response.StatusCode()
-	stream.Headers = headers(stream.response)
+	stream.Status = stream.head.StatusCode()
+	stream.Headers = headers(&stream.head)
 	if call.Accept != nil && !call.Accept(&Answer{Status: stream.Status, Headers: stream.Headers}) {
 		stream.Close()
 		return nil, fault.New("httpc.Open", Lost, string(call.Address)+" sent the answer of another call")
 	}
-	body := stream.response.BodyStream()
-	if body == nil {
-		body = bytes.NewReader(stream.response.Body())
-	}
-	stream.Body = bufio.NewReader(body)
+	stream.Body = bufio.NewReader(stream.body())
 	return stream, nil
 }
 
+// untilClose is fasthttp's length of a body that ends with its connection.
+const untilClose = -2
+
+// body returns a reader of the body whose end is io.EOF only if the body is
+// whole: fasthttp's own takes a connection that closes between two chunks for
+// the end of the body.
+func (s *Stream) body() io.Reader {
+	length := s.head.ContentLength()
+	switch {
+	case length == untilClose:
+		return s.link.reader
+	case length >= 0:
+		return &exactReader{reader: s.link.reader, left: length}
+	default:
+		return httputil.NewChunkedReader(s.link.reader)
+	}
+}
+
+// exactReader reads a body of a known length.
+type exactReader struct {
+	reader io.Reader
+	left   int
+}
+
+// Read returns io.ErrUnexpectedEOF if the connection ends before the body does.
+func (r *exactReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := r.reader.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	if err == io.EOF && r.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// trailerEnd ends a chunked body; the reader of chunks leaves it.
+const trailerEnd = "\r\n"
+
+// reusable tells whether the connection stands at the beginning of the next
+// answer.
+func (s *Stream) reusable() bool {
+	switch length := s.head.ContentLength(); {
+	case length == untilClose:
+		return false
+	case length >= 0:
+		return true
+	}
+	line, err := s.link.reader.ReadString('\n')
+	return err == nil && line == trailerEnd
+}
+
 // Whole tells that the body was read to its proper end, so that its connection
 // may be used again.
 func (s *Stream) Whole() {
@@ -340,11 +389,12 @@
 
 // Close ends the call.
 func (s *Stream) Close() {
-	if s.stop() && s.whole && !s.call.Fresh {
-		s.client.put(s.call.Address, s.link, rest(s.response))
-	} else {
-		_ = s.link.Close()
+	if s.whole && !s.call.Fresh && s.reusable() && s.stop() {
+		s.client.put(s.call.Address, s.link, rest(&s.head))
+		return
 	}
+	s.stop()
+	_ = s.link.Close()
 }
 
 func send(call *Call, l *link) error {
@@ -374,9 +424,9 @@
 	return fault.Wrap("httpc.Do", Lost, err, "no whole answer from "+string(call.Address)+" to "+call.Method+" "+call.Path)
 }
 
-func headers(response *fasthttp.Response) []Header {
+func headers(head *fasthttp.ResponseHeader) []Header {
 	var list []Header
-	for name, value := range response.Header.All() {
+	for name, value := range head.All() {
 		list = append(list, Header{Name: string(name), Value: string(value)})
 	}
 	return list
