--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The modules, in the order of their dependencies.
-MODULES := kernel croftmoor croftctl croftfake croftload
+MODULES := kernel croftmoor croftctl croftfake croftload platform
 PROGRAMS := croftmoor croftctl croftfake croftload
 LINT_VERSION := v2.12.2
 LINT := $(CURDIR)/.tools/golangci-lint-$(LINT_VERSION)
--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -395,4 +395,3 @@
 func (k *Keeper) note(w want, action trail.Action, reason string) {
 	k.Trail.Add(trail.Decision{ID: string(w.key.Model), Action: action, Choice: string(w.key.Engine), Reason: reason})
 }
-
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -7,9 +7,7 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
-	"net/http/httputil"
 	"slices"
 	"strconv"
 	"strings"
@@ -271,132 +269,6 @@
 	return answer, nil
 }
 
-// Stream is an answer whose body is read as it comes. Close ends the call;
-// the backend server sees its connection close unless the answer was whole.
-type Stream struct {
-	Status  int
-	Headers []Header
-	Body    *bufio.Reader
-
-	client *Client
-	call   *Call
-	link   *link
-	stop   func() bool
-	head   fasthttp.ResponseHeader
-	whole  bool
-}
-
-// Header returns the named header's value, or "".
-func (s *Stream) Header(name string) string {
-	return (&Answer{Headers: s.Headers}).Header(name)
-}
-
-// Open sends call and returns once the answer's header is there. Like Do, it
-// sends once more on a fresh connection if a reused one was dead.
-func (c *Client) Open(ctx context.Context, call *Call) (*Stream, error) {
-	l, reused, err := c.take(ctx, call)
-	if err != nil {
-		return nil, err
-	}
-	stream, err := c.open(ctx, call, l)
-	if err != nil && reused && ctx.Err() == nil {
-		fresh := *call
-		fresh.Fresh = true
-		return c.Open(ctx, &fresh)
-	}
-	return stream, err
-}
-
-func (c *Client) open(ctx context.Context, call *Call, l *link) (*Stream, error) {
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-	stream := &Stream{client: c, call: call, link: l, stop: stop}
-	if err := send(call, l); err != nil {
-		stream.Close()
-		return nil, err
-	}
-	if err := stream.head.Read(l.reader); err != nil {
-		stream.Close()
-		return nil, lost(call, err)
-	}
-	stream.Status = stream.head.StatusCode()
-	stream.Headers = headers(&stream.head)
-	if call.Accept != nil && !call.Accept(&Answer{Status: stream.Status, Headers: stream.Headers}) {
-		stream.Close()
-		return nil, fault.New("httpc.Open", Lost, string(call.Address)+" sent the answer of another call")
-	}
-	stream.Body = bufio.NewReader(stream.body())
-	return stream, nil
-}
-
-// untilClose is fasthttp's length of a body that ends with its connection.
-const untilClose = -2
-
-// body returns a reader of the body whose end is io.EOF only if the body is
-// whole: fasthttp's own takes a connection that closes between two chunks for
-// the end of the body.
-func (s *Stream) body() io.Reader {
-	length := s.head.ContentLength()
-	switch {
-	case length == untilClose:
-		return s.link.reader
-	case length >= 0:
-		return &exactReader{reader: s.link.reader, left: length}
-	default:
-		return httputil.NewChunkedReader(s.link.reader)
-	}
-}
-
-// exactReader reads a body of a known length.
-type exactReader struct {
-	reader io.Reader
-	left   int
-}
-
-// Read returns io.ErrUnexpectedEOF if the connection ends before the body does.
-func (r *exactReader) Read(p []byte) (int, error) {
-	if r.left == 0 {
-		return 0, io.EOF
-	}
-	n, err := r.reader.Read(p[:min(len(p), r.left)])
-	r.left -= n
-	if err == io.EOF && r.left > 0 {
-		err = io.ErrUnexpectedEOF
-	}
-	return n, err
-}
-
-// trailerEnd ends a chunked body; the reader of chunks leaves it.
-const trailerEnd = "\r\n"
-
-// reusable tells whether the connection stands at the beginning of the next
-// answer.
-func (s *Stream) reusable() bool {
-	switch length := s.head.ContentLength(); {
-	case length == untilClose:
-		return false
-	case length >= 0:
-		return true
-	}
-	line, err := s.link.reader.ReadString('\n')
-	return err == nil && line == trailerEnd
-}
-
-// Whole tells that the body was read to its proper end, so that its connection
-// may be used again.
-func (s *Stream) Whole() {
-	s.whole = true
-}
-
-// Close ends the call.
-func (s *Stream) Close() {
-	if s.whole && !s.call.Fresh && s.reusable() && s.stop() {
-		s.client.put(s.call.Address, s.link, rest(&s.head))
-		return
-	}
-	s.stop()
-	_ = s.link.Close()
-}
-
 func send(call *Call, l *link) error {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
--- a/kernel/tail/writer.go
+++ b/kernel/tail/writer.go
@@ -84,12 +84,12 @@
 	recordOverhead = 4
 	// An append without an answer is repeated after patience times the usual
 	// time, within these bounds; each further time doubles it.
-	patience                  = 8
-	leastPatience             = 200 * clock.Millis(1)
-	mostPatience              = 3 * clock.Second
-	firstTook                 = 20 * clock.Millis(1)
-	refusedFirst clock.Millis = 30
-	refusedMost               = 500 * clock.Millis(1)
+	patience                   = 8
+	leastPatience              = 200 * clock.Millis(1)
+	mostPatience               = 3 * clock.Second
+	firstTook                  = 20 * clock.Millis(1)
+	refusedFirst  clock.Millis = 30
+	refusedMost                = 500 * clock.Millis(1)
 )
 
 // Run lets Write work until ctx ends.
