Places name job and rank; analysis of steps

Cause: the logs did not tell which items a step waited for. Change: deal.Order gives each item a rank (brought, wanted, spare), and the line of a place names job and rank.

--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -265,7 +265,8 @@
 		claims[n].Targets = append(claims[n].Targets, d.Piece.Target)
 		r.Trail.Add(trail.Decision{
 			ID: string(s.ids[d.Piece.Job][d.Piece.Target.Index]), Action: trail.Place, Choice: string(d.Engine),
-			Reason: fmt.Sprintf("expects %d tokens, load %d, ledger %d", d.Piece.Expect, s.loads[d.Engine], s.next),
+			Reason: fmt.Sprintf("job %s, expects %d tokens, %s, load %d, ledger %d",
+				d.Piece.Job, d.Piece.Expect, d.Piece.Rank, s.loads[d.Engine], s.next),
 		})
 	}
 	return claims
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -82,17 +82,14 @@
 		}
 		ids[n] = item.ID
 		waits = append(waits, deal.Wait{
-			Target: jobs.Target{Index: n, Replaces: item.Claim}, Group: item.Group, Expect: item.Expect, Brought: item.Brought,
+			Target: jobs.Target{Index: n, Replaces: item.Claim}, Group: item.Group, Expect: item.Expect,
 		})
 	}
 	if len(waits) == 0 {
 		return
 	}
 	s.ids[job.Job] = ids
-	deal.Sort(waits, job.Wanted, longest, brought)
-	for _, w := range waits {
-		s.pieces = append(s.pieces, deal.Piece{Job: job.Job, Target: w.Target, Expect: w.Expect})
-	}
+	s.pieces = append(s.pieces, deal.Order(job.Job, waits, job.Wanted, longest, brought)...)
 }
 
 // addEngines adds the engines that may get items, and who acts for each.
--- a/kernel/deal/deal.go
+++ b/kernel/deal/deal.go
@@ -22,11 +22,27 @@
 	PerEvent float64
 }
 
+// Rank tells how a step depends on an item.
+type Rank string
+
+// Ranks.
+const (
+	// Brought items are of a group that an earlier step did not finish: the
+	// trainer waits for them whatever else is whole.
+	Brought Rank = "brought"
+	// Wanted items are expected to be among those that the trainer waits for.
+	Wanted Rank = "wanted"
+	// Spare items are of the groups that are expected to take longest, beyond
+	// those that the trainer waits for.
+	Spare Rank = "spare"
+)
+
 // Piece is an item that waits.
 type Piece struct {
 	Job    ident.Job
 	Target jobs.Target
 	Expect ident.Tokens
+	Rank   Rank
 }
 
 // Assignment gives a piece to an engine.
@@ -37,28 +53,39 @@
 
 // Wait is an item of a job that has neither a result nor a claim that stands.
 type Wait struct {
-	Target  jobs.Target
-	Group   ident.Group
-	Expect  ident.Tokens
-	Brought bool
+	Target jobs.Target
+	Group  ident.Group
+	Expect ident.Tokens
 }
 
-// Sort orders the waiting items of a job: longest first, because a step ends
-// with its last item. Wanted is how many groups its trainer waits for, out of
-// all; the groups that are expected to take longest beyond these come last,
-// except brought ones, which the trainer always waits for. Longest gives the
+// Order returns the waiting items of a job in the order in which they should
+// start: longest first, because a step ends with its last item. Wanted is how
+// many groups its trainer waits for, out of all; the groups that are expected to
+// take longest beyond these come last, except brought ones. Longest gives the
 // expected length of each group of the job, its finished items included.
-func Sort(waits []Wait, wanted int, longest map[ident.Group]ident.Tokens, brought map[ident.Group]bool) {
+func Order(job ident.Job, waits []Wait, wanted int, longest map[ident.Group]ident.Tokens, brought map[ident.Group]bool) []Piece {
 	spare := spareGroups(wanted, longest, brought)
-	slices.SortStableFunc(waits, func(a, b Wait) int {
-		if spare[a.Group] != spare[b.Group] {
-			if spare[a.Group] {
+	pieces := make([]Piece, 0, len(waits))
+	for _, w := range waits {
+		rank := Wanted
+		switch {
+		case brought[w.Group]:
+			rank = Brought
+		case spare[w.Group]:
+			rank = Spare
+		}
+		pieces = append(pieces, Piece{Job: job, Target: w.Target, Expect: w.Expect, Rank: rank})
+	}
+	slices.SortStableFunc(pieces, func(a, b Piece) int {
+		if (a.Rank == Spare) != (b.Rank == Spare) {
+			if a.Rank == Spare {
 				return 1
 			}
 			return -1
 		}
 		return cmp.Or(cmp.Compare(b.Expect, a.Expect), cmp.Compare(a.Target.Index, b.Target.Index))
 	})
+	return pieces
 }
 
 func spareGroups(wanted int, longest map[ident.Group]ident.Tokens, brought map[ident.Group]bool) map[ident.Group]bool {
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -136,4 +136,3 @@
 	s.stop()
 	_ = s.link.Close()
 }
-
