Long items are spread by the tokens that engines hold

Change: the cost of an engine counts the items and the expected tokens there; paces within 15% of the median are alike.

--- a/croftmoor/batch/meter.go
+++ b/croftmoor/batch/meter.go
@@ -105,7 +105,7 @@
 		switch {
 		case name == c.item.Engine, m.State == fleet.Leaving, now < b.Avoided[name], pace == 0:
 			continue
-		case engine.Load >= engine.Slots, !ready, version < c.accept.Least:
+		case engine.Load.Items >= engine.Slots, !ready, version < c.accept.Least:
 			continue
 		}
 		if cost := engine.Cost(pace); best == 0 || cost < best {
--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -266,7 +266,7 @@
 		r.Trail.Add(trail.Decision{
 			ID: string(s.ids[d.Piece.Job][d.Piece.Target.Index]), Action: trail.Place, Choice: string(d.Engine),
 			Reason: fmt.Sprintf("job %s, expects %d tokens, %s, load %d, ledger %d",
-				d.Piece.Job, d.Piece.Expect, d.Piece.Rank, s.loads[d.Engine], s.next),
+				d.Piece.Job, d.Piece.Expect, d.Piece.Rank, s.loads[d.Engine].Items, s.next),
 		})
 	}
 	return claims
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -24,7 +24,7 @@
 	versions map[jobs.EngineModel]ident.Version
 	services map[ident.BackendName]ident.Service
 	accepts  map[ident.Job]jobs.Accept
-	loads    map[ident.BackendName]int
+	loads    map[ident.BackendName]jobs.Load
 	ids      map[ident.Job]map[int]ident.Item
 	next     ident.Offset
 }
--- a/kernel/deal/deal.go
+++ b/kernel/deal/deal.go
@@ -16,8 +16,8 @@
 type Engine struct {
 	Name  ident.BackendName
 	Slots int
-	// Load is how many claimed items are there.
-	Load int
+	// Load is what is claimed to run there.
+	Load jobs.Load
 	// PerEvent is the observed time of an event in milliseconds; 0 is unknown.
 	PerEvent float64
 }
@@ -113,10 +113,14 @@
 }
 
 const (
-	// crowding is how much longer an event takes on a full engine than on an
-	// empty one, as a share: 37 ms alone, 41 ms among twelve, as measured on the
-	// users' bench.
-	crowding = 0.1
+	// crowdItem is how much longer an event takes for each item that runs beside,
+	// as a share, and crowdToken for each 1,000 tokens that these hold; from the
+	// step times that the users' deployments give for their engines.
+	crowdItem  = 0.008
+	crowdToken = 0.0014
+	// likePace is the difference in pace, as a share of the median, below which
+	// two engines count as alike: it is within what the texts themselves cause.
+	likePace = 0.15
 )
 
 // Spread gives the pieces, in their order, to the engines with the shortest
@@ -131,7 +135,7 @@
 		cost := math.Inf(1)
 		for i := range engines {
 			e := &engines[i]
-			if e.Load >= e.Slots+over || !allowed(e.Name, piece.Job) {
+			if e.Load.Items >= e.Slots+over || !allowed(e.Name, piece.Job) {
 				continue
 			}
 			if c := e.Cost(median); c < cost {
@@ -141,20 +145,21 @@
 		if best < 0 {
 			continue
 		}
-		engines[best].Load++
+		engines[best].Load.Items++
+		engines[best].Load.Expect += piece.Expect
 		deals = append(deals, Assignment{Piece: piece, Engine: engines[best].Name})
 	}
 	return deals
 }
 
 // Cost returns the expected time of an event of one more item, in milliseconds;
-// median stands in for an engine that nothing is known of.
+// median stands in for an engine of which nothing or nothing special is known.
 func (e *Engine) Cost(median float64) float64 {
 	pace := e.PerEvent
-	if pace == 0 {
+	if pace == 0 || math.Abs(pace-median) < likePace*median {
 		pace = median
 	}
-	return pace * (1 + crowding*float64(e.Load)/float64(max(e.Slots, 1)))
+	return pace * (1 + crowdItem*float64(e.Load.Items) + crowdToken*float64(e.Load.Expect)/1000)
 }
 
 // MedianPace returns the median of the known paces, or 1.
--- a/kernel/jobs/book.go
+++ b/kernel/jobs/book.go
@@ -79,6 +79,13 @@
 	Model  ident.Model
 }
 
+// Load is what is claimed to run on an engine.
+type Load struct {
+	Items int
+	// Expect is the sum of the items' expected tokens.
+	Expect ident.Tokens
+}
+
 // Pace is the speed of an engine as results tell it.
 type Pace struct {
 	// PerEvent is the smoothed time of one event in milliseconds; 0 is unknown.
@@ -93,7 +100,7 @@
 	Members map[ident.InstanceName]*Member
 	Holds   map[string]Holding
 	Weights map[EngineModel]Weights
-	Loads   map[ident.BackendName]int
+	Loads   map[ident.BackendName]Load
 	Paces   map[ident.BackendName]Pace
 	// Avoided holds until when, in this reader's time, an engine gets no items.
 	Avoided map[ident.BackendName]clock.Millis
@@ -106,7 +113,7 @@
 func NewBook() *Book {
 	return &Book{
 		Jobs: map[ident.Job]*Job{}, Members: map[ident.InstanceName]*Member{}, Holds: map[string]Holding{},
-		Weights: map[EngineModel]Weights{}, Loads: map[ident.BackendName]int{}, Paces: map[ident.BackendName]Pace{},
+		Weights: map[EngineModel]Weights{}, Loads: map[ident.BackendName]Load{}, Paces: map[ident.BackendName]Pace{},
 		Kept: map[ident.Item]ident.Job{}, Avoided: map[ident.BackendName]clock.Millis{},
 	}
 }
@@ -218,7 +225,7 @@
 		}
 		b.release(item)
 		item.Owner, item.Engine, item.Claim = c.By, c.Engine, offset
-		b.Loads[c.Engine]++
+		b.burden(item, 1)
 	}
 }
 
@@ -227,15 +234,20 @@
 	if item.Claim == 0 {
 		return
 	}
-	b.unload(item.Engine)
+	b.burden(item, -1)
 	item.Owner, item.Engine, item.Claim = "", "", 0
 }
 
-func (b *Book) unload(engine ident.BackendName) {
-	b.Loads[engine]--
-	if b.Loads[engine] <= 0 {
-		delete(b.Loads, engine)
+// burden adds an item to the load of its engine, or takes it off.
+func (b *Book) burden(item *Item, sign int) {
+	load := b.Loads[item.Engine]
+	load.Items += sign
+	load.Expect += ident.Tokens(sign) * item.Expect
+	if load.Items <= 0 {
+		delete(b.Loads, item.Engine)
+		return
 	}
+	b.Loads[item.Engine] = load
 }
 
 func (b *Book) yield(y Yield, now clock.Millis) {
