--- a/kernel/deal/deal.go
+++ b/kernel/deal/deal.go
@@ -77,12 +77,6 @@
 		pieces = append(pieces, Piece{Job: job, Target: w.Target, Expect: w.Expect, Rank: rank})
 	}
 	slices.SortStableFunc(pieces, func(a, b Piece) int {
-		if (a.Rank == Spare) != (b.Rank == Spare) {
-			if a.Rank == Spare {
-				return 1
-			}
-			return -1
-		}
 		return cmp.Or(cmp.Compare(b.Expect, a.Expect), cmp.Compare(a.Target.Index, b.Target.Index))
 	})
 	return pieces
