Silent zones are left alone, whole texts are listed whoever has the claim

Change: an engine of a zone that has fallen silent as a whole has no actor for 10 s; a run that is whole goes on to its result.

--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -26,7 +26,7 @@
 	avoidBroken = 1500
 	// finishTerm and yieldTerm bound the writing of a result or of a beginning;
 	// after them the claim has long been replaced.
-	finishTerm = 30 * clock.Second
+	finishTerm = 15 * clock.Second
 	yieldTerm  = 2 * clock.Second
 	rewardGap  = 30 * clock.Millis(1)
 )
@@ -182,16 +182,17 @@
 	r.tell(ctx, c, yield)
 }
 
-// complete scores a whole text, keeps it, and lists the result.
+// complete scores a whole text, keeps it, and lists the result. It goes on when
+// the claim is replaced meanwhile: the first result counts.
 func (r *Runner) complete(ctx context.Context, item Item, made *progress, meter *meter) {
 	c := made.claim
-	keepCtx, cancel := context.WithTimeout(ctx, finishTerm.Duration())
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTerm.Duration())
 	defer cancel()
 	var kept jobs.Partial
 	var score string
 	var keepErr, scoreErr error
 	var both conc.WaitGroup
-	both.Go(func() { kept, keepErr = made.keepAll(keepCtx) })
+	both.Go(func() { kept, keepErr = made.keepAll(ctx) })
 	both.Go(func() { score, scoreErr = r.score(ctx, item) })
 	both.Wait()
 	if fault.KindOf[RewardKind](scoreErr) == RewardFailed {
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -96,6 +96,7 @@
 func (r *Runner) addEngines(s *survey, b *jobs.Book, table *paths.Table, since clock.Millis) {
 	now := r.Clock.Mono()
 	live := b.Live(since)
+	zones := silentZones(b, now-silentTerm, since)
 	services := map[ident.Service]bool{}
 	for _, accept := range s.accepts {
 		services[accept.Service] = true
@@ -107,8 +108,12 @@
 			if m.State == fleet.Leaving || r.Fleet.MarkedLeaving(m.Name) || now < b.Avoided[name] {
 				continue
 			}
+			actor := actorFor(m, live, zones)
+			if actor == "" {
+				continue
+			}
 			s.services[name] = service
-			s.actor[name] = actorFor(m, live)
+			s.actor[name] = actor
 			s.engines = append(s.engines, deal.Engine{
 				Name: name, Slots: cmp.Or(m.Slots, table.Services[service].Slots, 1), Load: b.Loads[name], PerEvent: b.Paces[name].PerEvent,
 			})
@@ -131,10 +136,32 @@
 	return version, !loading
 }
 
+// silentTerm is how long the engines of an availability zone are left alone in
+// which no instance is heard any more: most likely the zone is cut off, and an
+// item sent there only fails after a while.
+const silentTerm = 10 * clock.Second
+
+// silentZones returns the zones that have fallen silent as a whole lately.
+func silentZones(b *jobs.Book, from, since clock.Millis) map[ident.Zone]bool {
+	zones := map[ident.Zone]bool{}
+	for _, m := range b.Members {
+		if !m.Over && !m.Leaving && m.Heard >= from && m.Heard < since {
+			zones[m.Zone] = true
+		}
+	}
+	for _, m := range b.Live(since) {
+		delete(zones, m.Zone)
+	}
+	return zones
+}
+
 // actorFor returns the instance that acts for an engine: by rendezvous hashing
 // among those of its availability zone, so that texts stay there, or among all
-// if it has none.
-func actorFor(engine fleet.Member, live []jobs.Member) ident.InstanceName {
+// if it has none; "" while its zone is silent.
+func actorFor(engine fleet.Member, live []jobs.Member, silent map[ident.Zone]bool) ident.InstanceName {
+	if silent[engine.Zone] {
+		return ""
+	}
 	var near, all []views.Member
 	for _, m := range live {
 		member := views.Member{Name: m.Name, Zone: m.Zone}
