Tests of the ledger's state, the deal, routes and the writer

Cause: the new packages of the kernel had no tests. Change: a rapid model of several instances that write late, twice and raced, with rebuilds: no position moves, no accepted item is lost, none is listed twice, loads agree with claims; codec, fuzz target, claims, holds, lives; deals; routes; the writer against a log that loses calls and answers and refuses.

--- a/Makefile
+++ b/Makefile
@@ -27,11 +27,12 @@
 
 # Longer runs of the state machine models than plain tests make.
 models:
-	@cd kernel && go test ./once ./steps -run 'Once' -rapid.checks=20000 -rapid.steps=100
+	@cd kernel && go test ./once ./steps ./jobs -run 'Once' -rapid.checks=20000 -rapid.steps=100
 
 fuzz:
 	@cd kernel && go test ./conf -run '^$$' -fuzz FuzzParse -fuzztime 5s
 	@cd kernel && go test ./fold -run '^$$' -fuzz FuzzDecodeState -fuzztime 5s
+	@cd kernel && go test ./jobs -run '^$$' -fuzz FuzzDecode -fuzztime 5s
 
 demo: build
 	bin/croftload demo
--- /dev/null
+++ b/kernel/deal/deal_test.go
@@ -0,0 +1,77 @@
+package deal
+
+import (
+	"slices"
+	"testing"
+
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+)
+
+func anywhere(ident.BackendName, ident.Job) bool { return true }
+
+func pieces(expects ...ident.Tokens) []Piece {
+	var list []Piece
+	for i, e := range expects {
+		list = append(list, Piece{Job: "j", Target: jobs.Target{Index: i}, Expect: e})
+	}
+	return list
+}
+
+func engineOf(t *testing.T, deals []Assignment, index int) ident.BackendName {
+	t.Helper()
+	at := slices.IndexFunc(deals, func(a Assignment) bool { return a.Piece.Target.Index == index })
+	if at < 0 {
+		t.Fatalf("item %d is not dealt", index)
+	}
+	return deals[at].Engine
+}
+
+func TestOrder(t *testing.T) {
+	waits := []Wait{{Target: jobs.Target{Index: 0}, Group: "a", Expect: 5}, {Target: jobs.Target{Index: 1}, Group: "b", Expect: 9}, {Target: jobs.Target{Index: 2}, Group: "c", Expect: 7}}
+	longest := map[ident.Group]ident.Tokens{"a": 5, "b": 9, "c": 7}
+	got := Order("j", waits, 2, longest, map[ident.Group]bool{"c": true})
+	var order []int
+	var ranks []Rank
+	for _, p := range got {
+		order = append(order, p.Target.Index)
+		ranks = append(ranks, p.Rank)
+	}
+	if !slices.Equal(order, []int{1, 2, 0}) {
+		t.Errorf("order %v, want longest first", order)
+	}
+	if !slices.Equal(ranks, []Rank{Spare, Brought, Wanted}) {
+		t.Errorf("ranks %v", ranks)
+	}
+}
+
+func TestSpread(t *testing.T) {
+	t.Run("no engine gets more than its slots and what is allowed beyond", func(t *testing.T) {
+		deals := Spread(pieces(1, 1, 1, 1, 1), []Engine{{Name: "e", Slots: 2}, {Name: "f", Slots: 1}}, 1, anywhere)
+		if len(deals) != 5 {
+			t.Errorf("%d dealt, want 5", len(deals))
+		}
+		if deals = Spread(pieces(1), []Engine{{Name: "e", Slots: 2, Load: jobs.Load{Items: 3}}}, 1, anywhere); len(deals) != 0 {
+			t.Errorf("%d dealt to a full engine", len(deals))
+		}
+	})
+	t.Run("long items do not gather at one engine", func(t *testing.T) {
+		deals := Spread(pieces(9000, 9000), []Engine{{Name: "e", Slots: 9, PerEvent: 38}, {Name: "f", Slots: 9, PerEvent: 40}}, 0, anywhere)
+		if engineOf(t, deals, 0) == engineOf(t, deals, 1) {
+			t.Error("both went to one engine")
+		}
+	})
+	t.Run("a slow engine comes last", func(t *testing.T) {
+		engines := []Engine{{Name: "e", Slots: 2, PerEvent: 140}, {Name: "f", Slots: 2, PerEvent: 40}, {Name: "g", Slots: 2, PerEvent: 41}}
+		deals := Spread(pieces(9, 8, 7, 6, 5), engines, 0, anywhere)
+		if engineOf(t, deals, 4) != "e" || engineOf(t, deals, 3) == "e" {
+			t.Error("the slow engine did not get the shortest item")
+		}
+	})
+	t.Run("an item goes only where it is allowed", func(t *testing.T) {
+		deals := Spread(pieces(1), []Engine{{Name: "e", Slots: 1}}, 0, func(ident.BackendName, ident.Job) bool { return false })
+		if len(deals) != 0 {
+			t.Error("dealt in spite of it")
+		}
+	})
+}
--- /dev/null
+++ b/kernel/jobs/jobs_test.go
@@ -0,0 +1,278 @@
+package jobs
+
+import (
+	"flag"
+	"os"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
+)
+
+// CI draws the same histories every time; elsewhere each run draws others.
+func init() {
+	if os.Getenv("CI") != "" {
+		_ = flag.Set("rapid.seed", "20261202")
+	}
+}
+
+func accept(job ident.Job, least ident.Version, items ...ident.Item) Accept {
+	a := Accept{Job: job, Host: "h", Prefix: "/p/", Service: "s", Model: "m", Least: least, Wanted: 1}
+	for _, id := range items {
+		a.Items = append(a.Items, Plan{ID: id, Group: "g", Expect: 100, Body: Span{Stream: "bodies.1", First: 3, Count: 1}})
+	}
+	return a
+}
+
+// log applies records in order to a new book.
+func fold(records ...Record) *Book {
+	b := NewBook()
+	for i, r := range records {
+		b.Apply(ident.Offset(i+1), r, clock.Millis(i))
+	}
+	return b
+}
+
+func TestCodec(t *testing.T) {
+	partial := Partial{Texts: []Span{{Stream: "texts.2", First: 9, Count: 2}}, Events: 7, Versions: []ident.Version{1, 2}, Whole: true}
+	speed := Speed{Engine: "e", Events: 7, Millis: 300}
+	records := []Record{
+		accept("j", 2, "a", "b"),
+		Claim{Job: "j", By: "i", Engine: "e", Targets: []Target{{Index: 1, Replaces: 4}}},
+		Yield{Job: "j", By: "i", Index: 1, Partial: partial, Failed: true, Speed: speed},
+		Keep{Job: "j", By: "i", Index: 1, Partial: partial},
+		Finish{Job: "j", By: "i", Index: 1, State: Completed, Versions: []ident.Version{3}, Score: "s", Texts: partial.Texts, Events: 7, Speed: speed},
+		End{Job: "j"}, Beat{By: "i", Zone: "z", Leaving: true, Address: "1.2.3.4:5"},
+		Hold{Role: "r", By: "i", Replaces: 5}, Order{Role: "r", Fence: 5, Engine: "e", Model: "m", Version: 6},
+		Loaded{Engine: "e", Model: "m", Version: 6}, Avoid{By: "i", Engine: "e", Millis: 7},
+	}
+	for _, r := range records {
+		got, err := Decode(Encode(r))
+		if err != nil || !reflect.DeepEqual(got, r) {
+			t.Errorf("%T came back as %+v (%v), want %+v", r, got, err, r)
+		}
+	}
+	t.Run("a record of a newer program is passed over", func(t *testing.T) {
+		if got, err := Decode([]byte{120}); got != nil || err != nil {
+			t.Errorf("got %v, %v", got, err)
+		}
+	})
+	t.Run("a cut record is an error", func(t *testing.T) {
+		data := Encode(records[0])
+		if _, err := Decode(data[:len(data)-3]); err == nil {
+			t.Error("no error")
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(accept("j", 1, "a")))
+	f.Add(Encode(End{Job: "j"}))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if r, err := Decode(data); err == nil && r != nil {
+			fold(r)
+		}
+	})
+}
+
+func claimOf(job ident.Job, by ident.InstanceName, index int, replaces ident.Offset) Claim {
+	return Claim{Job: job, By: by, Engine: "e", Targets: []Target{{Index: index, Replaces: replaces}}}
+}
+
+func TestClaims(t *testing.T) {
+	job := accept("j", 1, "a")
+	t.Run("of two that replace nothing the first counts", func(t *testing.T) {
+		b := fold(job, claimOf("j", "x", 0, 0), claimOf("j", "y", 0, 0))
+		if got := b.Jobs["j"].Items[0].Owner; got != "x" {
+			t.Errorf("owner %q, want x", got)
+		}
+	})
+	t.Run("one that names the claim that stands replaces it", func(t *testing.T) {
+		b := fold(job, claimOf("j", "x", 0, 0), claimOf("j", "y", 0, 2))
+		if got := b.Jobs["j"].Items[0].Owner; got != "y" || b.Loads["e"].Items != 1 {
+			t.Errorf("owner %q with load %d, want y with 1", got, b.Loads["e"].Items)
+		}
+	})
+	t.Run("an ended job has none", func(t *testing.T) {
+		b := fold(job, claimOf("j", "x", 0, 0), End{Job: "j"}, claimOf("j", "y", 0, 0))
+		if b.Jobs["j"].Items[0].Claim != 0 || len(b.Loads) != 0 {
+			t.Errorf("claim %d, loads %v", b.Jobs["j"].Items[0].Claim, b.Loads)
+		}
+	})
+	t.Run("a yield of another than the owner leaves the claim", func(t *testing.T) {
+		b := fold(job, claimOf("j", "x", 0, 0), Yield{Job: "j", By: "y", Partial: Partial{Events: 3}})
+		if i := b.Jobs["j"].Items[0]; i.Owner != "x" || i.Partial.Events != 3 {
+			t.Errorf("owner %q, kept %d", i.Owner, i.Partial.Events)
+		}
+	})
+}
+
+func TestBrought(t *testing.T) {
+	kept := Partial{Texts: []Span{{Stream: "t", First: 1, Count: 1}}, Events: 4, Versions: []ident.Version{2}}
+	cases := []struct {
+		name  string
+		least ident.Version
+		want  int
+	}{{"a text of fitting versions is taken over", 2, 4}, {"one that is too old is not", 3, 0}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := fold(accept("j", 1, "a"), Keep{Job: "j", Partial: kept}, End{Job: "j"}, accept("k", c.least, "a"))
+			item := b.Jobs["k"].Items[0]
+			if !item.Brought || item.Partial.Events != c.want {
+				t.Errorf("brought %v with %d events, want %d", item.Brought, item.Partial.Events, c.want)
+			}
+		})
+	}
+}
+
+func TestHolds(t *testing.T) {
+	t.Run("of two that follow the same hold the first counts", func(t *testing.T) {
+		b := fold(Hold{Role: "r", By: "x"}, Hold{Role: "r", By: "y", Replaces: 1}, Hold{Role: "r", By: "z", Replaces: 1})
+		if h := b.Holds["r"]; h.By != "y" || h.Fence != 2 {
+			t.Errorf("held by %q with %d, want y with 2", h.By, h.Fence)
+		}
+	})
+	t.Run("an order under an older fence does not count", func(t *testing.T) {
+		b := fold(Hold{Role: "r", By: "x"}, Hold{Role: "r", By: "y", Replaces: 1}, Order{Role: "r", Fence: 1, Engine: "e", Model: "m", Version: 2})
+		if w := b.Weights[EngineModel{Engine: "e", Model: "m"}]; w.Ordered != 0 {
+			t.Errorf("ordered %d, want none", w.Ordered)
+		}
+	})
+}
+
+func TestLives(t *testing.T) {
+	b := fold(Beat{By: "n~1", Zone: "z"}, Beat{By: "m~1", Zone: "z"}, Beat{By: "n~2", Zone: "z"})
+	if b.Alive("n~1", 0) || !b.Alive("n~2", 0) || !b.Alive("m~1", 0) {
+		t.Error("a new life must end the earlier lives of the same instance, and only these")
+	}
+	b.Shift(1000)
+	if !b.Alive("m~1", 900) {
+		t.Error("silence that nobody could hear must not count")
+	}
+}
+
+// ledgerModel draws histories of several instances that write to one ledger,
+// late, twice and in any order, with rebuilds from the start.
+type ledgerModel struct {
+	records []Record
+	book    *Book
+	// listed is what callers have read: it must never change.
+	listed   map[ident.Job][]Result
+	accepted map[ident.Job]int
+}
+
+var modelNames = []ident.InstanceName{"a~1", "b~1", "c~1", "a~2"}
+
+func (m *ledgerModel) write(r Record) {
+	m.records = append(m.records, r)
+	m.book.Apply(ident.Offset(len(m.records)), r, clock.Millis(len(m.records)))
+}
+
+func (m *ledgerModel) job(t *rapid.T) ident.Job {
+	return rapid.SampledFrom([]ident.Job{"j", "k"}).Draw(t, "job")
+}
+
+func (m *ledgerModel) index(t *rapid.T) int { return rapid.IntRange(-1, 3).Draw(t, "index") }
+
+func (m *ledgerModel) name(t *rapid.T) ident.InstanceName {
+	return rapid.SampledFrom(modelNames).Draw(t, "instance")
+}
+
+func (m *ledgerModel) accept(t *rapid.T) {
+	job := m.job(t)
+	m.write(accept(job, ident.Version(rapid.IntRange(1, 2).Draw(t, "least")), "x", "y", "z"))
+	m.accepted[job] = 3
+}
+
+func (m *ledgerModel) claim(t *rapid.T) {
+	replaces := ident.Offset(rapid.IntRange(0, len(m.records)).Draw(t, "replaces"))
+	m.write(claimOf(m.job(t), m.name(t), m.index(t), replaces))
+}
+
+func (m *ledgerModel) finish(t *rapid.T) {
+	m.write(Finish{Job: m.job(t), By: m.name(t), Index: m.index(t), State: Completed, Score: rapid.String().Draw(t, "score")})
+}
+
+func (m *ledgerModel) yield(t *rapid.T) {
+	m.write(Yield{Job: m.job(t), By: m.name(t), Index: m.index(t), Partial: Partial{Events: rapid.IntRange(0, 5).Draw(t, "events")}})
+}
+
+func (m *ledgerModel) end(t *rapid.T) {
+	if rapid.IntRange(0, 4).Draw(t, "rarely") == 0 {
+		m.write(End{Job: m.job(t)})
+	}
+}
+
+func (m *ledgerModel) beat(t *rapid.T) { m.write(Beat{By: m.name(t), Zone: "z"}) }
+
+// again writes an old record once more, as a repeated append may.
+func (m *ledgerModel) again(t *rapid.T) {
+	if len(m.records) > 0 {
+		m.write(rapid.SampledFrom(m.records).Draw(t, "record"))
+	}
+}
+
+// rebuild reads everything from the start, as an instance does that has lost
+// its memory, at other times of its own.
+func (m *ledgerModel) rebuild(*rapid.T) {
+	fresh := NewBook()
+	for i, r := range m.records {
+		fresh.Apply(ident.Offset(i+1), r, clock.Millis(1_000_000+i*7))
+	}
+	m.book = fresh
+}
+
+func (m *ledgerModel) check(t *rapid.T) {
+	for job, total := range m.accepted {
+		j := m.book.Jobs[job]
+		if j == nil || len(j.Items) != total {
+			t.Fatalf("accepted job %s has lost items", job)
+		}
+		m.checkPositions(t, j)
+	}
+	for engine, load := range m.book.Loads {
+		if n := claimedAt(m.book, engine); n != load.Items {
+			t.Fatalf("load of %s is %d, %d items are claimed", engine, load.Items, n)
+		}
+	}
+}
+
+func claimedAt(b *Book, engine ident.BackendName) int {
+	n := 0
+	for _, j := range b.Jobs {
+		for _, i := range j.Items {
+			if i.Claim != 0 && i.Engine == engine {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (m *ledgerModel) checkPositions(t *rapid.T, j *Job) {
+	before := m.listed[j.Job]
+	if len(j.Results) < len(before) || (len(before) > 0 && !reflect.DeepEqual(j.Results[:len(before)], before)) {
+		t.Fatalf("results of %s have moved", j.Job)
+	}
+	seen := map[int]bool{}
+	for _, r := range j.Results {
+		if seen[r.Index] {
+			t.Fatalf("item %d of %s is listed twice", r.Index, j.Job)
+		}
+		seen[r.Index] = true
+	}
+	m.listed[j.Job] = append([]Result(nil), j.Results...)
+}
+
+func TestLedgerOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &ledgerModel{book: NewBook(), listed: map[ident.Job][]Result{}, accepted: map[ident.Job]int{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"accept": m.accept, "claim": m.claim, "finish": m.finish, "yield": m.yield, "end": m.end,
+			"beat": m.beat, "again": m.again, "rebuild": m.rebuild, "": m.check,
+		})
+	})
+}
--- /dev/null
+++ b/kernel/tail/writer_test.go
@@ -0,0 +1,149 @@
+package tail
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/ident"
+)
+
+// fakeLog takes appends by the published rules of tickets, and misbehaves as
+// told: it may lose the answer of an append that it made, or refuse.
+type fakeLog struct {
+	mu      sync.Mutex
+	records []string
+	answers map[Ticket]ident.Offset
+	calls   int
+	// outcome tells what befalls the nth call.
+	outcome func(call int) fate
+}
+
+type fate int
+
+const (
+	fine fate = iota
+	refused
+	answerLost
+	callLost
+)
+
+func (l *fakeLog) AppendOnce(_ context.Context, _ ident.Stream, ticket Ticket, records [][]byte) (ident.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	f := l.outcome(l.calls)
+	if f == refused {
+		return 0, fault.New("fake", Refused, "busy")
+	}
+	if f == callLost {
+		return 0, fault.New("fake", Unknown, "lost on the way")
+	}
+	first, done := l.answers[ticket]
+	if !done {
+		first = ident.Offset(len(l.records) + 1)
+		for _, r := range records {
+			l.records = append(l.records, string(r))
+		}
+		l.answers[ticket] = first
+	}
+	if f == answerLost {
+		return 0, fault.New("fake", Unknown, "answer lost")
+	}
+	return first, nil
+}
+
+func (l *fakeLog) at(offset ident.Offset) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.records[offset-1]
+}
+
+func runWriter(t *testing.T, log *fakeLog) *Writer {
+	t.Helper()
+	log.answers = map[Ticket]ident.Offset{}
+	w := &Writer{Log: log, Clock: clock.New(), Producer: "p", MaxBytes: 1000}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { w.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	for w.lane("s") == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return w
+}
+
+// writeMany appends from several goroutines and checks that each record lies
+// once, at the offset that its writer was told.
+func writeMany(t *testing.T, w *Writer, log *fakeLog) {
+	t.Helper()
+	const writers = 20
+	var group conc.WaitGroup
+	for i := range writers {
+		group.Go(func() {
+			a, b := "a"+string(rune('A'+i)), "b"+string(rune('A'+i))
+			first, err := w.Write(t.Context(), "s", []byte(a), []byte(b))
+			if err != nil || log.at(first) != a || log.at(first+1) != b {
+				t.Errorf("writer %d: offset %d, error %v", i, first, err)
+			}
+		})
+	}
+	group.Wait()
+	if n := len(log.records); n != 2*writers {
+		t.Errorf("%d records, want %d", n, 2*writers)
+	}
+}
+
+func TestWriter(t *testing.T) {
+	faults := map[string]func(int) fate{
+		"a log that works":                    func(int) fate { return fine },
+		"answers that are lost":               func(n int) fate { return fate(map[bool]fate{true: answerLost, false: fine}[n%2 == 1]) },
+		"calls that are lost":                 func(n int) fate { return fate(map[bool]fate{true: callLost, false: fine}[n%2 == 1]) },
+		"refusals":                            func(n int) fate { return fate(map[bool]fate{true: refused, false: fine}[n%2 == 1]) },
+		"a lost answer, a refusal, a success": func(n int) fate { return []fate{fine, answerLost, refused}[n%3] },
+	}
+	for name, outcome := range faults {
+		t.Run(name, func(t *testing.T) {
+			log := &fakeLog{outcome: outcome}
+			writeMany(t, runWriter(t, log), log)
+		})
+	}
+}
+
+func writeBriefly(t *testing.T, w *Writer) Kind {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := w.Write(ctx, "s", []byte("x"))
+	return fault.KindOf[Kind](err)
+}
+
+func TestWriterGivesUp(t *testing.T) {
+	t.Run("refused means that the log never gets it", func(t *testing.T) {
+		log := &fakeLog{outcome: func(n int) fate { return fate(map[bool]fate{true: refused, false: fine}[n < 8]) }}
+		w := runWriter(t, log)
+		if kind := writeBriefly(t, w); kind != Refused {
+			t.Fatalf("kind %q, want Refused", kind)
+		}
+		if _, err := w.Write(t.Context(), "s", []byte("y")); err != nil {
+			t.Fatal(err)
+		}
+		if len(log.records) != 1 || log.records[0] != "y" {
+			t.Errorf("records %v: what was said to be refused was appended", log.records)
+		}
+	})
+	t.Run("without a word it may have", func(t *testing.T) {
+		log := &fakeLog{outcome: func(int) fate { return answerLost }}
+		if kind := writeBriefly(t, runWriter(t, log)); kind != Unknown {
+			t.Errorf("kind %q, want Unknown", kind)
+		}
+	})
+}
