--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -155,11 +155,17 @@
 	r.giveBack(ctx, made, yield, reason)
 }
 
-// tell appends a record that nothing waits for.
+// tell appends a record and waits until it has been read back, so that this
+// instance does not act on the state before it: it would begin an item anew that
+// it has just given back.
 func (r *Runner) tell(ctx context.Context, c claimed, record jobs.Record) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), yieldTerm.Duration())
 	defer cancel()
-	if _, err := r.Ledger.Append(ctx, record); err != nil {
+	offset, err := r.Ledger.Append(ctx, record)
+	if err == nil {
+		err = r.Ledger.Await(ctx, offset+1)
+	}
+	if err != nil {
 		r.note(c, trail.Hold, "not told", err.Error())
 	}
 }
