A refusal through another instance leaves an uncertain append uncertain; streams; tests of the adapter

Cause: read while writing the tests: an append that got no word directly and was then refused through a peer came back as refused, though the first call may still be done; a job could be answered 503 and run. The new case failed first ('want Unknown'). Change: detour keeps the direct call's Unknown. croftmoor/proxy carries calls that are answered in events, resumable ones over several servers within one answer. Conclusion: unknown is not refused, on both ways.

--- a/croftmoor/detour/detour.go
+++ b/croftmoor/detour/detour.go
@@ -117,6 +117,7 @@
 // reach does a call directly, or at a peer while the direct way is not used.
 func reach[A any](s *Store, direct func() (A, error), there func(ident.Address) (A, error)) (A, error) {
 	var none A
+	var failure error
 	if !s.isAway() {
 		answer, err := direct()
 		if err == nil {
@@ -126,12 +127,21 @@
 		if kind := fault.KindOf[tail.Kind](err); kind == tail.OutOfOrder || !s.bad(err) {
 			return none, err
 		}
+		failure = err
 	}
 	address, ok := s.peer()
+	if !ok && failure != nil {
+		return none, failure
+	}
 	if !ok {
 		return direct()
 	}
-	return there(address)
+	answer, err := there(address)
+	if err != nil && fault.KindOf[tail.Kind](failure) == tail.Unknown {
+		// The peer's refusal says nothing of the call that got no answer here.
+		return none, failure
+	}
+	return answer, err
 }
 
 // AppendOnce appends records under a ticket.
--- /dev/null
+++ b/croftmoor/detour/detour_test.go
@@ -0,0 +1,119 @@
+package detour
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"croftmoor.dev/croftmoor/rpcs"
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/tail"
+)
+
+// fakeDirect is the log as one instance reaches it.
+type fakeDirect struct {
+	err   error
+	calls atomic.Int64
+}
+
+func (d *fakeDirect) AppendOnce(_ context.Context, _ ident.Stream, ticket tail.Ticket, records [][]byte) (ident.Offset, error) {
+	d.calls.Add(1)
+	return ident.Offset(ticket.Seq*100 + int64(len(records))), d.err
+}
+
+func (d *fakeDirect) ReadSome(context.Context, ident.Stream, ident.Offset, int, clock.Millis) (tail.Batch, error) {
+	d.calls.Add(1)
+	return tail.Batch{First: 1, Next: 9, Records: []tail.Record{{Offset: 7, Data: []byte("x")}, {Offset: 8, Data: []byte("y")}}}, d.err
+}
+
+func (d *fakeDirect) Newest(context.Context, ident.Stream) ([]tail.Entry, ident.Offset, error) {
+	d.calls.Add(1)
+	return []tail.Entry{{Key: "k", Value: []byte("v"), Offset: 3}}, 4, d.err
+}
+
+func peerOf(t *testing.T, direct Direct) ident.Address {
+	t.Helper()
+	server := httptest.NewUnstartedServer(Handler(direct))
+	server.Config.Protocols = rpcs.CleartextHTTP2()
+	server.Start()
+	t.Cleanup(server.Close)
+	return ident.Address(strings.TrimPrefix(server.URL, "http://"))
+}
+
+func storeWith(direct Direct, peers ...ident.Address) *Store {
+	s := &Store{Direct: direct, Clock: clock.New(), Log: zerolog.Nop(), Peers: func() []ident.Address { return peers }}
+	s.Setup()
+	return s
+}
+
+func refusal() error {
+	return fault.New("fake", tail.Refused, http.StatusText(http.StatusServiceUnavailable))
+}
+
+func TestDetour(t *testing.T) {
+	t.Run("after failures in a row others are asked, with the same ticket", func(t *testing.T) {
+		near, far := &fakeDirect{err: refusal()}, &fakeDirect{}
+		s := storeWith(near, peerOf(t, far))
+		ticket := tail.Ticket{Producer: "p", Epoch: 1, Seq: 5}
+		if _, err := s.AppendOnce(t.Context(), "s.0", ticket, [][]byte{{1}}); fault.KindOf[tail.Kind](err) != tail.Refused {
+			t.Fatalf("first failure: %v", err)
+		}
+		offset, err := s.AppendOnce(t.Context(), "s.0", ticket, [][]byte{{1}, {2}})
+		if err != nil || offset != 502 {
+			t.Errorf("offset %d, error %v", offset, err)
+		}
+		batch, err := s.Read(t.Context(), "s.0", 7, 0)
+		if err != nil || batch.Next != 9 || len(batch.Records) != 2 || batch.Records[1].Offset != 8 {
+			t.Errorf("batch %+v, error %v", batch, err)
+		}
+		entries, next, err := s.Newest(t.Context(), "k.0")
+		if err != nil || next != 4 || len(entries) != 1 || entries[0].Key != "k" {
+			t.Errorf("entries %+v, error %v", entries, err)
+		}
+	})
+	t.Run("a peer that is turned away too passes its kind of error on", func(t *testing.T) {
+		s := storeWith(&fakeDirect{err: refusal()}, peerOf(t, &fakeDirect{err: refusal()}))
+		for range 3 {
+			if _, err := s.AppendOnce(t.Context(), "s.0", tail.Ticket{}, nil); fault.KindOf[tail.Kind](err) != tail.Refused {
+				t.Errorf("error %v, want Refused", err)
+			}
+		}
+	})
+	t.Run("a refusal there does not make certain what may have been done here", func(t *testing.T) {
+		s := storeWith(&fakeDirect{err: fault.New("fake", tail.Unknown, "no word")}, peerOf(t, &fakeDirect{err: refusal()}))
+		for range failures {
+			if _, err := s.AppendOnce(t.Context(), "s.0", tail.Ticket{}, nil); fault.KindOf[tail.Kind](err) != tail.Unknown {
+				t.Errorf("error %v, want Unknown", err)
+			}
+		}
+	})
+	t.Run("a peer that can't be asked leaves an append uncertain", func(t *testing.T) {
+		s := storeWith(&fakeDirect{err: refusal()}, "127.0.0.1:1")
+		_, _ = s.AppendOnce(t.Context(), "s.0", tail.Ticket{}, nil)
+		if _, err := s.AppendOnce(t.Context(), "s.0", tail.Ticket{}, nil); fault.KindOf[tail.Kind](err) != tail.Unknown {
+			t.Errorf("error %v, want Unknown", err)
+		}
+	})
+	t.Run("the direct way is used again once it works", func(t *testing.T) {
+		near, far := &fakeDirect{err: refusal()}, &fakeDirect{}
+		s := storeWith(near, peerOf(t, far))
+		for range 2 {
+			_, _ = s.Read(t.Context(), "s.0", 1, 0)
+		}
+		near.err = nil
+		ctx, cancel := context.WithTimeout(t.Context(), (3 * clock.Second / 2).Duration())
+		defer cancel()
+		s.Run(ctx)
+		asked := far.calls.Load()
+		if _, err := s.Read(t.Context(), "s.0", 1, 0); err != nil || far.calls.Load() != asked {
+			t.Errorf("error %v; the peer was asked again", err)
+		}
+	})
+}
--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -68,6 +68,8 @@
 	// Headers returns the headers for one try at a server, with the time that is
 	// left to it.
 	Headers(r *Request, server ident.BackendName, left clock.Millis) []httpc.Header
+	// Resume adds to the headers that the answer is to go on after an event.
+	Resume(headers []httpc.Header, lastID string) []httpc.Header
 	// Own tells whether an answer belongs to the call.
 	Own(r *Request, a *httpc.Answer) bool
 	// Judge tells what an answer means.
@@ -95,7 +97,7 @@
 	if r.Route.Timeout > 0 {
 		r.Until = min(r.Until, p.Clock.Mono()+r.Route.Timeout)
 	}
-	state := &state{service: r.Route.Service(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
+	state := &state{service: r.Route.Service(newRandom())}
 	for state.tries < max(r.Route.Attempts, 1) {
 		if ctx.Err() != nil || r.Until-p.Clock.Mono() < leastSend {
 			break
@@ -117,6 +119,10 @@
 	return nil, p.giveUp(ctx, r, state)
 }
 
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
 // state is how far a call has got.
 type state struct {
 	service ident.Service
--- /dev/null
+++ b/croftmoor/proxy/stream.go
@@ -0,0 +1,175 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"croftmoor.dev/croftmoor/pool"
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/httpc"
+	"croftmoor.dev/kernel/paths"
+	"croftmoor.dev/kernel/trail"
+)
+
+// Sink takes the answer of a stream for the caller.
+type Sink interface {
+	// Head takes status and headers; it is called once, before any event.
+	Head(status int, headers []httpc.Header)
+	// Event takes one whole event and passes it on at once.
+	Event(raw []byte) error
+}
+
+// Broke means that a stream ended in its middle, after events were passed on.
+const Broke Kind = "Broke"
+
+const (
+	// streamSilence is how long a stream that may be continued elsewhere may be
+	// silent: callers give up after two seconds at the earliest.
+	streamSilence = 1 * clock.Second
+	// maxEvent bounds one event.
+	maxEvent = 1 << 20
+	// mostRead bounds the body of an answer that is no stream.
+	mostRead = 64 << 20
+)
+
+// Stream carries a call that is answered in events. A stream that may be
+// resumed goes on at another server within the same answer; the caller sees the
+// head of the first one.
+func (p *Proxy) Stream(ctx context.Context, r Request, sink Sink) error {
+	if r.Route.Timeout > 0 {
+		r.Until = min(r.Until, p.Clock.Mono()+r.Route.Timeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, (r.Until - p.Clock.Mono()).Duration())
+	defer cancel()
+	f := &flow{state: state{service: r.Route.Service(newRandom())}, sink: sink}
+	for f.tries < max(r.Route.Attempts, 1) && ctx.Err() == nil {
+		server := p.pick(r, &f.state)
+		if server == nil {
+			break
+		}
+		f.tries++
+		f.tried = append(f.tried, server.Name)
+		done, err := p.flow(ctx, r, server, f)
+		if done {
+			return nil
+		}
+		f.last = err
+		p.note(r, trail.Retry, server, fmt.Sprintf("after event %q: %v", f.lastID, err))
+		if f.ran && !r.Route.Resumable {
+			break
+		}
+	}
+	if f.begun {
+		return fault.Wrap("proxy.Stream", Broke, f.last, fmt.Sprintf("after event %q", f.lastID))
+	}
+	return p.giveUp(ctx, r, &f.state)
+}
+
+// flow is how far a stream has got.
+type flow struct {
+	state
+	sink  Sink
+	begun bool
+	// lastID is the id of the last event that was passed on.
+	lastID string
+}
+
+// flow passes one server's part of a stream on. It reports whether the stream
+// has come to its proper end.
+func (p *Proxy) flow(ctx context.Context, r Request, server *pool.Server, f *flow) (bool, error) {
+	began := p.Clock.Mono()
+	ended := false
+	defer func() { server.Release(p.Clock, true, p.Clock.Mono()-began, ended) }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := p.Client.Open(ctx, p.streamCall(r, server, f))
+	if err != nil {
+		f.ran = f.ran || fault.KindOf[httpc.Kind](err) != httpc.NotSent
+		server.Breaker.Failed(p.Clock.Mono())
+		return false, err
+	}
+	defer stream.Close()
+	head := &httpc.Answer{Status: stream.Status, Headers: stream.Headers}
+	verdict := p.Protocol.Judge(head)
+	p.learn(server, verdict)
+	if verdict.NotRun {
+		return false, fault.New("proxy.flow", NotRun, http.StatusText(stream.Status))
+	}
+	f.ran = true
+	if f.begun && stream.Status != http.StatusOK {
+		return false, fault.New("proxy.flow", Lost, "not continued: "+http.StatusText(stream.Status))
+	}
+	if !f.begun {
+		f.begun = true
+		f.sink.Head(stream.Status, stream.Headers)
+	}
+	if stream.Status != http.StatusOK {
+		body, err := io.ReadAll(io.LimitReader(stream.Body, mostRead))
+		if err == nil {
+			err = f.sink.Event(body)
+		}
+		return err == nil, err
+	}
+	err = p.events(r, stream, f, cancel)
+	ended = err == nil
+	return ended, err
+}
+
+func (p *Proxy) streamCall(r Request, server *pool.Server, f *flow) *httpc.Call {
+	headers := p.Protocol.Headers(&r, server.Name, r.Until-p.Clock.Mono())
+	if f.lastID != "" {
+		headers = p.Protocol.Resume(headers, f.lastID)
+	}
+	return &httpc.Call{
+		Address: server.Address(), Method: r.Method, Path: r.Target, Body: r.Body, Headers: headers,
+		Fresh:  r.Route.Repeat != paths.Repeatable && !r.Route.Resumable,
+		Accept: func(a *httpc.Answer) bool { return p.Protocol.Own(&r, a) },
+	}
+}
+
+// events passes events on, each only once it is whole: a server may stop in the
+// middle of one.
+func (p *Proxy) events(r Request, stream *httpc.Stream, f *flow, cancel context.CancelFunc) error {
+	if r.Route.Resumable {
+		silence := p.Clock.AfterFunc(streamSilence, cancel)
+		defer silence.Stop()
+		return pump(stream, f, func() { silence.Reset(streamSilence.Duration()) })
+	}
+	return pump(stream, f, func() {})
+}
+
+func pump(stream *httpc.Stream, f *flow, alive func()) error {
+	var event bytes.Buffer
+	id := ""
+	for {
+		line, err := stream.Body.ReadBytes('\n')
+		event.Write(line)
+		if errors.Is(err, io.EOF) && event.Len() == 0 {
+			stream.Whole()
+			return nil
+		}
+		if err != nil {
+			return fault.Wrap("proxy.pump", Lost, err, "the stream broke off")
+		}
+		if event.Len() > maxEvent {
+			return fault.New("proxy.pump", Lost, "an event is too long")
+		}
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+		if len(bytes.TrimSpace(line)) > 0 {
+			continue
+		}
+		alive()
+		if err := f.sink.Event(event.Bytes()); err != nil {
+			return fault.Wrap("proxy.pump", Left, err, "the caller has gone")
+		}
+		f.lastID = id
+		event.Reset()
+	}
+}
