--- /dev/null
+++ b/croftmoor/batch/alone.go
@@ -0,0 +1,126 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/deal"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/trail"
+	"croftmoor.dev/kernel/views"
+)
+
+// mostAlone is the age of the state beyond which nothing is begun from it; an
+// instance that has not read the ledger yet counts as older.
+const mostAlone = 30 * clock.Second
+
+// goOn runs items without claims while the ledger can't be reached: those that
+// nobody had claimed in the state that was read last are shared out by
+// rendezvous hashing among the instances that acted for engines then. What is
+// made is listed when the ledger is back; an item that ran twice is listed once.
+func (r *Runner) goOn(ctx context.Context) {
+	table := r.Routes()
+	if table == nil || r.Ledger.Age() > mostAlone {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var begin []claimed
+	r.Ledger.View(func(b *jobs.Book) {
+		s := r.survey(b, table, r.Ledger.QuietSince()-r.Ledger.Idle())
+		mine := r.share(s)
+		for _, d := range deal.Spread(mine, r.ownEngines(s), 0, s.allowed) {
+			job := b.Jobs[d.Piece.Job]
+			item := job.Items[d.Piece.Target.Index]
+			item.Claim, item.Owner, item.Engine = 0, r.Self, d.Engine
+			begin = append(begin, claimed{key: itemKey{job: job.Job, index: d.Piece.Target.Index}, item: item, accept: job.Accept})
+		}
+	})
+	for _, c := range begin {
+		r.Trail.Add(trail.Decision{
+			ID: string(c.item.ID), Action: trail.Place, Choice: string(c.item.Engine),
+			Reason: fmt.Sprintf("job %s, expects %d tokens, without a claim: the ledger was last read %d ms ago", c.key.job, c.item.Expect, r.Ledger.Age()),
+		})
+		r.begin(ctx, c)
+	}
+}
+
+// share returns the waiting items that fall to this instance and that it does
+// not run already; mu is held.
+func (r *Runner) share(s *survey) []deal.Piece {
+	known := map[ident.InstanceName]bool{}
+	var actors []views.Member
+	for _, actor := range s.actor {
+		if !known[actor] {
+			known[actor] = true
+			actors = append(actors, views.Member{Name: actor})
+		}
+	}
+	var mine []deal.Piece
+	for _, p := range s.pieces {
+		if r.runs[itemKey{job: p.Job, index: p.Target.Index}] != nil {
+			continue
+		}
+		ranked := views.Rank(string(s.ids[p.Job][p.Target.Index]), actors)
+		if len(ranked) > 0 && ranked[0].Name == r.Self {
+			mine = append(mine, p)
+		}
+	}
+	return mine
+}
+
+// ownEngines returns the engines that this instance acts for, with the load of
+// its own runs: the ledger's does not fall while it can't be read; mu is held.
+func (r *Runner) ownEngines(s *survey) []deal.Engine {
+	loads := map[ident.BackendName]int{}
+	for _, run := range r.runs {
+		if !run.made.Load() {
+			loads[run.engine]++
+		}
+	}
+	var own []deal.Engine
+	for _, e := range s.engines {
+		if s.actor[e.Name] == r.Self {
+			e.Load.Items = loads[e.Name]
+			own = append(own, e)
+		}
+	}
+	return own
+}
+
+// late returns claims for the items that this instance began without one.
+func (r *Runner) late() []jobs.Claim {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var claims []jobs.Claim
+	for key, run := range r.runs {
+		if run.claim == 0 && !run.made.Load() && !r.pending[key] {
+			claims = append(claims, jobs.Claim{Job: key.job, By: r.Self, Engine: run.engine, Targets: []jobs.Target{{Index: key.index}}})
+		}
+	}
+	return claims
+}
+
+// fetch reads the bodies of a job's items into the cache, so that they are at
+// hand while the store is away. Instances read most of them anyway: a claim takes
+// items from all over the job, and a read brings those that lie next to it.
+func (r *Runner) fetch(ctx context.Context, id ident.Job) {
+	var spans []jobs.Span
+	r.Ledger.View(func(b *jobs.Book) {
+		if job := b.Jobs[id]; job != nil {
+			for n := range job.Items {
+				spans = append(spans, job.Items[n].Body)
+			}
+		}
+	})
+	for _, span := range spans {
+		if _, err := r.Blobs.Get(ctx, span); err != nil {
+			if ctx.Err() == nil {
+				r.Trail.Add(trail.Decision{ID: string(id), Action: trail.Hold, Choice: "bodies not fetched", Reason: err.Error()})
+			}
+			return
+		}
+	}
+}
--- a/croftmoor/batch/batch.go
+++ b/croftmoor/batch/batch.go
@@ -141,7 +141,10 @@
 	Append(ctx context.Context, records ...jobs.Record) (ident.Offset, error)
 	Await(ctx context.Context, next ident.Offset) error
 	Fresh() bool
+	// Age is how long ago the state was last known to be current.
 	Age() clock.Millis
+	// Idle is the same, for use within View.
+	Idle() clock.Millis
 	// Since is when an instance that acts for an engine must have been heard
 	// last, QuietSince when the owner of an item must have been.
 	Since() clock.Millis
--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -32,7 +32,7 @@
 )
 
 // perform runs a claimed item to its result, or gives it back.
-func (r *Runner) perform(ctx context.Context, c claimed) {
+func (r *Runner) perform(ctx context.Context, c claimed, own *run) {
 	made := &progress{runner: r, claim: c}
 	item, err := r.load(ctx, made)
 	if err != nil {
@@ -47,6 +47,7 @@
 		}
 		made.whole = true
 	}
+	own.made.Store(true)
 	r.complete(ctx, item, made, meter)
 }
 
--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sourcegraph/conc"
 
@@ -38,10 +39,14 @@
 	index int
 }
 
-// run is an item that this instance runs under a claim.
+// run is an item that this instance runs. Claim is 0 while it does so without
+// one, because the ledger can't be reached.
 type run struct {
 	claim  ident.Offset
+	engine ident.BackendName
 	cancel context.CancelFunc
+	// made tells that the engine has done its part.
+	made atomic.Bool
 }
 
 // Runner claims items for the engines that this instance acts for, and runs
@@ -62,6 +67,8 @@
 	runs    map[itemKey]*run
 	pending map[itemKey]bool
 	waiting map[itemKey]clock.Millis
+	// fetched are the open jobs whose bodies have been asked for.
+	fetched map[ident.Job]bool
 	leaving bool
 	group   conc.WaitGroup
 	kick    chan struct{}
@@ -72,6 +79,7 @@
 	r.runs = map[itemKey]*run{}
 	r.pending = map[itemKey]bool{}
 	r.waiting = map[itemKey]clock.Millis{}
+	r.fetched = map[ident.Job]bool{}
 	r.kick = make(chan struct{}, 1)
 }
 
@@ -109,7 +117,7 @@
 	return len(r.runs)
 }
 
-// claimed is an item that the ledger gives to this instance.
+// claimed is an item that this instance is to run.
 type claimed struct {
 	key    itemKey
 	item   jobs.Item
@@ -120,43 +128,62 @@
 // those that it no longer does.
 func (r *Runner) follow(ctx context.Context) {
 	mine := map[itemKey]claimed{}
+	open := map[ident.Job]bool{}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.Ledger.View(func(b *jobs.Book) {
 		for _, id := range b.Order {
-			job := b.Jobs[id]
-			if !job.Open() {
-				continue
-			}
-			for n := range job.Items {
-				if job.Items[n].Claim != 0 && job.Items[n].Owner == r.Self {
-					key := itemKey{job: id, index: n}
-					mine[key] = claimed{key: key, item: job.Items[n], accept: job.Accept}
-				}
+			if job := b.Jobs[id]; job.Open() {
+				r.collect(job, mine)
+				open[id] = true
 			}
 		}
 	})
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	for id := range open {
+		if !r.fetched[id] {
+			r.group.Go(func() { r.fetch(ctx, id) })
+		}
+	}
+	r.fetched = open
 	for key, run := range r.runs {
-		if c, ok := mine[key]; !ok || c.item.Claim != run.claim {
+		c, ok := mine[key]
+		if ok && run.claim == 0 {
+			run.claim = c.item.Claim
+		}
+		if !ok || c.item.Claim != run.claim {
 			run.cancel()
 		}
 	}
 	for key, c := range mine {
-		if r.runs[key] != nil || r.leaving {
-			continue
+		if r.runs[key] == nil && !r.leaving {
+			r.begin(ctx, c)
+		}
+	}
+}
+
+// collect adds the items of a job that this instance has claimed, and those that
+// it runs without a claim while nobody has claimed them; mu is held.
+func (r *Runner) collect(job *jobs.Job, mine map[itemKey]claimed) {
+	for n := range job.Items {
+		item := &job.Items[n]
+		key := itemKey{job: job.Job, index: n}
+		claimedHere := item.Claim != 0 && item.Owner == r.Self
+		run := r.runs[key]
+		unclaimedRun := run != nil && run.claim == 0 && item.Claim == 0 && !item.Done
+		if claimedHere || unclaimedRun {
+			mine[key] = claimed{key: key, item: *item, accept: job.Accept}
 		}
-		r.begin(ctx, c)
 	}
 }
 
 // begin starts a run; mu is held.
 func (r *Runner) begin(ctx context.Context, c claimed) {
 	ctx, cancel := context.WithCancel(ctx)
-	own := &run{claim: c.item.Claim, cancel: cancel}
+	own := &run{claim: c.item.Claim, engine: c.item.Engine, cancel: cancel}
 	r.runs[c.key] = own
 	r.group.Go(func() {
 		defer cancel()
-		r.perform(ctx, c)
+		r.perform(ctx, c, own)
 		r.mu.Lock()
 		delete(r.runs, c.key)
 		r.mu.Unlock()
@@ -176,10 +203,14 @@
 	r.mu.Lock()
 	leaving := r.leaving
 	r.mu.Unlock()
-	if leaving || !r.Ledger.Fresh() {
+	if leaving {
+		return
+	}
+	if !r.Ledger.Fresh() {
+		r.goOn(ctx)
 		return
 	}
-	for _, c := range r.plan() {
+	for _, c := range append(r.late(), r.plan()...) {
 		keys := make([]itemKey, 0, len(c.Targets))
 		for _, t := range c.Targets {
 			keys = append(keys, itemKey{job: c.Job, index: t.Index})
@@ -228,7 +259,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Ledger.View(func(b *jobs.Book) {
-		s := r.survey(b, table)
+		s := r.survey(b, table, r.Ledger.QuietSince())
 		if len(s.pieces) == 0 {
 			clear(r.waiting)
 			return
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -42,14 +42,14 @@
 	return ready && version >= accept.Least
 }
 
-// survey looks at jobs and engines; mu is held.
-func (r *Runner) survey(b *jobs.Book, table *paths.Table) *survey {
+// survey looks at jobs and engines; instances that were not heard since the
+// given time count as gone; mu is held.
+func (r *Runner) survey(b *jobs.Book, table *paths.Table, since clock.Millis) *survey {
 	s := &survey{
 		actor: map[ident.BackendName]ident.InstanceName{}, versions: map[jobs.EngineModel]ident.Version{},
 		services: map[ident.BackendName]ident.Service{}, accepts: map[ident.Job]jobs.Accept{},
 		loads: b.Loads, ids: map[ident.Job]map[int]ident.Item{}, next: b.Next,
 	}
-	since := r.Ledger.QuietSince()
 	for _, id := range b.Order {
 		if job := b.Jobs[id]; job.Open() {
 			r.addJob(s, b, job, table, since)
--- a/croftmoor/ledger/ledger.go
+++ b/croftmoor/ledger/ledger.go
@@ -275,6 +275,12 @@
 	return l.Clock.Mono() - l.read
 }
 
+// Idle returns how long ago the state was last read. It may be called within
+// View.
+func (l *Ledger) Idle() clock.Millis {
+	return l.Clock.Mono() - l.read
+}
+
 // Fresh tells whether the state is current enough to act on.
 func (l *Ledger) Fresh() bool {
 	return l.Age() <= freshTerm
