--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -99,9 +99,9 @@
 	shareAtOnce = 5
 	leastAtOnce = 2
 	// loadFirst is when an engine is first asked whether it has loaded: a load
-	// takes 0.9 s; loadPoll is the pause between two questions and loadTerm when
+	// takes 0.9 s and somewhat more when two run; loadPoll is the pause between two questions and loadTerm when
 	// the order counts as lost.
-	loadFirst  = 850 * clock.Millis(1)
+	loadFirst  = 1020 * clock.Millis(1)
 	loadPoll   = 150 * clock.Millis(1)
 	loadTerm   = 4 * clock.Second
 	callTerm   = 800 * clock.Millis(1)
@@ -127,6 +127,8 @@
 
 	mu      sync.Mutex
 	loading map[jobs.EngineModel]bool
+	// counts are the engines' counts of orders after their last load here.
+	counts  map[ident.BackendName]int64
 	notYet  map[jobs.EngineModel]clock.Millis
 	leaving bool
 	group   conc.WaitGroup
@@ -138,6 +140,7 @@
 	k.mu.Lock()
 	k.loading = map[jobs.EngineModel]bool{}
 	k.notYet = map[jobs.EngineModel]clock.Millis{}
+	k.counts = map[ident.BackendName]int64{}
 	k.mu.Unlock()
 	defer k.group.Wait()
 	k.Clock.Every(ctx, period, func() { k.round(ctx) })
@@ -322,13 +325,10 @@
 
 // order notes the order in the ledger and gives it, if the role is still held.
 func (k *Keeper) order(ctx context.Context, w want, fence ident.Fence) error {
-	report, err := k.report(ctx, w)
-	if err != nil {
+	count, has, err := k.count(ctx, w)
+	if err != nil || has >= w.version {
 		return err
 	}
-	if report.Versions[w.key.Model] >= w.version {
-		return nil
-	}
 	callCtx, cancel := context.WithTimeout(ctx, appendTerm.Duration())
 	defer cancel()
 	record := jobs.Order{Role: role, Fence: fence, Engine: w.key.Engine, Model: w.key.Model, Version: w.version}
@@ -344,8 +344,8 @@
 	}
 	orderCtx, stop := context.WithTimeout(ctx, callTerm.Duration())
 	defer stop()
-	order := Order{Model: w.key.Model, Version: w.version, Manner: w.manner, Holder: k.Self, Fence: fence, Count: report.Count}
-	k.note(w, trail.Order, fmt.Sprintf("version %d after %d, fence %d, count %d", w.version, w.has, fence, report.Count))
+	order := Order{Model: w.key.Model, Version: w.version, Manner: w.manner, Holder: k.Self, Fence: fence, Count: count}
+	k.note(w, trail.Order, fmt.Sprintf("version %d after %d, fence %d, count %d", w.version, has, fence, count))
 	err = k.Engines.Load(orderCtx, w.engine, order)
 	if fault.KindOf[Kind](err) == Unsure {
 		// The order may have been taken; what the engine says next decides.
@@ -355,6 +355,21 @@
 	return err
 }
 
+// count returns how many orders an engine has taken, and the version it has. It
+// is asked unless this instance has just seen it load: only a holder gives
+// orders, and one whose count is wrong is refused.
+func (k *Keeper) count(ctx context.Context, w want) (int64, ident.Version, error) {
+	k.mu.Lock()
+	count, known := k.counts[w.key.Engine]
+	delete(k.counts, w.key.Engine)
+	k.mu.Unlock()
+	if known {
+		return count, w.has, nil
+	}
+	report, err := k.report(ctx, w)
+	return report.Count, report.Versions[w.key.Model], err
+}
+
 func (k *Keeper) holds(fence ident.Fence) bool {
 	held := false
 	k.Ledger.View(func(b *jobs.Book) {
@@ -383,6 +398,9 @@
 		if err != nil || report.Versions[w.key.Model] < w.version || report.Busy {
 			continue
 		}
+		k.mu.Lock()
+		k.counts[w.key.Engine] = report.Count
+		k.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, appendTerm.Duration())
 		defer cancel()
 		k.note(w, trail.Order, fmt.Sprintf("version %d loaded", w.version))
