--- a/croftmoor/detour/detour.go
+++ b/croftmoor/detour/detour.go
@@ -35,11 +35,12 @@
 	// not used, and probeTimeout bounds one.
 	probePeriod  = 1 * clock.Second
 	probeTimeout = 700 * clock.Millis(1)
-	// probeStream is read by a probe; every deployment has it.
-	probeStream ident.Stream = "ledger.0"
-	probeBytes               = 1024
+	probeBytes   = 1024
 )
 
+// probeStream is read by a probe; every deployment has it.
+const probeStream ident.Stream = "ledger.0"
+
 // Store reaches the log by either way. Set the exported fields before use. The
 // state of the direct way is guarded by mu.
 type Store struct {
--- a/croftmoor/detour/detour_test.go
+++ b/croftmoor/detour/detour_test.go
@@ -78,6 +78,9 @@
 			t.Errorf("entries %+v, error %v", entries, err)
 		}
 	})
+}
+
+func TestDetourFails(t *testing.T) {
 	t.Run("a peer that is turned away too passes its kind of error on", func(t *testing.T) {
 		s := storeWith(&fakeDirect{err: refusal()}, peerOf(t, &fakeDirect{err: refusal()}))
 		for range 3 {
@@ -101,6 +104,9 @@
 			t.Errorf("error %v, want Unknown", err)
 		}
 	})
+}
+
+func TestDetourEnds(t *testing.T) {
 	t.Run("the direct way is used again once it works", func(t *testing.T) {
 		near, far := &fakeDirect{err: refusal()}, &fakeDirect{}
 		s := storeWith(near, peerOf(t, far))
--- /dev/null
+++ b/croftmoor/swaps/order.go
@@ -0,0 +1,122 @@
+package swaps
+
+import (
+	"context"
+	"fmt"
+
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/trail"
+)
+
+// load has one engine load a version, and tells the ledger when it has.
+func (k *Keeper) load(ctx context.Context, w want, fence ident.Fence) {
+	defer func() {
+		k.mu.Lock()
+		delete(k.loading, w.key)
+		k.mu.Unlock()
+	}()
+	err := k.order(ctx, w, fence)
+	if err == nil {
+		err = k.confirm(ctx, w)
+	}
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	k.mu.Lock()
+	k.notYet[w.key] = k.Clock.Mono() + retryTerm
+	k.mu.Unlock()
+	k.note(w, trail.Hold, err.Error())
+}
+
+// order notes the order in the ledger and gives it, if the role is still held.
+func (k *Keeper) order(ctx context.Context, w want, fence ident.Fence) error {
+	count, has, err := k.count(ctx, w)
+	if err != nil || has >= w.version {
+		return err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, appendTerm.Duration())
+	defer cancel()
+	record := jobs.Order{Role: role, Fence: fence, Engine: w.key.Engine, Model: w.key.Model, Version: w.version}
+	offset, err := k.Ledger.Append(callCtx, record)
+	if err == nil {
+		err = k.Ledger.Await(callCtx, offset+1)
+	}
+	if err != nil {
+		return fault.Wrap("swaps.order", Unsure, err, "the order is not in the ledger")
+	}
+	if !k.holds(fence) {
+		return fault.New("swaps.order", Fenced, "the role was lost")
+	}
+	orderCtx, stop := context.WithTimeout(ctx, callTerm.Duration())
+	defer stop()
+	order := Order{Model: w.key.Model, Version: w.version, Manner: w.manner, Holder: k.Self, Fence: fence, Count: count}
+	k.note(w, trail.Order, fmt.Sprintf("version %d after %d, fence %d, count %d", w.version, has, fence, count))
+	err = k.Engines.Load(orderCtx, w.engine, order)
+	if fault.KindOf[Kind](err) == Unsure {
+		// The order may have been taken; what the engine says next decides.
+		k.note(w, trail.Hold, err.Error())
+		return nil
+	}
+	return err
+}
+
+// count returns how many orders an engine has taken, and the version it has. It
+// is asked unless this instance has just seen it load: only a holder gives
+// orders, and one whose count is wrong is refused.
+func (k *Keeper) count(ctx context.Context, w want) (int64, ident.Version, error) {
+	k.mu.Lock()
+	count, known := k.counts[w.key.Engine]
+	delete(k.counts, w.key.Engine)
+	k.mu.Unlock()
+	if known {
+		return count, w.has, nil
+	}
+	report, err := k.report(ctx, w)
+	return report.Count, report.Versions[w.key.Model], err
+}
+
+func (k *Keeper) holds(fence ident.Fence) bool {
+	held := false
+	k.Ledger.View(func(b *jobs.Book) {
+		h := b.Holds[role]
+		held = h.By == k.Self && h.Fence == fence
+	})
+	return held && k.Ledger.Heard() < holdTerm
+}
+
+func (k *Keeper) report(ctx context.Context, w want) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTerm.Duration())
+	defer cancel()
+	return k.Engines.Report(ctx, w.engine)
+}
+
+// confirm asks the engine until it has the version, and tells everybody.
+func (k *Keeper) confirm(ctx context.Context, w want) error {
+	until := k.Clock.Mono() + loadTerm
+	pause := loadFirst
+	for k.Clock.Mono() < until {
+		if !k.Clock.Sleep(ctx, pause) {
+			return ctx.Err()
+		}
+		pause = loadPoll
+		report, err := k.report(ctx, w)
+		if err != nil || report.Versions[w.key.Model] < w.version || report.Busy {
+			continue
+		}
+		k.mu.Lock()
+		k.counts[w.key.Engine] = report.Count
+		k.mu.Unlock()
+		callCtx, cancel := context.WithTimeout(ctx, appendTerm.Duration())
+		defer cancel()
+		k.note(w, trail.Order, fmt.Sprintf("version %d loaded", w.version))
+		_, err = k.Ledger.Append(callCtx, jobs.Loaded{Engine: w.key.Engine, Model: w.key.Model, Version: w.version})
+		return err
+	}
+	return fault.New("swaps.confirm", Unsure, "no word that the version is loaded")
+}
+
+func (k *Keeper) note(w want, action trail.Action, reason string) {
+	k.Trail.Add(trail.Decision{ID: string(w.key.Model), Action: action, Choice: string(w.key.Engine), Reason: reason})
+}
--- a/kernel/jobs/book.go
+++ b/kernel/jobs/book.go
@@ -149,33 +149,6 @@
 	}
 }
 
-func (b *Book) beat(r Beat, now clock.Millis) {
-	if b.Members[r.By] == nil {
-		b.supersede(r.By)
-	}
-	b.hear(r.By, now)
-	m := b.Members[r.By]
-	m.Zone, m.Address, m.Leaving = r.Zone, r.Address, r.Leaving
-}
-
-// supersede ends the earlier lives of an instance that has started again.
-func (b *Book) supersede(by ident.InstanceName) {
-	for _, m := range b.Members {
-		if m.Name.ListName() == by.ListName() {
-			m.Over = true
-		}
-	}
-}
-
-func (b *Book) hear(by ident.InstanceName, now clock.Millis) {
-	m := b.Members[by]
-	if m == nil {
-		m = &Member{Name: by}
-		b.Members[by] = m
-	}
-	m.Heard = now
-}
-
 func (b *Book) accept(a Accept, now clock.Millis) {
 	if b.Jobs[a.Job] != nil {
 		return
@@ -327,31 +300,6 @@
 	}
 }
 
-func (b *Book) hold(offset ident.Offset, h Hold, now clock.Millis) {
-	b.hear(h.By, now)
-	if ident.Offset(b.Holds[h.Role].Fence) != h.Replaces {
-		return
-	}
-	b.Holds[h.Role] = Holding{By: h.By, Fence: ident.Fence(offset)}
-}
-
-func (b *Book) order(o Order, now clock.Millis) {
-	if b.Holds[o.Role].Fence != o.Fence {
-		return
-	}
-	key := EngineModel{Engine: o.Engine, Model: o.Model}
-	w := b.Weights[key]
-	w.Ordered, w.OrderFence, w.OrderSeen = o.Version, o.Fence, now
-	b.Weights[key] = w
-}
-
-func (b *Book) loaded(l Loaded) {
-	key := EngineModel{Engine: l.Engine, Model: l.Model}
-	w := b.Weights[key]
-	w.Version = max(w.Version, l.Version)
-	b.Weights[key] = w
-}
-
 // Forget drops jobs that were accepted before the given time of this reader
 // and are over or too old to matter to anybody.
 func (b *Book) Forget(before clock.Millis) {
@@ -372,30 +320,3 @@
 	}
 	b.Order = kept
 }
-
-// Live returns the members that were heard since the given time of this reader,
-// take work and have not been started anew.
-func (b *Book) Live(since clock.Millis) []Member {
-	var live []Member
-	for _, m := range b.Members {
-		if !m.Leaving && !m.Over && m.Heard >= since {
-			live = append(live, *m)
-		}
-	}
-	return live
-}
-
-// Alive tells whether a member may still be doing what it claimed.
-func (b *Book) Alive(name ident.InstanceName, since clock.Millis) bool {
-	m := b.Members[name]
-	return m != nil && !m.Over && m.Heard >= since
-}
-
-// Shift moves the times at which members were heard and engines are to be used
-// again by a span in which this reader could not read: silence that nobody
-// could hear does not count.
-func (b *Book) Shift(span clock.Millis) {
-	for _, m := range b.Members {
-		m.Heard += span
-	}
-}
--- a/kernel/tail/writer_test.go
+++ b/kernel/tail/writer_test.go
@@ -105,9 +105,9 @@
 func TestWriter(t *testing.T) {
 	faults := map[string]func(int) fate{
 		"a log that works":                    func(int) fate { return fine },
-		"answers that are lost":               func(n int) fate { return fate(map[bool]fate{true: answerLost, false: fine}[n%2 == 1]) },
-		"calls that are lost":                 func(n int) fate { return fate(map[bool]fate{true: callLost, false: fine}[n%2 == 1]) },
-		"refusals":                            func(n int) fate { return fate(map[bool]fate{true: refused, false: fine}[n%2 == 1]) },
+		"answers that are lost":               func(n int) fate { return map[bool]fate{true: answerLost, false: fine}[n%2 == 1] },
+		"calls that are lost":                 func(n int) fate { return map[bool]fate{true: callLost, false: fine}[n%2 == 1] },
+		"refusals":                            func(n int) fate { return map[bool]fate{true: refused, false: fine}[n%2 == 1] },
 		"a lost answer, a refusal, a success": func(n int) fate { return []fate{fine, answerLost, refused}[n%3] },
 	}
 	for name, outcome := range faults {
@@ -128,7 +128,7 @@
 
 func TestWriterGivesUp(t *testing.T) {
 	t.Run("refused means that the log never gets it", func(t *testing.T) {
-		log := &fakeLog{outcome: func(n int) fate { return fate(map[bool]fate{true: refused, false: fine}[n < 8]) }}
+		log := &fakeLog{outcome: func(n int) fate { return map[bool]fate{true: refused, false: fine}[n < 8] }}
 		w := runWriter(t, log)
 		if kind := writeBriefly(t, w); kind != Refused {
 			t.Fatalf("kind %q, want Refused", kind)
