--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -53,7 +53,6 @@
 // them. Set the exported fields before Run. Its state is guarded by mu.
 type Runner struct {
 	Self    ident.InstanceName
-	Zone    ident.Zone
 	Ledger  Ledger
 	Blobs   Blobs
 	Engines Engines
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -130,8 +130,9 @@
 // Version returns the version of a model that an engine has, and whether it is
 // not just loading another one.
 func Version(b *jobs.Book, m fleet.Member, model ident.Model, now clock.Millis) (ident.Version, bool) {
-	w := b.Weights[jobs.EngineModel{Engine: ident.BackendName(m.Name), Model: model}]
-	version := max(w.Version, m.Versions[model])
+	key := jobs.EngineModel{Engine: ident.BackendName(m.Name), Model: model}
+	version := b.Has(key, m.Versions[model])
+	w := b.Weights[key]
 	loading := w.Ordered > version && now-w.OrderSeen < loadTerm
 	return version, !loading
 }
--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -56,8 +56,6 @@
 	NotRun bool
 	// Faulty tells that the server itself failed.
 	Faulty bool
-	// Leaving tells that the server is about to go.
-	Leaving bool
 	// Load is what the server told of its load; it counts if HasLoad is set.
 	Load    pool.Report
 	HasLoad bool
@@ -208,9 +206,6 @@
 	if v.HasLoad {
 		server.NoteLoad(v.Load, p.Clock.Mono())
 	}
-	if v.Leaving {
-		p.Pool.Fleet.MarkLeaving(string(server.Name))
-	}
 }
 
 // failed notes a try without an answer, and reports whether another may follow.
--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -266,7 +266,7 @@
 		version := k.Named(model)
 		for _, m := range engines {
 			key := jobs.EngineModel{Engine: ident.BackendName(m.Name), Model: model}
-			has := max(b.Weights[key].Version, m.Versions[model])
+			has := b.Has(key, m.Versions[model])
 			if has >= version || m.State == fleet.Leaving || k.loading[key] || now < k.notYet[key] {
 				continue
 			}
--- a/kernel/jobs/book.go
+++ b/kernel/jobs/book.go
@@ -73,6 +73,12 @@
 	OrderSeen  clock.Millis
 }
 
+// Has returns the version of a model that an engine has, as far as the ledger or
+// the engine itself, whose word may be older, have told.
+func (b *Book) Has(key EngineModel, told ident.Version) ident.Version {
+	return max(b.Weights[key].Version, told)
+}
+
 // EngineModel names a model's weights on an engine.
 type EngineModel struct {
 	Engine ident.BackendName
--- a/kernel/paths/paths.go
+++ b/kernel/paths/paths.go
@@ -47,19 +47,11 @@
 	Attempts int
 	// Timeout bounds a request; 0 is no bound.
 	Timeout clock.Millis
-	// Target is the time in which an answer is worth most.
-	Target clock.Millis
-	// GiveUp is when an item of a batch job may be given up, from its submission.
-	GiveUp clock.Millis
-	// Priority ranks routes; 0 goes first.
-	Priority int
 }
 
 // Service is what the configuration says of a service.
 type Service struct {
-	Name       ident.Service
-	HealthPath string
-	MaxConns   int
+	Name ident.Service
 	// Slots is how many requests an engine runs at once; 0 for plain services.
 	Slots  int
 	Models []ident.Model
