--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -200,7 +200,7 @@
 	var keepErr, scoreErr error
 	var both conc.WaitGroup
 	both.Go(func() { kept, keepErr = made.keepAll(ctx) })
-	both.Go(func() { score, scoreErr = r.score(ctx, item) })
+	both.Go(func() { score, scoreErr = r.score(ctx, c, item) })
 	both.Wait()
 	if fault.KindOf[RewardKind](scoreErr) == RewardFailed {
 		r.finish(ctx, c, jobs.Finish{State: jobs.Terminated}, scoreErr.Error())
@@ -216,13 +216,17 @@
 	}, fmt.Sprintf("%d events in %d ms, %d in all", speed.Events, speed.Millis, made.events))
 }
 
-// score asks for the reward until it comes, fails for good, or ctx ends.
-func (r *Runner) score(ctx context.Context, item Item) (string, error) {
+// score asks for the reward until it comes, fails for good, is no longer wanted,
+// or ctx ends.
+func (r *Runner) score(ctx context.Context, c claimed, item Item) (string, error) {
 	if item.Reward == nil {
 		return "", nil
 	}
 	failures := 0
 	for {
+		if !r.wanted(c.key) {
+			return "", fault.New("batch.score", RewardLost, "the job has ended, or the item is listed")
+		}
 		score, err := r.Rewards.Score(ctx, *item.Reward)
 		if err == nil {
 			return score, nil
@@ -239,6 +243,16 @@
 	}
 }
 
+// wanted tells whether an item may still be listed, as far as is known here.
+func (r *Runner) wanted(key itemKey) bool {
+	wanted := false
+	r.Ledger.View(func(b *jobs.Book) {
+		job := b.Jobs[key.job]
+		wanted = job != nil && !job.Ended && !job.Items[key.index].Done
+	})
+	return wanted
+}
+
 // finish lists a result.
 func (r *Runner) finish(ctx context.Context, c claimed, f jobs.Finish, reason string) {
 	f.Job, f.By, f.Index = c.key.job, r.Self, c.key.index
