The lease of an order holds for the engine with all its models

Engines that check no fencing numbers are ruled by turns of two holders within the lease term, for the engine as a whole; the term was kept for each model of an engine, so that a new holder could order another model at once. Change: the ledger's state notes the last order to each engine, of whatever model. Tests: TestLeaseIsOfTheEngine fails with the old rule (tried) and passes; TestHolderStopsByItsOwnClock holds that an order begun before a freeze or a cut is not given once the holder's own steady clock says that it has lost touch.

--- a/croftmoor/swaps/hold_test.go
+++ b/croftmoor/swaps/hold_test.go
@@ -6,9 +6,13 @@
 
 	"github.com/rs/zerolog"
 
+	"croftmoor.dev/croftmoor/ledger"
 	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/paths"
 	"croftmoor.dev/kernel/trail"
 )
 
@@ -16,6 +20,8 @@
 type bookLedger struct {
 	book  *jobs.Book
 	clock *clock.Clock
+	// silence is how long ago the last sign of life was acknowledged.
+	silence clock.Millis
 }
 
 func (l *bookLedger) View(look func(*jobs.Book)) { look(l.book) }
@@ -30,7 +36,7 @@
 
 func (l *bookLedger) Await(context.Context, ident.Offset) error { return nil }
 func (l *bookLedger) Fresh() bool                               { return true }
-func (l *bookLedger) Heard() clock.Millis                       { return 0 }
+func (l *bookLedger) Heard() clock.Millis                       { return l.silence }
 func (l *bookLedger) Since() clock.Millis                       { return -clock.Second }
 
 // The role may fall to an instance that has just died and still counts as alive.
@@ -59,3 +65,93 @@
 		t.Errorf("held by %q, want %s", by, last)
 	}
 }
+
+// lone is an engine service with two models of which newer versions were named,
+// kept by one instance whose ledger applies what it appends at once.
+type lone struct {
+	ledger  *bookLedger
+	engines *orderedEngines
+	keeper  *Keeper
+}
+
+// orderedEngines takes orders and notes them.
+type orderedEngines struct {
+	orders []Order
+}
+
+func (e *orderedEngines) Report(context.Context, fleet.Member) (Report, error) {
+	return Report{}, nil
+}
+
+func (e *orderedEngines) Load(_ context.Context, _ fleet.Member, order Order) error {
+	e.orders = append(e.orders, order)
+	return nil
+}
+
+const leaseTerm = 200 * clock.Millis(1)
+
+func newLone(t *testing.T) *lone {
+	t.Helper()
+	c := clock.New()
+	l := &lone{ledger: &bookLedger{book: jobs.NewBook(), clock: c}, engines: &orderedEngines{}}
+	l.ledger.book.Next = 1
+	table := &fleet.Table{Clock: c}
+	table.Set([]fleet.Member{{Name: "e", Service: "model", Zone: "z", Address: "127.0.0.1:1"}})
+	routes := &paths.Table{Services: map[ident.Service]paths.Service{"model": {Name: "model", Models: []ident.Model{"m", "n"}}}}
+	l.keeper = &Keeper{
+		Self: "b~1", Ledger: l.ledger, Engines: l.engines, Fleet: table, Routes: func() *paths.Table { return routes },
+		Named: func(ident.Model) ident.Version { return 5 }, Clock: c,
+		Trail: &trail.Trail{Log: zerolog.Nop(), Clock: c}, LeaseTerm: leaseTerm,
+	}
+	l.keeper.setup()
+	for _, name := range []ident.InstanceName{"a~1", "b~1"} {
+		_, _ = l.ledger.Append(t.Context(), jobs.Beat{By: name, Zone: "z"})
+	}
+	return l
+}
+
+// hold makes an instance the holder and returns its fencing number.
+func (l *lone) hold(t *testing.T, by ident.InstanceName) ident.Fence {
+	t.Helper()
+	old := l.ledger.book.Holds[role].Fence
+	offset, _ := l.ledger.Append(t.Context(), jobs.Hold{Role: role, By: by, Replaces: ident.Offset(old)})
+	return ident.Fence(offset)
+}
+
+// Engines may check no fencing numbers: the order of an earlier holder keeps the
+// next one from the engine, with all its models, for a lease term.
+func TestLeaseIsOfTheEngine(t *testing.T) {
+	l := newLone(t)
+	first := l.hold(t, "a~1")
+	_, _ = l.ledger.Append(t.Context(), jobs.Order{Role: role, Fence: first, Engine: "e", Model: "m", Version: 2})
+	second := l.hold(t, "b~1")
+	if wants := l.keeper.wanted(second); len(wants) > 0 {
+		t.Fatalf("engine e is ordered to load %s within the lease of another holder's order", wants[0].key.Model)
+	}
+	l.keeper.Clock.Sleep(t.Context(), leaseTerm+startTerm)
+	if wants := l.keeper.wanted(second); len(wants) != 1 {
+		t.Errorf("%d orders after the lease, want 1", len(wants))
+	}
+}
+
+// A holder that was frozen, or is cut off, finds by its own steady clock that its
+// last sign of life is too old, and gives no order that it had begun.
+func TestHolderStopsByItsOwnClock(t *testing.T) {
+	l := newLone(t)
+	fence := l.hold(t, "b~1")
+	w := want{engine: fleet.Member{Name: "e"}, key: jobs.EngineModel{Engine: "e", Model: "m"}, version: 5}
+	l.ledger.silence = holdTerm
+	if err := l.keeper.order(t.Context(), w, fence); fault.KindOf[Kind](err) != Fenced {
+		t.Errorf("order: %v, want it fenced", err)
+	}
+	if len(l.engines.orders) > 0 {
+		t.Error("an order was given by a holder that had lost touch")
+	}
+	l.ledger.silence = 0
+	if err := l.keeper.order(t.Context(), w, fence); err != nil || len(l.engines.orders) != 1 {
+		t.Errorf("in touch: %v, %d orders, want one", err, len(l.engines.orders))
+	}
+	if holdTerm >= ledger.DeadAfter {
+		t.Errorf("a holder stops after %d ms, others follow after %d", holdTerm, ledger.DeadAfter)
+	}
+}
--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -159,14 +159,18 @@
 // Run holds the role when it falls to this instance, and gives orders, until
 // ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	k.setup()
+	defer k.group.Wait()
+	k.Clock.Every(ctx, period, func() { k.round(ctx) })
+}
+
+func (k *Keeper) setup() {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.loading = map[jobs.EngineModel]bool{}
 	k.notYet = map[jobs.EngineModel]clock.Millis{}
 	k.counts = map[ident.BackendName]int64{}
 	k.seen = map[ident.Model]sighting{}
-	k.mu.Unlock()
-	defer k.group.Wait()
-	k.Clock.Every(ctx, period, func() { k.round(ctx) })
 }
 
 // Leave gives no more orders.
@@ -321,8 +325,14 @@
 	if lag < urgentLag && now-k.namedAt(key.Model, now) < startTerm {
 		return false
 	}
-	w := b.Weights[key]
-	return w.OrderFence == 0 || w.OrderFence == fence || now-w.OrderSeen >= k.LeaseTerm
+	return k.leased(b, key.Engine, fence, now)
+}
+
+// leased tells whether the holder with a fencing number may order an engine: the
+// last order of an earlier holder, of whatever model, is a lease term ago.
+func (k *Keeper) leased(b *jobs.Book, engine ident.BackendName, fence ident.Fence, now clock.Millis) bool {
+	last := b.LastOrders[engine]
+	return last.Fence == 0 || last.Fence == fence || now-last.Seen >= k.LeaseTerm
 }
 
 // namedAt returns when the newest version of a model was first seen here; mu is
--- a/kernel/jobs/book.go
+++ b/kernel/jobs/book.go
@@ -79,10 +79,17 @@
 type Weights struct {
 	// Version is the newest that was seen loaded.
 	Version ident.Version
-	// Ordered is the newest ordered, at OrderSeen; OrderFence is whose order.
-	Ordered    ident.Version
-	OrderFence ident.Fence
-	OrderSeen  clock.Millis
+	// Ordered is the newest ordered, at OrderSeen.
+	Ordered   ident.Version
+	OrderSeen clock.Millis
+}
+
+// LastOrder is the last order to an engine that the ledger knows of, of whatever
+// model: By gave it, under Fence, and this reader read of it at Seen.
+type LastOrder struct {
+	By    ident.InstanceName
+	Fence ident.Fence
+	Seen  clock.Millis
 }
 
 // Has returns the version of a model that an engine has, as far as the ledger or
@@ -118,6 +125,8 @@
 	Members map[ident.InstanceName]*Member
 	Holds   map[string]Holding
 	Weights map[EngineModel]Weights
+	// LastOrders holds the last order to each engine.
+	LastOrders map[ident.BackendName]LastOrder
 	// Claims are the items whose claim stands, by their owner.
 	Claims map[ident.InstanceName]map[ItemKey]struct{}
 	Loads  map[ident.BackendName]Load
@@ -135,7 +144,7 @@
 func NewBook() *Book {
 	return &Book{
 		Jobs: map[ident.Job]*Job{}, Members: map[ident.InstanceName]*Member{}, Holds: map[string]Holding{},
-		Weights: map[EngineModel]Weights{}, Loads: map[ident.BackendName]Load{}, Paces: map[ident.BackendName]Pace{},
+		Weights: map[EngineModel]Weights{}, LastOrders: map[ident.BackendName]LastOrder{}, Loads: map[ident.BackendName]Load{}, Paces: map[ident.BackendName]Pace{},
 		Kept: map[ident.Item]ident.Job{}, Avoided: map[ident.BackendName]clock.Millis{},
 		Claims: map[ident.InstanceName]map[ItemKey]struct{}{}, Faults: map[ident.BackendName]float64{},
 	}
--- a/kernel/jobs/member.go
+++ b/kernel/jobs/member.go
@@ -93,12 +93,14 @@
 }
 
 func (b *Book) order(o Order, now clock.Millis) {
-	if b.Holds[o.Role].Fence != o.Fence {
+	holding := b.Holds[o.Role]
+	if holding.Fence != o.Fence {
 		return
 	}
+	b.LastOrders[o.Engine] = LastOrder{By: holding.By, Fence: o.Fence, Seen: now}
 	key := EngineModel{Engine: o.Engine, Model: o.Model}
 	w := b.Weights[key]
-	w.Ordered, w.OrderFence, w.OrderSeen = o.Version, o.Fence, now
+	w.Ordered, w.OrderSeen = o.Version, now
 	b.Weights[key] = w
 }
 
