Connections of an address that went silent are given up together

Cause: open connections may go silent for good without a reset, while new ones work (the users' news). A call on an idle connection that ran out of time closed that one only; the next calls went to the others of the same age and were lost as well, up to 64 for each address. Change: a call that runs out of time on a reused connection closes the other idle ones to that address. A caller that leaves does not count as such.

--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -71,9 +71,9 @@
 	if !ok {
 		return fault.New("batch.generate", NotRun, "the engine has left")
 	}
-	runCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := r.Clock.AfterFunc(firstTerm, cancel)
+	runCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := r.Clock.AfterFunc(firstTerm, func() { cancel(context.DeadlineExceeded) })
 	defer silence.Stop()
 	events, err := r.Engines.Run(runCtx, engine, item, made.events)
 	if err != nil {
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"strconv"
@@ -243,12 +244,31 @@
 		return nil, err
 	}
 	answer, err := c.exchange(ctx, call, l)
-	if err != nil && reused && ctx.Err() == nil {
-		fresh := *call
-		fresh.Fresh = true
-		return c.Do(ctx, &fresh)
+	if err == nil || !reused {
+		return answer, err
 	}
-	return answer, err
+	if ctx.Err() != nil {
+		c.distrust(ctx, call.Address)
+		return answer, err
+	}
+	fresh := *call
+	fresh.Fresh = true
+	return c.Do(ctx, &fresh)
+}
+
+// distrust closes the idle connections to an address if the call on one of them
+// ran out of time: open connections may go silent all at once, without a reset,
+// while new ones work.
+func (c *Client) distrust(ctx context.Context, address ident.Address) {
+	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.idle[address] {
+		_ = l.Close()
+	}
+	delete(c.idle, address)
 }
 
 func (c *Client) exchange(ctx context.Context, call *Call, l *link) (*Answer, error) {
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -39,12 +39,16 @@
 		return nil, err
 	}
 	stream, err := c.open(ctx, call, l)
-	if err != nil && reused && ctx.Err() == nil {
-		fresh := *call
-		fresh.Fresh = true
-		return c.Open(ctx, &fresh)
+	if err == nil || !reused {
+		return stream, err
 	}
-	return stream, err
+	if ctx.Err() != nil {
+		c.distrust(ctx, call.Address)
+		return stream, err
+	}
+	fresh := *call
+	fresh.Fresh = true
+	return c.Open(ctx, &fresh)
 }
 
 func (c *Client) open(ctx context.Context, call *Call, l *link) (*Stream, error) {
