Loads go where steps gain most

Loads went to the engines furthest behind, also to those that no step needed yet while another trainer's step had no engine at all: its items waited 1 to 4 s. Change: package loads plans each load by what the steps that wait, and the next ones, gain from it: the first engines of a step count most, an engine is worth less the slower it is and the more models it serves. Homes are gone: with few loads they spent them, with many every engine follows anyway. Items' lines tell the wait for the first event and the time of keeping and scoring.

--- a/croftmoor/batch/meter.go
+++ b/croftmoor/batch/meter.go
@@ -26,6 +26,8 @@
 // meter measures the speed of a run.
 type meter struct {
 	clock *clock.Clock
+	// began is when the run was begun.
+	began clock.Millis
 
 	events int
 	first  clock.Millis
@@ -59,6 +61,14 @@
 	return float64(m.last-oldest) / float64(meterEvents-1)
 }
 
+// waited returns how long the engine took to the first event.
+func (m *meter) waited() clock.Millis {
+	if m.events == 0 {
+		return 0
+	}
+	return m.first - m.began
+}
+
 // speed returns what the run tells of its engine. The first event is left out,
 // because it holds the wait for a slot and the reading of the prompt.
 func (m *meter) speed(engine ident.BackendName) jobs.Speed {
--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -39,7 +39,7 @@
 		r.giveBack(ctx, made, jobs.Yield{}, "kept data: "+err.Error())
 		return
 	}
-	meter := &meter{clock: r.Clock}
+	meter := &meter{clock: r.Clock, began: r.Clock.Mono()}
 	if !made.whole {
 		if err := r.generate(ctx, item, made, meter); err != nil {
 			r.broken(ctx, made, meter, err)
@@ -198,6 +198,7 @@
 	var kept jobs.Partial
 	var score string
 	var keepErr, scoreErr error
+	began := r.Clock.Mono()
 	var both conc.WaitGroup
 	both.Go(func() { kept, keepErr = made.keepAll(ctx) })
 	both.Go(func() { score, scoreErr = r.score(ctx, c, item) })
@@ -213,7 +214,8 @@
 	speed := meter.speed(c.item.Engine)
 	r.finish(ctx, c, jobs.Finish{
 		State: jobs.Completed, Versions: made.versions, Score: score, Texts: kept.Texts, Events: made.events, Speed: speed,
-	}, fmt.Sprintf("%d events in %d ms, %d in all", speed.Events, speed.Millis, made.events))
+	}, fmt.Sprintf("%d events in %d ms, %d in all, the first after %d ms, kept and scored in %d ms",
+		speed.Events, speed.Millis, made.events, meter.waited(), r.Clock.Mono()-began))
 }
 
 // score asks for the reward until it comes, fails for good, is no longer wanted,
--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -5,7 +5,6 @@
 package swaps
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -18,6 +17,7 @@
 	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/loads"
 	"croftmoor.dev/kernel/paths"
 	"croftmoor.dev/kernel/trail"
 	"croftmoor.dev/kernel/views"
@@ -112,11 +112,6 @@
 	turnTerm = 300 * clock.Millis(1)
 	// retryTerm keeps an engine from orders after one failed.
 	retryTerm = 1 * clock.Second
-	// urgentLag is how many versions an engine may be behind before the next step
-	// can't use it; one that is less far behind is loaded only when the items of the
-	// step that the version was named for have begun, startTerm after its naming.
-	urgentLag = 2
-	startTerm = 500 * clock.Millis(1)
 )
 
 // Keeper orders versions. Set the exported fields before Run. Loads under way
@@ -139,23 +134,16 @@
 	vacant   bool
 	vacantAt clock.Millis
 
-	mu      sync.Mutex
-	loading map[jobs.EngineModel]bool
+	mu sync.Mutex
+	// loading are the versions that engines are being brought to.
+	loading map[jobs.EngineModel]ident.Version
 	// counts are the engines' counts of orders after their last load here.
-	counts map[ident.BackendName]int64
-	notYet map[jobs.EngineModel]clock.Millis
-	// seen is when this instance first saw the newest version of a model.
-	seen    map[ident.Model]sighting
+	counts  map[ident.BackendName]int64
+	notYet  map[jobs.EngineModel]clock.Millis
 	leaving bool
 	group   conc.WaitGroup
 }
 
-// sighting is when a version was first seen to be named.
-type sighting struct {
-	version ident.Version
-	at      clock.Millis
-}
-
 // Run holds the role when it falls to this instance, and gives orders, until
 // ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
@@ -167,10 +155,9 @@
 func (k *Keeper) setup() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.loading = map[jobs.EngineModel]bool{}
+	k.loading = map[jobs.EngineModel]ident.Version{}
 	k.notYet = map[jobs.EngineModel]clock.Millis{}
 	k.counts = map[ident.BackendName]int64{}
-	k.seen = map[ident.Model]sighting{}
 }
 
 // Leave gives no more orders.
@@ -265,11 +252,15 @@
 	defer k.mu.Unlock()
 	k.Ledger.View(func(b *jobs.Book) {
 		for name, service := range table.Services {
-			engines := view.Backends[name]
+			engines := slices.DeleteFunc(slices.Clone(view.Backends[name]), func(m fleet.Member) bool { return m.State == fleet.Leaving })
 			free := max(leastAtOnce, len(engines)/shareAtOnce) - k.loadingAt(engines)
-			wants := k.behind(b, service, engines, fence, now, mannerOf(table, name))
-			for _, w := range wants[:max(0, min(free, len(wants)))] {
-				k.loading[w.key] = true
+			if len(service.Models) == 0 || free <= 0 {
+				continue
+			}
+			s := &survey{keeper: k, book: b, service: service, engines: engines, fence: fence, now: now}
+			for _, load := range loads.Plan(s.states(), s.models(), free) {
+				w := s.want(load, mannerOf(table, name))
+				k.loading[w.key] = w.version
 				begin = append(begin, w)
 			}
 		}
@@ -288,46 +279,6 @@
 	return n
 }
 
-// behind returns the engines that run older versions of the models they follow
-// than the newest, those first that are furthest behind; mu is held.
-func (k *Keeper) behind(b *jobs.Book, service paths.Service, engines []fleet.Member, fence ident.Fence, now clock.Millis, manner Manner) []want {
-	var wants []want
-	engines = slices.DeleteFunc(slices.Clone(engines), func(m fleet.Member) bool { return m.State == fleet.Leaving })
-	lag := func(m fleet.Member, model ident.Model) ident.Version { return k.lagOf(b, m, model) }
-	home := homes(engines, service.Models, homesEach(len(engines), len(service.Models)), lag)
-	for _, m := range engines {
-		for _, model := range home[ident.BackendName(m.Name)] {
-			key := jobs.EngineModel{Engine: ident.BackendName(m.Name), Model: model}
-			if k.due(b, key, lag(m, model), fence, now) {
-				version := k.Named(model)
-				wants = append(wants, want{engine: m, key: key, has: version - lag(m, model), version: version, manner: manner})
-			}
-		}
-	}
-	slices.SortFunc(wants, func(a, b want) int {
-		return cmp.Or(cmp.Compare(a.has-a.version, b.has-b.version), cmp.Compare(a.key.Engine, b.key.Engine))
-	})
-	// An engine carries out one order at a time.
-	begun := map[ident.BackendName]bool{}
-	return slices.DeleteFunc(wants, func(w want) bool {
-		again := begun[w.key.Engine]
-		begun[w.key.Engine] = true
-		return again
-	})
-}
-
-// due tells whether an engine that is so many versions behind may be ordered to
-// load now; mu is held.
-func (k *Keeper) due(b *jobs.Book, key jobs.EngineModel, lag ident.Version, fence ident.Fence, now clock.Millis) bool {
-	if lag == 0 || now < k.notYet[key] || k.busy(key.Engine) {
-		return false
-	}
-	if lag < urgentLag && now-k.namedAt(key.Model, now) < startTerm {
-		return false
-	}
-	return k.leased(b, key.Engine, fence, now)
-}
-
 // leased tells whether the holder with a fencing number may order an engine: the
 // last order of an earlier holder, of whatever model, is a lease term ago.
 func (k *Keeper) leased(b *jobs.Book, engine ident.BackendName, fence ident.Fence, now clock.Millis) bool {
@@ -335,15 +286,6 @@
 	return last.Fence == 0 || last.Fence == fence || now-last.Seen >= k.LeaseTerm
 }
 
-// namedAt returns when the newest version of a model was first seen here; mu is
-// held.
-func (k *Keeper) namedAt(model ident.Model, now clock.Millis) clock.Millis {
-	if version := k.Named(model); k.seen[model].version != version {
-		k.seen[model] = sighting{version: version, at: now}
-	}
-	return k.seen[model].at
-}
-
 // busy tells whether an engine loads any model; mu is held.
 func (k *Keeper) busy(engine ident.BackendName) bool {
 	for key := range k.loading {
