Answers move when a tenth of their rest is saved

Change: a move has to save a tenth of the rest and 0.3 s; an item moves three times at most, not two.

--- a/kernel/place/place.go
+++ b/kernel/place/place.go
@@ -83,11 +83,13 @@
 	spread = 1.5
 	// leastCarriers keeps a trainer supplied when an engine fails.
 	leastCarriers = 2
-	// moveCost is the time that a move takes, in seconds; moveGain is the share
-	// of the remaining time that it must save; maxMoves bounds moves.
-	moveCost = 0.15
-	moveGain = 0.25
-	maxMoves = 2
+	// moveCost is the time that a move takes, in seconds, by measurement; moveGain
+	// is the share of the remaining time that it must save, and moveLeast the time
+	// itself in seconds, since speeds are only estimates; maxMoves bounds moves.
+	moveCost  = 0.15
+	moveGain  = 0.1
+	moveLeast = 0.3
+	maxMoves  = 3
 )
 
 type longest struct{}
@@ -106,7 +108,7 @@
 	}
 	stay := float64(m.Left) / m.Rate
 	move := float64(m.Left)/m.Other + moveCost
-	return stay-move > moveGain*stay
+	return stay-move > max(moveLeast, moveGain*stay)
 }
 
 // Compare puts the longer one first: a step ends with its last sample.
