The next load is ordered when the store is done with the last

Cause: a load takes the weight store 0.9 s; the engine's report tells it 0.1 s later, the next order came another 0.1 s after that, so that a fifth of the store's time went unused. Change: a load counts only for 0.85 of the observed usual time of a load. Test: TestLoadsCountWhileTheStoreIsBusy.

--- a/croftmoor/swaps/hold_test.go
+++ b/croftmoor/swaps/hold_test.go
@@ -155,3 +155,27 @@
 		t.Errorf("a holder stops after %d ms, others follow after %d", holdTerm, ledger.DeadAfter)
 	}
 }
+
+// The store's time is what loads share: an engine that is late to tell, or an
+// order that was lost, takes none.
+func TestLoadsCountWhileTheStoreIsBusy(t *testing.T) {
+	l := newLone(t)
+	k := l.keeper
+	engines := k.Fleet.View().Backends["model"]
+	now := k.Clock.Mono()
+	key := jobs.EngineModel{Engine: "e", Model: "m"}
+	k.loading[key] = loading{version: 2, began: now}
+	for _, c := range []struct {
+		name string
+		age  clock.Millis
+		want int
+	}{{"a load that has just begun", 0, 1}, {"one that has nearly ended", 900, 0}, {"one that was lost", loadTerm - 1, 0}} {
+		if got := k.loadingAt(engines, now+c.age); got != c.want {
+			t.Errorf("%s: %d loads take the store's time, want %d", c.name, got, c.want)
+		}
+	}
+	k.took = 2 * clock.Second
+	if got := k.loadingAt(engines, now+900); got != 1 {
+		t.Errorf("where loads take two seconds: %d, want 1", got)
+	}
+}
--- a/croftmoor/swaps/order.go
+++ b/croftmoor/swaps/order.go
@@ -105,9 +105,7 @@
 		if err != nil || report.Versions[w.key.Model] < w.version || report.Busy {
 			continue
 		}
-		k.mu.Lock()
-		k.counts[w.key.Engine] = report.Count
-		k.mu.Unlock()
+		k.loaded(w, report)
 		callCtx, cancel := context.WithTimeout(ctx, appendTerm.Duration())
 		defer cancel()
 		k.note(w, trail.Order, fmt.Sprintf("version %d loaded", w.version))
@@ -117,6 +115,17 @@
 	return fault.New("swaps.confirm", Unsure, "no word that the version is loaded")
 }
 
+// tookWeight is what one load weighs against those before, as a divisor.
+const tookWeight = 4
+
+// loaded notes the end of a load.
+func (k *Keeper) loaded(w want, report Report) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.counts[w.key.Engine] = report.Count
+	k.took += (k.Clock.Mono() - k.loading[w.key].began - k.took) / tookWeight
+}
+
 func (k *Keeper) note(w want, action trail.Action, reason string) {
 	k.Trail.Add(trail.Decision{ID: string(w.key.Model), Action: action, Choice: string(w.key.Engine), Reason: reason})
 }
--- a/croftmoor/swaps/survey.go
+++ b/croftmoor/swaps/survey.go
@@ -25,7 +25,7 @@
 // has returns the version of a model that an engine has, or is loading.
 func (s *survey) has(m fleet.Member, model ident.Model) ident.Version {
 	key := jobs.EngineModel{Engine: ident.BackendName(m.Name), Model: model}
-	return max(s.book.Has(key, m.Versions[model]), s.keeper.loading[key])
+	return max(s.book.Has(key, m.Versions[model]), s.keeper.loading[key].version)
 }
 
 // states returns the engines as loads find them.
--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -101,6 +101,10 @@
 	// loadFirst is when an engine is first asked whether it has loaded: a load
 	// takes 0.9 s and somewhat more when two run; loadPoll is the pause between two questions and loadTerm when
 	// the order counts as lost.
+	// firstTook is the time of a load until one was seen, and storeShare the part of
+	// it in which the store is busy: the rest are two calls and the lag of reports.
+	firstTook  = 1 * clock.Second
+	storeShare = 0.85
 	loadFirst  = 1020 * clock.Millis(1)
 	loadPoll   = 150 * clock.Millis(1)
 	loadTerm   = 4 * clock.Second
@@ -134,9 +138,10 @@
 	vacant   bool
 	vacantAt clock.Millis
 
-	mu sync.Mutex
-	// loading are the versions that engines are being brought to.
-	loading map[jobs.EngineModel]ident.Version
+	mu      sync.Mutex
+	loading map[jobs.EngineModel]loading
+	// took is the smoothed time of a load.
+	took clock.Millis
 	// counts are the engines' counts of orders after their last load here.
 	counts  map[ident.BackendName]int64
 	notYet  map[jobs.EngineModel]clock.Millis
@@ -155,7 +160,8 @@
 func (k *Keeper) setup() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.loading = map[jobs.EngineModel]ident.Version{}
+	k.loading = map[jobs.EngineModel]loading{}
+	k.took = firstTook
 	k.notYet = map[jobs.EngineModel]clock.Millis{}
 	k.counts = map[ident.BackendName]int64{}
 }
@@ -253,14 +259,14 @@
 	k.Ledger.View(func(b *jobs.Book) {
 		for name, service := range table.Services {
 			engines := slices.DeleteFunc(slices.Clone(view.Backends[name]), func(m fleet.Member) bool { return m.State == fleet.Leaving })
-			free := max(leastAtOnce, len(engines)/shareAtOnce) - k.loadingAt(engines)
+			free := max(leastAtOnce, len(engines)/shareAtOnce) - k.loadingAt(engines, now)
 			if len(service.Models) == 0 || free <= 0 {
 				continue
 			}
 			s := &survey{keeper: k, book: b, service: service, engines: engines, fence: fence, now: now}
 			for _, load := range loads.Plan(s.states(), s.models(), free) {
 				w := s.want(load, mannerOf(table, name))
-				k.loading[w.key] = w.version
+				k.loading[w.key] = loading{version: w.version, began: now}
 				begin = append(begin, w)
 			}
 		}
@@ -268,10 +274,21 @@
 	return begin
 }
 
-// loadingAt counts the loads under way at a service's engines; mu is held.
-func (k *Keeper) loadingAt(engines []fleet.Member) int {
+// loading is a load under way.
+type loading struct {
+	version ident.Version
+	began   clock.Millis
+}
+
+// loadingAt counts the loads under way at a service's engines that still take the
+// weight store's time: engines tell late that they have loaded, and an order may
+// be lost; mu is held.
+func (k *Keeper) loadingAt(engines []fleet.Member, now clock.Millis) int {
 	n := 0
-	for key := range k.loading {
+	for key, load := range k.loading {
+		if float64(now-load.began) >= storeShare*float64(k.took) {
+			continue
+		}
 		if slices.ContainsFunc(engines, func(m fleet.Member) bool { return m.Name == string(key.Engine) }) {
 			n++
 		}
