A new life of the holder of the weights' role goes on at once

Change: earlier lives of an instance count as itself, and a vacant role falls to a new life of its last holder first, to the others in turns as before. Test: TestNewLifeOfTheHolderFollowsFirst.

--- a/croftmoor/swaps/hold_test.go
+++ b/croftmoor/swaps/hold_test.go
@@ -49,7 +49,7 @@
 	}
 	last := ident.InstanceName("")
 	for _, name := range []ident.InstanceName{"a~1", "b~1", "c~1"} {
-		if turnOf(name, ledger.book.Live(0)) == 2 {
+		if turnOf(name, "", ledger.book.Live(0)) == 2 {
 			last = name
 		}
 	}
@@ -179,3 +179,22 @@
 		t.Errorf("where loads take two seconds: %d, want 1", got)
 	}
 }
+
+// After the loss of everything the last holder goes on with the engines that it
+// had ordered itself; any other instance waits for the lease.
+func TestNewLifeOfTheHolderFollowsFirst(t *testing.T) {
+	l := newLone(t)
+	first := l.hold(t, "b~1")
+	_, _ = l.ledger.Append(t.Context(), jobs.Order{Role: role, Fence: first, Engine: "e", Model: "m", Version: 2})
+	_, _ = l.ledger.Append(t.Context(), jobs.Beat{By: "b~2", Zone: "z"})
+	l.keeper.Self = "b~2"
+	if turn := turnOf("b~2", "b~1", l.ledger.book.Live(0)); turn != 0 {
+		t.Errorf("the new life of the last holder has turn %d, want 0", turn)
+	}
+	if turn := turnOf("a~1", "b~1", l.ledger.book.Live(0)); turn != 1 {
+		t.Errorf("another instance has turn %d, want 1", turn)
+	}
+	if wants := l.keeper.wanted(l.hold(t, "b~2")); len(wants) != 1 {
+		t.Errorf("%d orders of the new life to its own engine, want 1", len(wants))
+	}
+}
--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -5,6 +5,7 @@
 package swaps
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -193,7 +194,7 @@
 // role if its holder is gone and this instance is the one to follow.
 func (k *Keeper) hold(ctx context.Context) (ident.Fence, bool) {
 	var holding jobs.Holding
-	follows := false
+	mine := false
 	now := k.Clock.Mono()
 	k.Ledger.View(func(b *jobs.Book) {
 		holding = b.Holds[role]
@@ -206,13 +207,13 @@
 		if !k.vacant {
 			k.vacant, k.vacantAt = true, now
 		}
-		turn := turnOf(k.Self, b.Live(since))
-		follows = turn >= 0 && now-k.vacantAt >= clock.Millis(turn)*turnTerm
+		turn := turnOf(k.Self, holding.By, b.Live(since))
+		mine = turn >= 0 && now-k.vacantAt >= clock.Millis(turn)*turnTerm
 	})
 	if holding.By == k.Self {
 		return holding.Fence, k.Ledger.Heard() < holdTerm
 	}
-	if !follows {
+	if !mine {
 		return 0, false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, appendTerm.Duration())
@@ -230,13 +231,27 @@
 }
 
 // turnOf returns how many members come before this instance in holding the role;
-// -1 if it is none of them.
-func turnOf(self ident.InstanceName, live []jobs.Member) int {
+// -1 if it is none of them. A new life of the last holder comes first: it need not
+// wait for the lease of its own orders.
+func turnOf(self, last ident.InstanceName, live []jobs.Member) int {
 	members := make([]views.Member, 0, len(live))
 	for _, m := range live {
 		members = append(members, views.Member{Name: m.Name, Zone: m.Zone})
 	}
-	return slices.IndexFunc(views.Rank(role, members), func(m views.Member) bool { return m.Name == self })
+	ranked := views.Rank(role, members)
+	slices.SortStableFunc(ranked, func(a, b views.Member) int {
+		return cmp.Compare(follows(a.Name, last), follows(b.Name, last))
+	})
+	return slices.IndexFunc(ranked, func(m views.Member) bool { return m.Name == self })
+}
+
+// follows orders the members that may hold the role: 0 for a new life of the last
+// holder, else 1.
+func follows(name, last ident.InstanceName) int {
+	if name.ListName() == last.ListName() {
+		return 0
+	}
+	return 1
 }
 
 // want is an engine that is to load a version.
@@ -297,10 +312,12 @@
 }
 
 // leased tells whether the holder with a fencing number may order an engine: the
-// last order of an earlier holder, of whatever model, is a lease term ago.
+// last order of another instance, of whatever model, is a lease term ago. Earlier
+// lives of this instance have ended, and count as itself.
 func (k *Keeper) leased(b *jobs.Book, engine ident.BackendName, fence ident.Fence, now clock.Millis) bool {
 	last := b.LastOrders[engine]
-	return last.Fence == 0 || last.Fence == fence || now-last.Seen >= k.LeaseTerm
+	own := last.Fence == fence || last.By.ListName() == k.Self.ListName()
+	return last.Fence == 0 || own || now-last.Seen >= k.LeaseTerm
 }
 
 // busy tells whether an engine loads any model; mu is held.
