What is read in arrears keeps no engine from items

Change: in arrears such records count as long ago; leases still count from now. Test: TestReadInArrears fails before.

--- a/kernel/jobs/book.go
+++ b/kernel/jobs/book.go
@@ -82,7 +82,8 @@
 type Weights struct {
 	// Version is the newest that was seen loaded.
 	Version ident.Version
-	// Ordered is the newest ordered, at OrderSeen.
+	// Ordered is the newest ordered, at OrderSeen; an order that is read in arrears
+	// counts as given long ago.
 	Ordered   ident.Version
 	OrderSeen clock.Millis
 }
@@ -181,8 +182,16 @@
 	case Loaded:
 		b.loaded(r)
 	case Avoid:
-		b.hear(r.By, now)
-		b.Avoided[r.Engine] = max(b.Avoided[r.Engine], now+clock.Millis(r.Millis))
+		b.avoid(r, now)
+	}
+}
+
+// avoid keeps items from an engine for a while, unless the record is read in
+// arrears: then its time is over, or nearly.
+func (b *Book) avoid(a Avoid, now clock.Millis) {
+	b.hear(a.By, now)
+	if b.Current {
+		b.Avoided[a.Engine] = max(b.Avoided[a.Engine], now+clock.Millis(a.Millis))
 	}
 }
 
--- a/kernel/jobs/jobs_test.go
+++ b/kernel/jobs/jobs_test.go
@@ -311,3 +311,29 @@
 		})
 	})
 }
+
+// An instance that starts reads what others wrote minutes ago: it must not keep
+// items from engines for it, but wait out leases as if it were new.
+func TestReadInArrears(t *testing.T) {
+	for _, current := range []bool{true, false} {
+		b := NewBook()
+		b.Current = current
+		const now = 100 * clock.Second
+		b.Apply(1, Hold{Role: "r", By: "i"}, now)
+		b.Apply(2, Order{Role: "r", Fence: 1, Engine: "e", Model: "m", Version: 2}, now)
+		b.Apply(3, Avoid{By: "i", Engine: "e", Millis: 400}, now)
+		b.Apply(4, accept("j", 1, "a"), now)
+		if avoided := b.Avoided["e"] > now; avoided != current {
+			t.Errorf("current %v: engine avoided %v", current, avoided)
+		}
+		if loading := b.Weights[EngineModel{Engine: "e", Model: "m"}].OrderSeen == now; loading != current {
+			t.Errorf("current %v: order counts as just given %v", current, loading)
+		}
+		if b.LastOrders["e"].Seen != now {
+			t.Errorf("current %v: the lease counts from %d, want %d", current, b.LastOrders["e"].Seen, now)
+		}
+		if b.Jobs["j"].Backlog == current {
+			t.Errorf("current %v: backlog %v", current, b.Jobs["j"].Backlog)
+		}
+	}
+}
--- a/kernel/jobs/member.go
+++ b/kernel/jobs/member.go
@@ -92,6 +92,9 @@
 	b.Holds[h.Role] = Holding{By: h.By, Fence: ident.Fence(offset)}
 }
 
+// longAgo is longer than any load takes.
+const longAgo = 60 * clock.Second
+
 func (b *Book) order(o Order, now clock.Millis) {
 	holding := b.Holds[o.Role]
 	if holding.Fence != o.Fence {
@@ -101,6 +104,9 @@
 	key := EngineModel{Engine: o.Engine, Model: o.Model}
 	w := b.Weights[key]
 	w.Ordered, w.OrderSeen = o.Version, now
+	if !b.Current {
+		w.OrderSeen = now - longAgo
+	}
 	b.Weights[key] = w
 }
 
