--- a/kernel/loads/loads.go
+++ b/kernel/loads/loads.go
@@ -52,7 +52,7 @@
 	blocked = 0.3
 	// shared is how much less an engine is worth to a model for each other model
 	// whose steps it serves as well.
-	shared = 0.25
+	shared = 0.5
 	// choice is how much a step's first engine is chosen by its worth; the rest is
 	// for having one at all.
 	choice = 0.1
@@ -149,7 +149,7 @@
 		}
 	}
 	speed := max(e.Speed, leastSpeed)
-	return speed * speed / (1 + shared*float64(others))
+	return speed / (1 + shared*float64(others))
 }
 
 // serves tells whether an engine can run a step of a model.
