An engine is shared evenly by the models it serves

Cause: the constant for other models that an engine serves was a guess. Change: an engine that serves n models counts an n-th for each; the constant is gone.

--- a/kernel/loads/loads.go
+++ b/kernel/loads/loads.go
@@ -50,9 +50,6 @@
 	// blocked is what it costs that an engine takes no new items of the model
 	// while it loads, as a share of what it is worth to the step that waits.
 	blocked = 0.3
-	// shared is how much less an engine is worth to a model for each other model
-	// whose steps it serves as well.
-	shared = 0.5
 	// choice is how much a step's first engine is chosen by its worth; the rest is
 	// for having one at all.
 	choice = 0.1
@@ -140,7 +137,8 @@
 	return gain
 }
 
-// worth returns what an engine counts for a model.
+// worth returns what an engine counts for a model: it is shared by all models whose
+// steps it serves.
 func (p *plan) worth(e Engine, m Model) float64 {
 	others := 0
 	for _, other := range p.models {
@@ -149,7 +147,7 @@
 		}
 	}
 	speed := max(e.Speed, leastSpeed)
-	return speed / (1 + shared*float64(others))
+	return speed / float64(1+others)
 }
 
 // serves tells whether an engine can run a step of a model.
