--- a/croftmoor/swaps/survey.go
+++ b/croftmoor/swaps/survey.go
@@ -68,40 +68,14 @@
 // wait and those that come next.
 func (s *survey) models() []loads.Model {
 	var list []loads.Model
-	ahead := s.newestStep("")
 	for _, model := range s.service.Models {
-		newest := s.keeper.Named(model)
-		if newest == 0 {
-			continue
-		}
-		m := loads.Model{Name: model, Newest: newest, Steps: s.steps(model, newest)}
-		behind := min(ahead-s.newestStep(model), mostBehind)
-		for n := range m.Steps {
-			m.Steps[n].Work *= 1 + behindWeight*float64(behind)
+		if newest := s.keeper.Named(model); newest > 0 {
+			list = append(list, loads.Model{Name: model, Newest: newest, Steps: s.steps(model, newest)})
 		}
-		list = append(list, m)
 	}
 	return list
 }
 
-const (
-	// behindWeight is how much more the work of a trainer counts for each step that
-	// it is behind the trainer that is furthest, up to mostBehind.
-	behindWeight = 0.5
-	mostBehind   = 4
-)
-
-// newestStep returns the newest step of a model that was accepted, or of any model.
-func (s *survey) newestStep(model ident.Model) ident.Step {
-	newest := ident.Step(0)
-	for _, id := range s.book.Order {
-		if job := s.book.Jobs[id]; job.Service == s.service.Name && (model == "" || job.Model == model) {
-			newest = max(newest, job.Step)
-		}
-	}
-	return newest
-}
-
 const (
 	// comingShare is what the work of a step that is yet to come counts beside
 	// that of one that waits.
