--- a/croftmoor/batch/meter.go
+++ b/croftmoor/batch/meter.go
@@ -9,6 +9,7 @@
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
 	"croftmoor.dev/kernel/place"
+	"croftmoor.dev/kernel/toggle"
 )
 
 const (
@@ -101,7 +102,7 @@
 func (r *Runner) better(c claimed, made int, m *meter) bool {
 	table := r.Routes()
 	policy, err := place.Policies.New(place.Longest)
-	if table == nil || err != nil {
+	if table == nil || err != nil || !r.Without.On(toggle.Moves) {
 		return false
 	}
 	other := 0.0
--- a/croftmoor/batch/progress.go
+++ b/croftmoor/batch/progress.go
@@ -11,6 +11,7 @@
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/toggle"
 	"croftmoor.dev/kernel/trail"
 )
 
@@ -65,7 +66,7 @@
 	now := p.runner.Clock.Mono()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.keeping || now-p.last < keepPeriod || len(p.fresh) < keepEvents {
+	if !p.runner.Without.On(toggle.Progress) || p.keeping || now-p.last < keepPeriod || len(p.fresh) < keepEvents {
 		return
 	}
 	p.keeping, p.last = true, now
--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -14,6 +14,7 @@
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
 	"croftmoor.dev/kernel/paths"
+	"croftmoor.dev/kernel/toggle"
 	"croftmoor.dev/kernel/trail"
 )
 
@@ -55,6 +56,8 @@
 	Routes  func() *paths.Table
 	Clock   *clock.Clock
 	Trail   Decisions
+	// Without are the mechanisms that are switched off.
+	Without toggle.Set
 
 	mu      sync.Mutex
 	runs    map[jobs.ItemKey]*run
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -10,6 +10,7 @@
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
 	"croftmoor.dev/kernel/paths"
+	"croftmoor.dev/kernel/toggle"
 )
 
 // survey is what a deal is made from, taken from one state of the ledger. It is
@@ -28,6 +29,8 @@
 	// due is the time after its acceptance by which a job should be done; 0 is none.
 	due map[ident.Job]clock.Millis
 	now clock.Millis
+	// without are the mechanisms that are switched off.
+	without toggle.Set
 	// silent are the owners of claims that count as gone.
 	silent map[ident.InstanceName]bool
 }
@@ -57,6 +60,7 @@
 	s := &survey{
 		book: b, versions: map[jobs.EngineModel]ident.Version{}, services: map[ident.BackendName]ident.Service{},
 		accepts: map[ident.Job]jobs.Accept{}, silent: silentOwners(b, since), due: map[ident.Job]clock.Millis{}, now: r.Clock.Mono(),
+		without: r.Without,
 	}
 	open := s.waiting()
 	if len(open) == 0 {
@@ -114,13 +118,21 @@
 			}
 			waits = append(waits, deal.Wait{
 				Target: jobs.Target{Index: n, Replaces: item.Claim}, Group: item.Group, Expect: item.Expect,
-				Patient: s.patient(job, item), Not: item.FailedAt,
+				Patient: s.patient(job, item), Not: s.not(item),
 			})
 		}
 		s.pieces = append(s.pieces, deal.Order(job.Job, waits, job.Wanted, job.Longest, job.Brought)...)
 	}
 }
 
+// not returns the engines that an item should not go to.
+func (s *survey) not(item *jobs.Item) []ident.BackendName {
+	if !s.without.On(toggle.Avoidance) {
+		return nil
+	}
+	return item.FailedAt
+}
+
 const (
 	// estimateError is how many times longer than expected one text in twenty gets,
 	// from some 10,000 texts of the users' deployments.
@@ -134,7 +146,7 @@
 // starts later, and if it takes longer than expected.
 func (s *survey) patient(job *jobs.Job, item *jobs.Item) bool {
 	due := s.due[job.Job]
-	if due == 0 || job.Backlog {
+	if due == 0 || job.Backlog || !s.without.On(toggle.Patience) {
 		return false
 	}
 	events := float64(item.Expect) / eventTokens
@@ -161,7 +173,7 @@
 		settings := table.Services[service]
 		for _, m := range r.Fleet.View().Backends[service] {
 			name := ident.BackendName(m.Name)
-			if m.State == fleet.Leaving || s.actor[name] == "" || now < s.book.Avoided[name] || r.Fleet.MarkedLeaving(m.Name) {
+			if m.State == fleet.Leaving || s.actor[name] == "" || (now < s.book.Avoided[name] && r.Without.On(toggle.Avoidance)) || r.Fleet.MarkedLeaving(m.Name) {
 				continue
 			}
 			s.services[name] = service
--- a/croftmoor/detour/detour.go
+++ b/croftmoor/detour/detour.go
@@ -51,6 +51,8 @@
 	Peers func() []ident.Address
 	Clock *clock.Clock
 	Log   zerolog.Logger
+	// DirectOnly has other instances never asked.
+	DirectOnly bool
 
 	mu     sync.Mutex
 	failed int
@@ -99,7 +101,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failed++
-	if s.failed >= failures && !s.away {
+	if s.failed >= failures && !s.away && !s.DirectOnly {
 		s.away = true
 		s.Log.Warn().Err(err).Str("Dependency", "store").Msg("asked through other instances")
 	}
--- a/croftmoor/swaps/survey.go
+++ b/croftmoor/swaps/survey.go
@@ -8,6 +8,7 @@
 	"croftmoor.dev/kernel/jobs"
 	"croftmoor.dev/kernel/loads"
 	"croftmoor.dev/kernel/paths"
+	"croftmoor.dev/kernel/toggle"
 )
 
 // survey is what loads are planned from: a service's engines and its models'
@@ -28,6 +29,14 @@
 	return max(s.book.Has(key, m.Versions[model]), s.keeper.loading[key].version)
 }
 
+// plan returns the loads to order now.
+func (s *survey) plan(free int) []loads.Load {
+	if !s.keeper.Without.On(toggle.Planning) {
+		return loads.FurthestBehind(s.states(), s.models(), free)
+	}
+	return loads.Plan(s.states(), s.models(), free)
+}
+
 // states returns the engines as loads find them.
 func (s *survey) states() []loads.Engine {
 	known := make([]deal.Engine, 0, len(s.engines))
--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -18,8 +18,8 @@
 	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
-	"croftmoor.dev/kernel/loads"
 	"croftmoor.dev/kernel/paths"
+	"croftmoor.dev/kernel/toggle"
 	"croftmoor.dev/kernel/trail"
 	"croftmoor.dev/kernel/views"
 )
@@ -133,6 +133,8 @@
 	Trail *trail.Trail
 	// LeaseTerm is the least time between orders of two holders to one engine.
 	LeaseTerm clock.Millis
+	// Without are the mechanisms that are switched off.
+	Without toggle.Set
 
 	// vacant tells that the role is seen to have no holder, since vacantAt; only the
 	// rounds use them, one after the other.
@@ -207,7 +209,11 @@
 		if !k.vacant {
 			k.vacant, k.vacantAt = true, now
 		}
-		turn := turnOf(k.Self, holding.By, b.Live(since))
+		last := holding.By
+		if !k.Without.On(toggle.Succession) {
+			last = ""
+		}
+		turn := turnOf(k.Self, last, b.Live(since))
 		mine = turn >= 0 && now-k.vacantAt >= clock.Millis(turn)*turnTerm
 	})
 	if holding.By == k.Self {
@@ -279,7 +285,7 @@
 				continue
 			}
 			s := &survey{keeper: k, book: b, service: service, engines: engines, fence: fence, now: now}
-			for _, load := range loads.Plan(s.states(), s.models(), free) {
+			for _, load := range s.plan(free) {
 				w := s.want(load, mannerOf(table, name))
 				k.loading[w.key] = loading{version: w.version, began: now}
 				begin = append(begin, w)
@@ -301,7 +307,7 @@
 func (k *Keeper) loadingAt(engines []fleet.Member, now clock.Millis) int {
 	n := 0
 	for key, load := range k.loading {
-		if float64(now-load.began) >= storeShare*float64(k.took) {
+		if k.Without.On(toggle.EarlyOrders) && float64(now-load.began) >= storeShare*float64(k.took) {
 			continue
 		}
 		if slices.ContainsFunc(engines, func(m fleet.Member) bool { return m.Name == string(key.Engine) }) {
@@ -316,7 +322,7 @@
 // lives of this instance have ended, and count as itself.
 func (k *Keeper) leased(b *jobs.Book, engine ident.BackendName, fence ident.Fence, now clock.Millis) bool {
 	last := b.LastOrders[engine]
-	own := last.Fence == fence || last.By.ListName() == k.Self.ListName()
+	own := last.Fence == fence || (k.Without.On(toggle.Succession) && last.By.ListName() == k.Self.ListName())
 	return last.Fence == 0 || own || now-last.Seen >= k.LeaseTerm
 }
 
--- a/kernel/loads/loads_test.go
+++ b/kernel/loads/loads_test.go
@@ -186,3 +186,11 @@
 		}
 	})
 }
+
+func TestFurthestBehind(t *testing.T) {
+	engines := fleet([2]ident.Version{2, 2}, [2]ident.Version{1, 3}, [2]ident.Version{3, 1})
+	engines[2].Barred = true
+	models := []Model{{Name: "a", Newest: 3}, {Name: "b", Newest: 3}}
+	expectLoads(t, FurthestBehind(engines, models, 3), "e1 a3", "e0 a3")
+	expectLoads(t, FurthestBehind(engines, models, 1), "e1 a3")
+}
