--- a/kernel/jobs/engine.go
+++ b/kernel/jobs/engine.go
@@ -1,6 +1,9 @@
 package jobs
 
-import "croftmoor.dev/kernel/clock"
+import (
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
+)
 
 // paceEvents is how many events weigh as much as all that was seen before: the
 // longest texts have three times as many.
