--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -17,9 +17,9 @@
 const (
 	// firstTerm is how long an engine may take to its first event, queuedTerm if the
 	// item may have to wait there for a slot, and gapTerm how long between two events,
-	// before the rest is run elsewhere. Of 1,183 first events of a quiet
-	// day one in a thousand took longer than 0.9 s; an event takes some 50 ms on a full engine and four times that on a slow
-	// one.
+	// before the rest is run elsewhere. Of 1,183 first events of a quiet day one in a
+	// thousand took longer than 0.9 s; an event takes some 50 ms on a full engine and
+	// four times that on a slow one.
 	firstTerm  = 1200 * clock.Millis(1)
 	queuedTerm = 3 * clock.Second
 	gapTerm    = 600 * clock.Millis(1)
