Bodies of a new job are read ahead once

Cause: each instance that acted for an engine read the bodies of all waiting items of each new job ahead, in answers of 256 KB: 160 instances times 780 to 1,144 items of 2 KB a wave of steps, where the store reads out 80 MB/s. Change: an instance reads ahead only the items that fall to it while the store is away, after the first quarter of a second in which most are claimed, and each read asks for 16 KB.

--- a/croftmoor/batch/actors.go
+++ b/croftmoor/batch/actors.go
@@ -55,19 +55,6 @@
 	return a.acting
 }
 
-// count returns how many instances took part when that was last worked out.
-func (a *actors) count() int { return len(a.live) }
-
-// acts tells whether the instance acted for a server when that was last worked out.
-func (a *actors) acts(self ident.InstanceName) bool {
-	for _, actor := range a.acting {
-		if actor == self {
-			return true
-		}
-	}
-	return false
-}
-
 // silentZones returns the zones that have fallen silent as a whole lately.
 func silentZones(b *jobs.Book, live map[ident.InstanceName]ident.Zone, from, since clock.Millis) map[ident.Zone]bool {
 	zones := map[ident.Zone]bool{}
--- a/croftmoor/batch/alone.go
+++ b/croftmoor/batch/alone.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/deal"
@@ -106,18 +107,18 @@
 	return claims
 }
 
-// fetchEach is the part of the span, for each instance, over which the instances
-// read the bodies of a new job ahead: the log serves all their reads together.
-const fetchEach = 12 * clock.Millis(1)
+// fetchSpan is the span over which the instances read the bodies of a new job
+// ahead: most items are claimed within it, and whoever runs an item reads its body
+// in any case.
+const fetchSpan = 500 * clock.Millis(1)
 
 // prefetch has the bodies of jobs read that have just come; mu is held.
 func (r *Runner) prefetch(ctx context.Context, open map[ident.Job]bool) {
-	span := fetchEach * clock.Millis(max(r.actors.count(), 1))
 	for id := range open {
 		if r.fetched[id] {
 			continue
 		}
-		pause := clock.Millis(ident.Hash(string(id), string(r.Self)) % uint64(span))
+		pause := fetchSpan/2 + clock.Millis(ident.Hash(string(id), string(r.Self))%uint64(fetchSpan/2))
 		r.group.Go(func() {
 			if r.Clock.Sleep(ctx, pause) {
 				r.fetch(ctx, id)
@@ -127,24 +128,11 @@
 	r.fetched = open
 }
 
-// fetch reads the bodies of a job's waiting items into the cache, so that they
-// are at hand while the store is away, if this instance acts for an engine.
+// fetch reads the bodies of those waiting items of a job into the cache that fall
+// to this instance while the store is away. So each body is read ahead once,
+// however many instances there are.
 func (r *Runner) fetch(ctx context.Context, id ident.Job) {
-	var spans []jobs.Span
-	r.mu.Lock()
-	r.Ledger.View(func(b *jobs.Book) {
-		job := b.Jobs[id]
-		if job == nil || !job.Open() || job.Waiting == 0 || !r.actors.acts(r.Self) {
-			return
-		}
-		for n := range job.Items {
-			if item := &job.Items[n]; item.Claim == 0 && !item.Done {
-				spans = append(spans, item.Body)
-			}
-		}
-	})
-	r.mu.Unlock()
-	for _, span := range spans {
+	for _, span := range r.ahead(id) {
 		if _, err := r.Blobs.Get(ctx, span); err != nil {
 			if ctx.Err() == nil {
 				r.Trail.Add(trail.Decision{ID: string(id), Action: trail.Hold, Choice: "bodies not fetched", Reason: err.Error()})
@@ -153,3 +141,29 @@
 		}
 	}
 }
+
+// ahead returns the bodies of a job that this instance should read ahead.
+func (r *Runner) ahead(id ident.Job) []jobs.Span {
+	table := r.Routes()
+	if table == nil {
+		return nil
+	}
+	var spans []jobs.Span
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Ledger.View(func(b *jobs.Book) {
+		if job := b.Jobs[id]; job == nil || !job.Open() || job.Waiting == 0 {
+			return
+		}
+		s := r.survey(b, table, r.Ledger.QuietSince())
+		if s == nil {
+			return
+		}
+		s.addPieces()
+		s.pieces = slices.DeleteFunc(s.pieces, func(p deal.Piece) bool { return p.Job != id })
+		for _, p := range r.share(s) {
+			spans = append(spans, s.item(p).Body)
+		}
+	})
+	return spans
+}
--- a/croftmoor/blobs/blobs.go
+++ b/croftmoor/blobs/blobs.go
@@ -46,8 +46,10 @@
 )
 
 const (
-	// readAhead is how much is read at once: blobs of one job lie together.
-	readAhead   = 256 << 10
+	// readBytes is how much one read asks for: a few bodies or texts of the users'
+	// deployments, of 2 to 5 KB. All instances share what the log reads out, and
+	// whoever runs one item seldom needs its neighbours.
+	readBytes   = 16 << 10
 	readTimeout = 1500 * clock.Millis(1)
 	readTries   = 3
 )
@@ -154,7 +156,7 @@
 			return data, nil
 		}
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
-		batch, err := s.Reader.ReadSome(callCtx, at.stream, at.offset, readAhead, 0)
+		batch, err := s.Reader.ReadSome(callCtx, at.stream, at.offset, readBytes, 0)
 		cancel()
 		if err != nil {
 			last = err
