A bounded number of instances follows the ledger; the others ask them

Cause: each of 295 instances wrote signs of life to the ledger each 0.35 s and read all of it, 35 of the 80 MB/s that the store serves and all of it growing with the square of the instances; each also acted for engines, so that most work lay on instances with a fifth of a core. Change: what instances know of each other stands on a roster apart from the ledger (croftmoor/roster, a keyed stream: one post each 1.5 s or 5 s). kernel/elect, pure, decides who follows: the eight most powerful of each zone that are alive, and whoever comes next when one is gone. Only followers write signs of life to the ledger, act for engines, and may order weights. The others take jobs themselves and pass reads, bodies and ends on to a follower (croftmoor/relay), for one job always to the same one of their zone, whose cache has its texts. Detours choose among the roster. Weighed: a stream of signs of life for each zone (six readers more in each follower), the store's groups (dealt anew unasked), reading more seldom by all (results late). Tests: kernel/elect, croftmoor/roster, croftmoor/relay, and TestBeyondTheFollowers with nine real instances, one of which asks and later takes the place of another. Zones of eight and fewer instances work as before.

--- a/croftmoor/detour/detour_test.go
+++ b/croftmoor/detour/detour_test.go
@@ -38,9 +38,16 @@
 	return []tail.Entry{{Key: "k", Value: []byte("v"), Offset: 3}}, 4, d.err
 }
 
+// serving answers the calls of other instances from direct.
+func serving(direct Direct) http.Handler {
+	mux := http.NewServeMux()
+	Handle(mux, direct)
+	return mux
+}
+
 func peerOf(t *testing.T, direct Direct) ident.Address {
 	t.Helper()
-	server := httptest.NewUnstartedServer(Handler(direct))
+	server := httptest.NewUnstartedServer(serving(direct))
 	server.Config.Protocols = rpcs.CleartextHTTP2()
 	server.Start()
 	t.Cleanup(server.Close)
--- a/croftmoor/detour/silent_test.go
+++ b/croftmoor/detour/silent_test.go
@@ -44,7 +44,7 @@
 // All calls to another instance share one connection: when it goes silent, a check
 // of its own must end it, since calls that run out of time do not.
 func TestSilentConnectionToAPeer(t *testing.T) {
-	server := httptest.NewUnstartedServer(Handler(&fakeDirect{}))
+	server := httptest.NewUnstartedServer(serving(&fakeDirect{}))
 	listener := &muteListener{Listener: server.Listener}
 	server.Listener = listener
 	server.Config.Protocols = rpcs.CleartextHTTP2()
--- a/croftmoor/detour/wire.go
+++ b/croftmoor/detour/wire.go
@@ -4,9 +4,6 @@
 	"context"
 	"net/http"
 
-	"connectrpc.com/connect"
-	"github.com/rotisserie/eris"
-
 	"croftmoor.dev/croftmoor/rpcs"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
@@ -19,8 +16,6 @@
 	appendPath = "/croftmoor.Detour/Append"
 	readPath   = "/croftmoor.Detour/Read"
 	newestPath = "/croftmoor.Detour/Newest"
-
-	kindHeader = "Croft-Kind"
 )
 
 type appendWire struct {
@@ -96,9 +91,8 @@
 	return found
 }
 
-// Handler answers the calls of other instances; it goes the direct way only.
-func Handler(direct Direct) http.Handler {
-	mux := http.NewServeMux()
+// Handle answers the calls of other instances; it goes the direct way only.
+func Handle(mux *http.ServeMux, direct Direct) {
 	rpcs.Handle(mux, appendPath, toConnect, func(ctx context.Context, w *appendWire) (*offsetWire, error) {
 		ticket := tail.Ticket{Producer: w.Producer, Epoch: w.Epoch, Seq: w.Seq}
 		offset, err := direct.AppendOnce(ctx, ident.Stream(w.Stream), ticket, w.Records)
@@ -116,25 +110,19 @@
 		}
 		return answer, err
 	})
-	return mux
 }
 
 // toConnect maps an error to the wire, fromConnect back.
 func toConnect(err error) error {
-	mapped := connect.NewError(connect.CodeUnavailable, err)
-	mapped.Meta().Set(kindHeader, string(fault.KindOf[tail.Kind](err)))
-	return mapped
+	return rpcs.WithKind(err, string(fault.KindOf[tail.Kind](err)))
 }
 
 // fromConnect returns the peer's error; unsure is its kind when the peer itself
 // gave none.
 func fromConnect(op string, unsure tail.Kind, err error) error {
 	kind := unsure
-	var answered *connect.Error
-	if eris.As(err, &answered) {
-		if told := answered.Meta().Get(kindHeader); told != "" {
-			kind = tail.Kind(told)
-		}
+	if told := rpcs.KindOf(err); told != "" {
+		kind = tail.Kind(told)
 	}
 	return fault.Wrap(op, kind, err, "through another instance")
 }
--- a/croftmoor/ledger/ledger.go
+++ b/croftmoor/ledger/ledger.go
@@ -47,9 +47,6 @@
 	freshTerm = 1500 * clock.Millis(1)
 	// keepTerm is how long jobs are remembered; it is longer than anybody may
 	// ask for one.
-	// nearShare asks an instance of another availability zone now and then, for
-	// the case that the whole zone is in the same trouble.
-	nearShare    = 4
 	keepTerm     = 180 * clock.Second
 	forgetPeriod = 5 * clock.Second
 	beatTimeout  = 2 * clock.Second
@@ -234,28 +231,6 @@
 	return jobs.Beat{By: l.Self, Zone: l.Zone, Address: l.Address, Leaving: l.leaving || !l.current}
 }
 
-// Peers returns the addresses of the other instances that were heard last, those
-// of this instance's availability zone only if it has some. While nothing can
-// be read, the last known ones stay.
-func (l *Ledger) Peers() []ident.Address {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var near, all []ident.Address
-	for _, m := range l.book.Live(l.read - DeadAfter) {
-		if m.Name == l.Self || m.Address == "" {
-			continue
-		}
-		all = append(all, m.Address)
-		if m.Zone == l.Zone {
-			near = append(near, m.Address)
-		}
-	}
-	if len(near) > 0 && l.Clock.Mono()%nearShare != 0 {
-		return near
-	}
-	return all
-}
-
 // Leave tells the others that this instance takes no more work.
 func (l *Ledger) Leave(ctx context.Context) error {
 	l.mu.Lock()
--- /dev/null
+++ b/croftmoor/relay/relay_test.go
@@ -0,0 +1,116 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+
+	"croftmoor.dev/croftmoor/batch"
+	"croftmoor.dev/croftmoor/rpcs"
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/elect"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+)
+
+// answers stands in for what an instance knows of the ledger.
+type answers struct {
+	page batch.Page
+	err  error
+	ends int
+}
+
+func (a *answers) Submit(context.Context, batch.Submission) error { return a.err }
+
+func (a *answers) Read(context.Context, ident.Job, int, clock.Millis) (batch.Page, error) {
+	return a.page, a.err
+}
+
+func (a *answers) Body(context.Context, ident.Job, ident.Item) ([]byte, error) {
+	return []byte("body"), a.err
+}
+
+func (a *answers) End(context.Context, ident.Job) error {
+	a.ends++
+	return a.err
+}
+
+// follower serves what a knows and returns where.
+func follower(t *testing.T, a *answers) elect.Member {
+	t.Helper()
+	mux := http.NewServeMux()
+	Handle(mux, a)
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.Protocols = rpcs.CleartextHTTP2()
+	server.Start()
+	t.Cleanup(server.Close)
+	return elect.Member{Name: "f", Address: ident.Address(strings.TrimPrefix(server.URL, "http://"))}
+}
+
+func relayTo(followers ...elect.Member) *Relay {
+	r := &Relay{
+		Local: &answers{err: fault.New("local", batch.Unsure, "")}, Knows: func() bool { return false }, Clock: clock.New(),
+		Followers: func(string) []elect.Member { return followers },
+	}
+	r.Setup()
+	return r
+}
+
+func wantKind(t *testing.T, err error, want batch.Kind) {
+	t.Helper()
+	if got := fault.KindOf[batch.Kind](err); got != want {
+		t.Errorf("error %v of kind %q, want %q", err, got, want)
+	}
+}
+
+func TestRelay(t *testing.T) {
+	page := batch.Page{Total: 3, Next: 2, Results: []batch.Listed{
+		{ID: "a", State: jobs.Completed, Text: "one\ntwo", Versions: []ident.Version{4, 5}, Score: "s"},
+		{ID: "b", State: jobs.Terminated},
+	}}
+	unsure := fault.New("f", batch.Unsure, "in arrears")
+	nobody := elect.Member{Name: "gone", Address: "127.0.0.1:1"}
+	t.Run("results come unchanged", func(t *testing.T) {
+		got, err := relayTo(follower(t, &answers{page: page})).Read(t.Context(), "j", 0, 0)
+		if err != nil || !reflect.DeepEqual(got, page) {
+			t.Errorf("%+v, error %v, want %+v", got, err, page)
+		}
+	})
+	t.Run("a follower that is gone or unsure is passed over", func(t *testing.T) {
+		r := relayTo(nobody, follower(t, &answers{err: unsure}), follower(t, &answers{page: page}))
+		if got, err := r.Read(t.Context(), "j", 0, 0); err != nil || got.Total != 3 {
+			t.Errorf("%+v, error %v", got, err)
+		}
+	})
+	t.Run("an unknown job is a follower's word", func(t *testing.T) {
+		second := &answers{page: page}
+		_, err := relayTo(follower(t, &answers{err: fault.New("f", batch.Unknown, "no job")}), follower(t, second)).Read(t.Context(), "j", 0, 0)
+		wantKind(t, err, batch.Unknown)
+	})
+	t.Run("nobody to ask is no word on the job", func(t *testing.T) {
+		_, err := relayTo().Read(t.Context(), "j", 0, 0)
+		wantKind(t, err, batch.Unsure)
+		_, err = relayTo(nobody).Body(t.Context(), "j", "a")
+		wantKind(t, err, batch.Unsure)
+	})
+	t.Run("an end without an answer is uncertain", func(t *testing.T) {
+		wantKind(t, relayTo(nobody).End(t.Context(), "j"), batch.Uncertain)
+	})
+	t.Run("an end is acknowledged by one follower", func(t *testing.T) {
+		first, second := &answers{}, &answers{}
+		if err := relayTo(follower(t, first), follower(t, second)).End(t.Context(), "j"); err != nil || first.ends != 1 || second.ends != 0 {
+			t.Errorf("ends %d and %d, error %v", first.ends, second.ends, err)
+		}
+	})
+	t.Run("who knows the ledger answers itself", func(t *testing.T) {
+		r := relayTo(nobody)
+		r.Local, r.Knows = &answers{page: page}, func() bool { return true }
+		if got, err := r.Read(t.Context(), "j", 0, 0); err != nil || got.Total != 3 {
+			t.Errorf("%+v, error %v", got, err)
+		}
+	})
+}
--- /dev/null
+++ b/croftmoor/relay/wire.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+
+	"croftmoor.dev/croftmoor/batch"
+	"croftmoor.dev/croftmoor/rpcs"
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+)
+
+// Procedures.
+const (
+	readPath = "/croftmoor.Relay/Read"
+	bodyPath = "/croftmoor.Relay/Body"
+	endPath  = "/croftmoor.Relay/End"
+)
+
+type readWire struct {
+	Job        string
+	From       int
+	WaitMillis int64
+}
+
+type itemWire struct {
+	Job  string
+	Item string
+}
+
+type jobWire struct {
+	Job string
+}
+
+type emptyWire struct{}
+
+type bodyWire struct {
+	Body []byte
+}
+
+type pageWire struct {
+	Total   int
+	Next    int
+	Results []listedWire
+}
+
+type listedWire struct {
+	Item     string
+	State    string
+	Text     string
+	Versions []int64
+	Score    string
+}
+
+func pageToWire(p batch.Page) *pageWire {
+	w := &pageWire{Total: p.Total, Next: p.Next, Results: make([]listedWire, 0, len(p.Results))}
+	for _, r := range p.Results {
+		listed := listedWire{Item: string(r.ID), State: string(r.State), Text: r.Text, Score: r.Score}
+		for _, v := range r.Versions {
+			listed.Versions = append(listed.Versions, int64(v))
+		}
+		w.Results = append(w.Results, listed)
+	}
+	return w
+}
+
+func pageFromWire(w *pageWire) batch.Page {
+	p := batch.Page{Total: w.Total, Next: w.Next, Results: make([]batch.Listed, 0, len(w.Results))}
+	for _, r := range w.Results {
+		listed := batch.Listed{ID: ident.Item(r.Item), State: jobs.State(r.State), Text: r.Text, Score: r.Score}
+		for _, v := range r.Versions {
+			listed.Versions = append(listed.Versions, ident.Version(v))
+		}
+		p.Results = append(p.Results, listed)
+	}
+	return p
+}
+
+// Handle answers the calls of instances that do not follow the ledger from what
+// this one knows of it.
+func Handle(mux *http.ServeMux, local Jobs) {
+	rpcs.Handle(mux, readPath, toConnect, func(ctx context.Context, w *readWire) (*pageWire, error) {
+		page, err := local.Read(ctx, ident.Job(w.Job), w.From, clock.Millis(w.WaitMillis))
+		return pageToWire(page), err
+	})
+	rpcs.Handle(mux, bodyPath, toConnect, func(ctx context.Context, w *itemWire) (*bodyWire, error) {
+		body, err := local.Body(ctx, ident.Job(w.Job), ident.Item(w.Item))
+		return &bodyWire{Body: body}, err
+	})
+	rpcs.Handle(mux, endPath, toConnect, func(ctx context.Context, w *jobWire) (*emptyWire, error) {
+		return &emptyWire{}, local.End(ctx, ident.Job(w.Job))
+	})
+}
+
+// toConnect maps an error to the wire.
+func toConnect(err error) error {
+	return rpcs.WithKind(err, string(fault.KindOf[batch.Kind](err)))
+}
--- a/croftmoor/rpcs/rpcs.go
+++ b/croftmoor/rpcs/rpcs.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"croftmoor.dev/kernel/clock"
@@ -86,3 +87,23 @@
 	}, connect.WithCodec(codec{}))
 	mux.Handle(path, handler)
 }
+
+// kindHeader carries the kind of an error between instances.
+const kindHeader = "Croft-Kind"
+
+// WithKind maps an error and its kind to the wire.
+func WithKind(err error, kind string) error {
+	mapped := connect.NewError(connect.CodeUnavailable, err)
+	mapped.Meta().Set(kindHeader, kind)
+	return mapped
+}
+
+// KindOf returns the kind that the peer gave to an error, or "" if the error is not
+// the peer's own.
+func KindOf(err error) string {
+	var answered *connect.Error
+	if !eris.As(err, &answered) {
+		return ""
+	}
+	return answered.Meta().Get(kindHeader)
+}
--- /dev/null
+++ b/kernel/elect/elect_test.go
@@ -0,0 +1,102 @@
+package elect
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
+)
+
+// now is when the tests judge.
+const now = 100 * clock.Second
+
+// zoneOf returns so many members of one zone, every fifth a powerful one, heard now.
+func zoneOf(n int) []Member {
+	members := make([]Member, 0, n)
+	for i := range n {
+		power := Power(192)
+		if i%5 == 0 {
+			power = 800
+		}
+		members = append(members, Member{Name: ident.InstanceName(fmt.Sprintf("front-%d~1", i)), Zone: "z", Power: power, Heard: now})
+	}
+	return members
+}
+
+func chosen(members []Member) []int {
+	var indices []int
+	for i, m := range members {
+		if m.Alive(now) && Chosen(m, members, now) {
+			indices = append(indices, i)
+		}
+	}
+	return indices
+}
+
+func wantCount(t *testing.T, got []int, want int) {
+	t.Helper()
+	if len(got) != want {
+		t.Errorf("%d follow, want %d: %v", len(got), want, got)
+	}
+}
+
+func TestChosen(t *testing.T) {
+	t.Run("a small zone follows as a whole", func(t *testing.T) {
+		wantCount(t, chosen(zoneOf(4)), 4)
+	})
+	t.Run("the followers of a zone are bounded", func(t *testing.T) {
+		for _, n := range []int{9, 49, 400} {
+			wantCount(t, chosen(zoneOf(n)), PerZone)
+		}
+	})
+	t.Run("the powerful are chosen first", func(t *testing.T) {
+		for _, i := range chosen(zoneOf(49)) {
+			if i%5 != 0 {
+				t.Errorf("member %d follows, though powerful ones do not", i)
+			}
+		}
+	})
+	t.Run("zones count apart", func(t *testing.T) {
+		other := zoneOf(20)
+		for i := range other {
+			other[i].Zone = "y"
+			other[i].Name += "y"
+		}
+		wantCount(t, chosen(append(zoneOf(20), other...)), 2*PerZone)
+	})
+	t.Run("those that are gone or leave are replaced", func(t *testing.T) {
+		members := zoneOf(49)
+		first := chosen(members)
+		for n, i := range first {
+			members[i].Follows = true
+			members[i].Leaving = n%2 == 0
+			members[i].Heard = now - missed*FollowerPeriod - 1
+		}
+		second := chosen(members)
+		wantCount(t, second, PerZone)
+		for _, i := range second {
+			if slices.Contains(first, i) {
+				t.Errorf("member %d is gone and was chosen", i)
+			}
+		}
+	})
+	t.Run("any loss leaves followers among the rest", func(t *testing.T) {
+		for lost := range 49 {
+			members := zoneOf(49)
+			for i := range lost {
+				members[i].Heard = 0
+			}
+			wantCount(t, chosen(members), min(PerZone, 49-lost))
+		}
+	})
+	t.Run("a new life counts as the same member", func(t *testing.T) {
+		members := zoneOf(9)
+		again := members[chosen(members)[0]]
+		again.Name = again.Name[:len(again.Name)-1] + "2"
+		if !Chosen(again, members, now) {
+			t.Error("a follower that started again was not chosen")
+		}
+	})
+}
