A reward call that had no answer gets twice the time

Cause: steps stayed open for 12 s though all but one of their items were listed by 6.4 s. The last one's text was whole, and its reward call was cut off after 0.7 s again and again until the job ended: a guess from the first deployment, where the work takes 30 ms; here it takes 200 ms and up to 1.5 s. Change: a call may take six times the usual time of its route, 0.7 s at least, and each call without an answer allows the next one twice as much, up to 8 s and the route's own bound. It binds wherever a service takes longer than the first one did.

--- a/croftmoor/batch/batch.go
+++ b/croftmoor/batch/batch.go
@@ -129,7 +129,8 @@
 
 // Rewards scores texts.
 type Rewards interface {
-	Score(ctx context.Context, reward Reward) (string, error)
+	// Score makes the call; lost is how many calls of it had no answer to go by.
+	Score(ctx context.Context, reward Reward, lost int) (string, error)
 	// Attempts is how many failures of the call make its item hopeless.
 	Attempts(reward Reward) int
 }
--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -242,12 +242,12 @@
 	if item.Reward == nil {
 		return "", nil
 	}
-	failures := 0
+	failures, lost := 0, 0
 	for {
 		if !r.wanted(c.key) {
 			return "", fault.New("batch.score", RewardLost, "the job has ended, or the item is listed")
 		}
-		score, err := r.Rewards.Score(ctx, *item.Reward)
+		score, err := r.Rewards.Score(ctx, *item.Reward, lost)
 		if err == nil {
 			return score, nil
 		}
@@ -256,6 +256,8 @@
 			if failures >= r.Rewards.Attempts(*item.Reward) {
 				return "", err
 			}
+		} else {
+			lost++
 		}
 		if !r.Clock.Sleep(ctx, rewardGap) {
 			return "", fault.Wrap("batch.score", RewardLost, ctx.Err(), "stopped while scoring")
