Detours are held back when the log fails others too

Change: after three others in a row have said that the log fails them too, nobody is asked for a second. Others that can't be reached say nothing of the log.

--- a/croftmoor/detour/detour.go
+++ b/croftmoor/detour/detour.go
@@ -38,6 +38,12 @@
 	probePeriod  = 1 * clock.Second
 	probeTimeout = 700 * clock.Millis(1)
 	probeBytes   = 1024
+	// fruitless is how many others in a row must say that the log fails them too
+	// before the trouble is taken for the log's own; then nobody is asked for holdTerm.
+	// A log that is slow or full for all must not get each call twice. Others that
+	// can't be reached say nothing of the log.
+	fruitless = 3
+	holdTerm  = 1 * clock.Second
 )
 
 // probeStream is read by a probe; every deployment has it.
@@ -57,6 +63,10 @@
 	mu     sync.Mutex
 	failed int
 	away   bool
+	// vain counts the others in a row that the log failed too, until is when others
+	// may be asked again.
+	vain   int
+	until  clock.Millis
 	client *http.Client
 }
 
@@ -101,13 +111,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failed++
-	if s.failed >= failures && !s.away && !s.DirectOnly {
+	if s.failed >= failures && !s.away && !s.DirectOnly && s.Clock.Mono() >= s.until {
 		s.away = true
 		s.Log.Warn().Err(err).Str("Dependency", "store").Msg("asked through other instances")
 	}
 	return s.away
 }
 
+// asked notes how a call at another instance ended.
+func (s *Store) asked(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.vain = 0
+		return
+	}
+	if rpcs.KindOf(err) == "" {
+		return
+	}
+	s.vain++
+	if s.vain < fruitless || !s.away {
+		return
+	}
+	s.vain, s.away = 0, false
+	s.until = s.Clock.Mono() + holdTerm
+	s.Log.Warn().Err(err).Str("Dependency", "store").Int64("HoldMillis", int64(holdTerm)).Msg("no better through other instances")
+}
+
 // peer returns the address of an instance to ask: mostly the first, at times
 // another one, so that an instance that is in the same trouble is not asked
 // for ever.
@@ -142,6 +172,7 @@
 		return direct()
 	}
 	answer, err := there(address)
+	s.asked(err)
 	if err != nil && fault.KindOf[tail.Kind](failure) == tail.Unknown {
 		// The peer's refusal says nothing of the call that got no answer here.
 		return none, failure
--- a/croftmoor/detour/detour_test.go
+++ b/croftmoor/detour/detour_test.go
@@ -113,6 +113,41 @@
 	})
 }
 
+// A log that is full or slow for all gets each call once, not once more through
+// another instance: doubled reads kept it from ever recovering.
+func TestDetourIsNoRetryOfTheLogsOwnTrouble(t *testing.T) {
+	near, far := &fakeDirect{err: refusal()}, &fakeDirect{err: refusal()}
+	s := storeWith(near, peerOf(t, far))
+	const calls = 100
+	for range calls {
+		_, _ = s.Read(t.Context(), "s.0", 1, 0)
+	}
+	if asked := far.calls.Load(); asked > fruitless {
+		t.Errorf("%d of %d calls were repeated through another instance, want %d at most", asked, calls, fruitless)
+	}
+	far.err = nil
+	s.until = 0
+	asked := far.calls.Load()
+	for range failures {
+		_, _ = s.Read(t.Context(), "s.0", 1, 0)
+	}
+	if _, err := s.Read(t.Context(), "s.0", 1, 0); err != nil || far.calls.Load() == asked {
+		t.Errorf("error %v; others are not asked once they can help", err)
+	}
+}
+
+// Others that can't be reached say nothing of the log: an instance that is cut off
+// from some goes on asking.
+func TestDetourGoesOnPastOthersThatAreAway(t *testing.T) {
+	s := storeWith(&fakeDirect{err: refusal()}, "127.0.0.1:1")
+	for range 10 {
+		_, _ = s.Read(t.Context(), "s.0", 1, 0)
+	}
+	if !s.isAway() {
+		t.Error("others are no longer asked")
+	}
+}
+
 func TestDetourEnds(t *testing.T) {
 	t.Run("the direct way is used again once it works", func(t *testing.T) {
 		near, far := &fakeDirect{err: refusal()}, &fakeDirect{}
