--- a/croftmoor/batch/meter.go
+++ b/croftmoor/batch/meter.go
@@ -102,7 +102,8 @@
 func (r *Runner) better(c claimed, made int, m *meter) bool {
 	table := r.Routes()
 	policy, err := place.Policies.New(place.Longest)
-	if table == nil || err != nil || !r.Without.On(toggle.Moves) {
+	// While the ledger can't be reached nobody would learn that the item waits.
+	if table == nil || err != nil || !r.Without.On(toggle.Moves) || !r.Ledger.Fresh() {
 		return false
 	}
 	other := 0.0
