Store calls and bytes by what they are for, claims and listed items as metrics

Cause: what falls over at 295 instances had to be counted from logs by hand. Change: croftmoor_store_calls_total has the topic, croftmoor_store_bytes_total is new, and croftmoor_items_total counts claimed and listed items, whose ratio tells whether dealers disagree.

--- a/croftmoor/batch/batch.go
+++ b/croftmoor/batch/batch.go
@@ -163,6 +163,12 @@
 	Get(ctx context.Context, span jobs.Span) ([]byte, error)
 }
 
+// Counts counts what becomes of items.
+type Counts interface {
+	Claimed(items int)
+	Listed()
+}
+
 // Decisions takes a line for each decision.
 type Decisions interface {
 	Add(d trail.Decision)
--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -288,6 +288,9 @@
 	if err != nil {
 		return
 	}
+	if r.Counts != nil {
+		r.Counts.Listed()
+	}
 	if err := r.Ledger.Await(ctx, offset+1); err != nil {
 		r.note(c, trail.Hold, "not read back", err.Error())
 	}
--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -51,6 +51,8 @@
 	Routes  func() *paths.Table
 	Clock   *clock.Clock
 	Trail   Decisions
+	// Counts may be nil.
+	Counts Counts
 	// Without are the mechanisms that are switched off.
 	Without toggle.Set
 
@@ -227,6 +229,9 @@
 		}
 	}
 	r.mark(keys, true)
+	if r.Counts != nil {
+		r.Counts.Claimed(len(keys))
+	}
 	r.group.Go(func() { r.append(ctx, claims, keys) })
 }
 
--- a/croftmoor/metric/metric.go
+++ b/croftmoor/metric/metric.go
@@ -20,6 +20,8 @@
 	served   *prometheus.HistogramVec
 	handed   *prometheus.CounterVec
 	stored   *prometheus.CounterVec
+	bytes    *prometheus.CounterVec
+	items    *prometheus.CounterVec
 	dropped  prometheus.Counter
 }
 
@@ -38,13 +40,19 @@
 			Name: "croftmoor_samples_handed_total", Help: "Samples in answers to pulls; repeats of lost answers included.",
 		}, []string{"trainer"}),
 		stored: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "croftmoor_store_calls_total", Help: "Calls to the platform's store, by call and outcome.",
-		}, []string{"call", "outcome"}),
+			Name: "croftmoor_store_calls_total", Help: "Calls to the platform's store, by call, what for, and outcome.",
+		}, []string{"call", "topic", "outcome"}),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "croftmoor_store_bytes_total", Help: "Bytes written to and read from the platform's store, by call and what for.",
+		}, []string{"call", "topic"}),
+		items: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "croftmoor_items_total", Help: "Items of batch jobs that this instance claimed, for itself or others, and listed.",
+		}, []string{"event"}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "croftmoor_log_lines_dropped_total", Help: "Log lines that no reader took in time.",
 		}),
 	}
-	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.dropped, collectors.NewGoCollector(),
+	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.dropped, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -69,9 +77,22 @@
 	s.handed.WithLabelValues(trainer).Add(float64(samples))
 }
 
-// StoreCall counts a call to the platform's store.
-func (s *Set) StoreCall(call, outcome string) {
-	s.stored.WithLabelValues(call, outcome).Inc()
+// StoreCall counts a call to the platform's store and the bytes of its body and its
+// answer; topic tells what it was for.
+func (s *Set) StoreCall(call, topic, outcome string, bytes int) {
+	s.stored.WithLabelValues(call, topic, outcome).Inc()
+	s.bytes.WithLabelValues(call, topic).Add(float64(bytes))
+}
+
+// Claimed counts items that were claimed, Listed one that was listed: the first
+// over the second, for all instances together, tells how often items are claimed.
+func (s *Set) Claimed(items int) {
+	s.items.WithLabelValues("claimed").Add(float64(items))
+}
+
+// Listed counts an item that was listed.
+func (s *Set) Listed() {
+	s.items.WithLabelValues("listed").Inc()
 }
 
 // Dropped counts log lines that were dropped.
