--- a/croftmoor/roster/roster.go
+++ b/croftmoor/roster/roster.go
@@ -17,12 +17,16 @@
 
 const (
 	// settleTerm is how long after the roster was first read an instance waits
-	// before it may follow: when all start at once, the others are not listed yet.
+	// before it may follow, unless an earlier life of it is listed: when all start for
+	// the first time, the others are not listed yet.
 	settleTerm = 400 * clock.Millis(1)
 	// judgePeriod is the pause between two judgements of whether to follow.
 	judgePeriod = 500 * clock.Millis(1)
 	// awayTerm is the silence of the log beyond which it ages nobody.
 	awayTerm = 4 * clock.Second
+	// firstTerm is how long an instance waits to have read the roster before it posts
+	// itself: its earlier life's post says whether it followed, and stays until then.
+	firstTerm = 500 * clock.Millis(1)
 	// postTerm bounds the writing of a sign of life.
 	postTerm = 2 * clock.Second
 	// nearShare asks an instance of another availability zone now and then, for
@@ -52,12 +56,16 @@
 	members map[ident.InstanceName]seen
 	// began tells that the roster has been read; first and last are when it was first
 	// and last known to be current.
-	began   bool
-	first   clock.Millis
+	began bool
+	first clock.Millis
+	// again tells that an earlier life of this instance was listed.
+	again   bool
 	last    clock.Millis
 	follows bool
 	leaving bool
 	elected chan struct{}
+	// read is closed when the roster has been read.
+	read chan struct{}
 }
 
 // seen is a member with the offset of its last post.
@@ -74,24 +82,45 @@
 
 // Setup makes the roster usable; it is called before Run.
 func (r *Roster) Setup() {
-	r.members = map[ident.InstanceName]seen{}
 	r.elected = make(chan struct{})
+	r.read = make(chan struct{})
 }
 
 // Run posts this instance and judges whether it should follow, until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
-	r.post(ctx)
-	next := r.Clock.Mono() + r.period()
-	r.Clock.Every(ctx, judgePeriod, func() {
-		if r.judge() {
-			r.Log.Info().Str("Zone", string(r.Self.Zone)).Msg("follows the ledger")
-			next = 0
+	select {
+	case <-ctx.Done():
+	case <-r.read:
+	case <-r.Clock.After(firstTerm):
+	}
+	elected := r.elected
+	for ctx.Err() == nil {
+		if r.isElected() {
+			elected = nil
 		}
-		if now := r.Clock.Mono(); now >= next {
-			r.post(ctx)
-			next = now + r.period()
+		r.post(ctx)
+		r.rest(ctx, elected)
+	}
+}
+
+// rest waits until the next post is due, or this instance is elected.
+func (r *Roster) rest(ctx context.Context, elected <-chan struct{}) {
+	for next := r.Clock.Mono() + r.period(); r.Clock.Mono() < next; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-elected:
+			return
+		case <-r.Clock.After(judgePeriod):
+			r.judge()
 		}
-	})
+	}
+}
+
+func (r *Roster) isElected() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.follows
 }
 
 // judge decides whether to follow, once, and tells whether that was now. An
@@ -101,7 +130,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Mono()
-	if r.follows || r.leaving || !r.began || now-r.first < settleTerm || now-r.last > awayTerm {
+	if r.follows || r.leaving || !r.began || now-r.last > awayTerm {
+		return false
+	}
+	if !r.again && now-r.first < settleTerm {
 		return false
 	}
 	if !elect.Chosen(r.Self, r.list(), r.last) {
@@ -109,6 +141,7 @@
 	}
 	r.follows = true
 	close(r.elected)
+	r.Log.Info().Int("Members", len(r.members)).Int64("AgeMillis", int64(now-r.last)).Bool("Again", r.again).Msg("follows the ledger")
 	return true
 }
 
@@ -175,8 +208,17 @@
 	r.last = now
 }
 
-// Take replaces the members by those that were read.
+// Take replaces the members by those that were read, and judges anew.
 func (r *Roster) Take(posted []Posted) {
+	first := r.take(posted)
+	r.judge()
+	if first {
+		close(r.read)
+	}
+}
+
+// take returns true the first time.
+func (r *Roster) take(posted []Posted) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Mono()
@@ -188,8 +230,13 @@
 			m.Heard = old.Heard
 		}
 		fresh[p.Name] = m
+		if p.Name != r.Self.Name && p.Name.ListName() == r.Self.Name.ListName() {
+			r.again = true
+		}
 	}
+	first := r.members == nil
 	r.members = fresh
+	return first
 }
 
 // Elected is closed when this instance is to follow the ledger.
--- a/croftmoor/roster/roster_test.go
+++ b/croftmoor/roster/roster_test.go
@@ -44,7 +44,7 @@
 // read has the roster hear posts long enough ago to judge by.
 func read(r *Roster, posted []Posted) {
 	r.Heard()
-	r.Take(posted)
+	r.take(posted)
 	r.first -= settleTerm
 }
 
@@ -66,6 +66,14 @@
 		r.Take(nil)
 		wantJudged(t, r, false)
 	})
+	t.Run("an instance that started again follows at once", func(t *testing.T) {
+		r, _ := rosterOf("front-3~9")
+		r.Heard()
+		r.Take(zone(elect.PerZone))
+		if _, open := <-r.Elected(); open {
+			t.Error("it waits though the others are listed")
+		}
+	})
 	t.Run("an instance follows once, and says so", func(t *testing.T) {
 		r, board := rosterOf("front-x~1")
 		read(r, zone(elect.PerZone-1))
