--- a/croftmoor/batch/ahead_test.go
+++ b/croftmoor/batch/ahead_test.go
@@ -16,10 +16,6 @@
 	reads map[jobs.Span]int
 }
 
-func (b *countingBlobs) PutBodies(context.Context, ident.Job, [][]byte) ([]jobs.Span, error) {
-	return nil, nil
-}
-
 func (b *countingBlobs) PutText(context.Context, ident.Job, []byte) (jobs.Span, error) {
 	return jobs.Span{}, nil
 }
--- a/croftmoor/batch/batch.go
+++ b/croftmoor/batch/batch.go
@@ -1,73 +1,20 @@
-// Package batch takes batch jobs, has their items run at model engines, and
-// lists the results. The ledger decides everything that instances must agree
-// on; this package writes to it and acts on what it reads back.
+// Package batch has the items of batch jobs run at model engines, and lists their
+// results. The ledger decides everything that instances must agree on; this package
+// writes to it and acts on what it reads back. Callers are answered by package intake.
 package batch
 
 import (
 	"context"
 
+	"croftmoor.dev/croftmoor/work"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/fleet"
-	"croftmoor.dev/kernel/httpc"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
-	"croftmoor.dev/kernel/paths"
 	"croftmoor.dev/kernel/trail"
 )
 
-// Kind classifies the errors of this package.
-type Kind string
-
-// Kinds of errors.
-const (
-	// NotTaken means that nothing of the request has been or will be done.
-	NotTaken Kind = "NotTaken"
-	// Uncertain means that it may have been done; asking again is harmless.
-	Uncertain Kind = "Uncertain"
-	// Unknown means that there is no such job or item.
-	Unknown Kind = "Unknown"
-	// Unsure means that this instance can't tell at the moment.
-	Unsure Kind = "Unsure"
-	// Invalid means that the request itself is at fault.
-	Invalid Kind = "Invalid"
-)
-
-// Error is the error type of this package.
-type Error = fault.Error[Kind]
-
-// Reward is the call that scores a text.
-type Reward struct {
-	ID   ident.RequestID
-	Host string
-	Path string
-	Body []byte
-}
-
-// Item is what runs at an engine, and how its text is scored.
-type Item struct {
-	ID      ident.Item
-	Group   ident.Group
-	Expect  ident.Tokens
-	Host    string
-	Path    string
-	Headers []httpc.Header
-	Body    []byte
-	// Reward is nil if texts are not scored.
-	Reward *Reward
-}
-
-// Submission is a batch job as its caller hands it in.
-type Submission struct {
-	Job    ident.Job
-	Route  paths.Route
-	Step   ident.Step
-	Model  ident.Model
-	Least  ident.Version
-	Wanted int
-	Items  []Item
-}
-
 // Event is a part of an engine's answer.
 type Event struct {
 	// Index counts the events of a text from 1.
@@ -110,7 +57,7 @@
 // Engines runs items.
 type Engines interface {
 	// Run starts an item at an engine; from is the last event that is known.
-	Run(ctx context.Context, engine fleet.Member, item Item, from int) (Events, error)
+	Run(ctx context.Context, engine fleet.Member, item work.Item, from int) (Events, error)
 }
 
 // RewardKind classifies what went wrong with a reward call.
@@ -130,9 +77,9 @@
 // Rewards scores texts.
 type Rewards interface {
 	// Score makes the call; lost is how many calls of it had no answer to go by.
-	Score(ctx context.Context, reward Reward, lost int) (string, error)
+	Score(ctx context.Context, reward work.Reward, lost int) (string, error)
 	// Attempts is how many failures of the call make its item hopeless.
-	Attempts(reward Reward) int
+	Attempts(reward work.Reward) int
 }
 
 // Ledger is the shared state as this package uses it.
@@ -158,7 +105,6 @@
 
 // Blobs keeps bodies and texts.
 type Blobs interface {
-	PutBodies(ctx context.Context, job ident.Job, blobs [][]byte) ([]jobs.Span, error)
 	PutText(ctx context.Context, job ident.Job, text []byte) (jobs.Span, error)
 	Get(ctx context.Context, span jobs.Span) ([]byte, error)
 }
--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"croftmoor.dev/croftmoor/work"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/fleet"
@@ -56,21 +57,21 @@
 }
 
 // load reads the item and takes over what was kept of its text.
-func (r *Runner) load(ctx context.Context, made *progress) (Item, error) {
+func (r *Runner) load(ctx context.Context, made *progress) (work.Item, error) {
 	c := made.claim
 	data, err := r.Blobs.Get(ctx, c.item.Body)
 	if err != nil {
-		return Item{}, err
+		return work.Item{}, err
 	}
 	if partial := c.item.Partial; partial.Fits(c.accept.Least, c.accept.Single) {
 		made.kept = partial
 		made.events, made.versions, made.whole = partial.Events, slices.Clone(partial.Versions), partial.Whole
 	}
-	return decodeItem(data)
+	return work.Decode(data)
 }
 
 // generate has an engine make the rest of the text.
-func (r *Runner) generate(ctx context.Context, item Item, made *progress, meter *meter) error {
+func (r *Runner) generate(ctx context.Context, item work.Item, made *progress, meter *meter) error {
 	engine, ok := r.member(made.claim)
 	if !ok {
 		return fault.New("batch.generate", NotRun, "the engine has left")
@@ -209,7 +210,7 @@
 
 // complete scores a whole text, keeps it, and lists the result. It goes on when
 // the claim is replaced meanwhile: the first result counts.
-func (r *Runner) complete(ctx context.Context, item Item, made *progress, meter *meter) {
+func (r *Runner) complete(ctx context.Context, item work.Item, made *progress, meter *meter) {
 	c := made.claim
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTerm.Duration())
 	defer cancel()
@@ -238,7 +239,7 @@
 
 // score asks for the reward until it comes, fails for good, is no longer wanted,
 // or ctx ends.
-func (r *Runner) score(ctx context.Context, c claimed, item Item) (string, error) {
+func (r *Runner) score(ctx context.Context, c claimed, item work.Item) (string, error) {
 	if item.Reward == nil {
 		return "", nil
 	}
--- a/croftmoor/batch/intake.go
+++ b/croftmoor/intake/intake.go
@@ -1,18 +1,74 @@
-package batch
+// Package intake answers the callers of batch jobs: it takes jobs, lists their
+// results, hands out the bodies of items, and ends jobs. What it says of a job comes
+// from the ledger.
+package intake
 
 import (
 	"context"
 	"fmt"
 	"strings"
 
+	"croftmoor.dev/croftmoor/work"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/paths"
 	"croftmoor.dev/kernel/tail"
 	"croftmoor.dev/kernel/trail"
 )
 
+// Kind classifies the errors of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	// NotTaken means that nothing of the request has been or will be done.
+	NotTaken Kind = "NotTaken"
+	// Uncertain means that it may have been done; asking again is harmless.
+	Uncertain Kind = "Uncertain"
+	// Unknown means that there is no such job or item.
+	Unknown Kind = "Unknown"
+	// Unsure means that this instance can't tell at the moment.
+	Unsure Kind = "Unsure"
+	// Invalid means that the request itself is at fault.
+	Invalid Kind = "Invalid"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Submission is a batch job as its caller hands it in.
+type Submission struct {
+	Job    ident.Job
+	Route  paths.Route
+	Step   ident.Step
+	Model  ident.Model
+	Least  ident.Version
+	Wanted int
+	Items  []work.Item
+}
+
+// Ledger is the shared state as this package uses it.
+type Ledger interface {
+	View(look func(*jobs.Book))
+	Changed() <-chan struct{}
+	Append(ctx context.Context, records ...jobs.Record) (ident.Offset, error)
+	// Age is how long ago the state was last known to be current.
+	Age() clock.Millis
+}
+
+// Blobs keeps bodies and texts.
+type Blobs interface {
+	PutBodies(ctx context.Context, job ident.Job, blobs [][]byte) ([]jobs.Span, error)
+	Get(ctx context.Context, span jobs.Span) ([]byte, error)
+}
+
+// Decisions takes a line for each decision.
+type Decisions interface {
+	Add(d trail.Decision)
+}
+
 const (
 	// mostListed bounds the texts of one answer in bytes; the callers' protocol
 	// allows 1 MB.
@@ -55,7 +111,7 @@
 			kind = NotTaken
 		}
 		i.note(string(s.Job), trail.Refuse, string(kind), "acceptance: "+err.Error())
-		return fault.Wrap("batch.Submit", kind, err, "job "+string(s.Job))
+		return fault.Wrap("intake.Submit", kind, err, "job "+string(s.Job))
 	}
 	i.note(string(s.Job), trail.Grant, "accepted", fmt.Sprintf("step %d, %d items, least version %d, offset %d", s.Step, len(s.Items), s.Least, offset))
 	return nil
@@ -69,7 +125,7 @@
 	}
 	blobs := make([][]byte, 0, len(s.Items))
 	for _, item := range s.Items {
-		data, err := encodeItem(item)
+		data, err := work.Encode(item)
 		if err != nil {
 			return accept, err
 		}
@@ -78,7 +134,7 @@
 	spans, err := i.Blobs.PutBodies(ctx, s.Job, blobs)
 	if err != nil {
 		// Bodies without an acceptance are never run, so this is a true refusal.
-		return accept, fault.Wrap("batch.Submit", NotTaken, err, "job "+string(s.Job))
+		return accept, fault.Wrap("intake.Submit", NotTaken, err, "job "+string(s.Job))
 	}
 	for n, item := range s.Items {
 		accept.Items = append(accept.Items, jobs.Plan{ID: item.ID, Group: item.Group, Expect: item.Expect, Body: spans[n]})
@@ -116,18 +172,18 @@
 		changed := i.Ledger.Changed()
 		results, total, known := i.results(job, from)
 		if !known {
-			return Page{}, i.missing("batch.Read", job)
+			return Page{}, i.missing("intake.Read", job)
 		}
 		left := deadline - i.Clock.Mono()
 		if len(results) > 0 || left <= 0 || from >= total {
 			if age := i.Ledger.Age(); len(results) == 0 && from < total && age > settleTerm {
-				return Page{}, fault.New("batch.Read", Unsure, fmt.Sprintf("job %s from %d on; the ledger was last current %d ms ago", job, from, age))
+				return Page{}, fault.New("intake.Read", Unsure, fmt.Sprintf("job %s from %d on; the ledger was last current %d ms ago", job, from, age))
 			}
 			return i.page(ctx, from, total, results)
 		}
 		select {
 		case <-ctx.Done():
-			return Page{}, fault.Wrap("batch.Read", Unsure, ctx.Err(), "the caller left")
+			return Page{}, fault.Wrap("intake.Read", Unsure, ctx.Err(), "the caller left")
 		case <-changed:
 		case <-i.Clock.After(left):
 		}
@@ -165,7 +221,7 @@
 				break
 			}
 			if err != nil {
-				return Page{}, fault.Wrap("batch.Read", Unsure, err, "the text of item "+string(r.id))
+				return Page{}, fault.Wrap("intake.Read", Unsure, err, "the text of item "+string(r.id))
 			}
 			text = data
 		}
@@ -218,16 +274,16 @@
 		}
 	})
 	if !known {
-		return nil, i.missing("batch.Body", job)
+		return nil, i.missing("intake.Body", job)
 	}
 	if !found {
-		return nil, fault.New("batch.Body", Unknown, "no item "+string(id)+" in job "+string(job))
+		return nil, fault.New("intake.Body", Unknown, "no item "+string(id)+" in job "+string(job))
 	}
 	data, err := i.Blobs.Get(ctx, span)
 	if err != nil {
-		return nil, fault.Wrap("batch.Body", Unsure, err, "the body of item "+string(id))
+		return nil, fault.Wrap("intake.Body", Unsure, err, "the body of item "+string(id))
 	}
-	item, err := decodeItem(data)
+	item, err := work.Decode(data)
 	return item.Body, err
 }
 
@@ -241,7 +297,7 @@
 		}
 	})
 	if !known {
-		return i.missing("batch.End", job)
+		return i.missing("intake.End", job)
 	}
 	if ended {
 		return nil
@@ -250,7 +306,7 @@
 	defer cancel()
 	if _, err := i.Ledger.Append(ctx, jobs.End{Job: job}); err != nil {
 		i.note(string(job), trail.Refuse, "end uncertain", err.Error())
-		return fault.Wrap("batch.End", Uncertain, err, "job "+string(job))
+		return fault.Wrap("intake.End", Uncertain, err, "job "+string(job))
 	}
 	i.note(string(job), trail.Cancel, "ended", "the caller's word")
 	return nil
--- a/croftmoor/batch/intake_test.go
+++ b/croftmoor/intake/intake_test.go
@@ -1,21 +1,32 @@
-package batch
+package intake
 
 import (
+	"context"
 	"testing"
 
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/trail"
 )
 
 // agedLedger is in arrears.
 type agedLedger struct {
-	*bookLedger
-	age clock.Millis
+	book *jobs.Book
+	age  clock.Millis
 }
 
-func (l agedLedger) Age() clock.Millis { return l.age }
+func (l agedLedger) View(look func(*jobs.Book)) { look(l.book) }
+func (l agedLedger) Changed() <-chan struct{}   { return nil }
+func (l agedLedger) Age() clock.Millis          { return l.age }
+func (l agedLedger) Append(context.Context, ...jobs.Record) (ident.Offset, error) {
+	return l.book.Next, nil
+}
+
+type noDecisions struct{}
+
+func (noDecisions) Add(trail.Decision) {}
 
 func TestReadInArrears(t *testing.T) {
 	c := clock.New()
@@ -34,7 +45,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			i := &Intake{Ledger: agedLedger{&bookLedger{book: book, clock: c}, tc.age}, Clock: c, Trail: noDecisions{}}
+			i := &Intake{Ledger: agedLedger{book, tc.age}, Clock: c, Trail: noDecisions{}}
 			_, err := i.Read(t.Context(), tc.job, 0, 0)
 			if got := fault.KindOf[Kind](err); got != tc.want {
 				t.Errorf("kind %q (%v), want %q", got, err, tc.want)
--- a/croftmoor/relay/relay.go
+++ b/croftmoor/relay/relay.go
@@ -7,7 +7,7 @@
 	"context"
 	"net/http"
 
-	"croftmoor.dev/croftmoor/batch"
+	"croftmoor.dev/croftmoor/intake"
 	"croftmoor.dev/croftmoor/rpcs"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/elect"
@@ -17,8 +17,8 @@
 
 // Jobs answers the callers of batch jobs.
 type Jobs interface {
-	Submit(ctx context.Context, s batch.Submission) error
-	Read(ctx context.Context, job ident.Job, from int, wait clock.Millis) (batch.Page, error)
+	Submit(ctx context.Context, s intake.Submission) error
+	Read(ctx context.Context, job ident.Job, from int, wait clock.Millis) (intake.Page, error)
 	Body(ctx context.Context, job ident.Job, id ident.Item) ([]byte, error)
 	End(ctx context.Context, job ident.Job) error
 }
@@ -53,22 +53,22 @@
 }
 
 // Submit takes a job.
-func (r *Relay) Submit(ctx context.Context, s batch.Submission) error {
+func (r *Relay) Submit(ctx context.Context, s intake.Submission) error {
 	return r.Local.Submit(ctx, s)
 }
 
 // Read returns results of a job.
-func (r *Relay) Read(ctx context.Context, job ident.Job, from int, wait clock.Millis) (batch.Page, error) {
+func (r *Relay) Read(ctx context.Context, job ident.Job, from int, wait clock.Millis) (intake.Page, error) {
 	if r.Knows() {
 		return r.Local.Read(ctx, job, from, wait)
 	}
 	until := r.Clock.Mono() + wait
-	answer, err := ask(ctx, r, job, wait+answerTerm, batch.Unsure, func(ctx context.Context, to ident.Address) (*pageWire, error) {
+	answer, err := ask(ctx, r, job, wait+answerTerm, intake.Unsure, func(ctx context.Context, to ident.Address) (*pageWire, error) {
 		left := max(until-r.Clock.Mono(), 0)
 		return rpcs.Call[readWire, pageWire](ctx, r.client, to, readPath, &readWire{Job: string(job), From: from, WaitMillis: int64(left)})
 	})
 	if err != nil {
-		return batch.Page{}, err
+		return intake.Page{}, err
 	}
 	return pageFromWire(answer), nil
 }
@@ -78,7 +78,7 @@
 	if r.Knows() {
 		return r.Local.Body(ctx, job, id)
 	}
-	answer, err := ask(ctx, r, job, answerTerm, batch.Unsure, func(ctx context.Context, to ident.Address) (*bodyWire, error) {
+	answer, err := ask(ctx, r, job, answerTerm, intake.Unsure, func(ctx context.Context, to ident.Address) (*bodyWire, error) {
 		return rpcs.Call[itemWire, bodyWire](ctx, r.client, to, bodyPath, &itemWire{Job: string(job), Item: string(id)})
 	})
 	if err != nil {
@@ -92,7 +92,7 @@
 	if r.Knows() {
 		return r.Local.End(ctx, job)
 	}
-	_, err := ask(ctx, r, job, endTerm, batch.Uncertain, func(ctx context.Context, to ident.Address) (*emptyWire, error) {
+	_, err := ask(ctx, r, job, endTerm, intake.Uncertain, func(ctx context.Context, to ident.Address) (*emptyWire, error) {
 		return rpcs.Call[jobWire, emptyWire](ctx, r.client, to, endPath, &jobWire{Job: string(job)})
 	})
 	return err
@@ -101,8 +101,8 @@
 // ask asks followers until one gives an answer of its own. A follower that can't be
 // sure is an answer only if no other is left; unsure is the kind of an error when
 // no follower gave one.
-func ask[A any](ctx context.Context, r *Relay, job ident.Job, term clock.Millis, unsure batch.Kind, call func(context.Context, ident.Address) (*A, error)) (*A, error) {
-	var last error = fault.New("relay.ask", batch.Unsure, "no instance is known that follows the ledger")
+func ask[A any](ctx context.Context, r *Relay, job ident.Job, term clock.Millis, unsure intake.Kind, call func(context.Context, ident.Address) (*A, error)) (*A, error) {
+	var last error = fault.New("relay.ask", intake.Unsure, "no instance is known that follows the ledger")
 	for n, follower := range r.Followers(string(job)) {
 		if n == tries || ctx.Err() != nil {
 			break
@@ -115,10 +115,10 @@
 		}
 		kind := unsure
 		if told := rpcs.KindOf(err); told != "" {
-			kind = batch.Kind(told)
+			kind = intake.Kind(told)
 		}
 		last = fault.Wrap("relay.ask", kind, err, "through "+string(follower.Name))
-		if kind != batch.Unsure && kind != batch.Uncertain {
+		if kind != intake.Unsure && kind != intake.Uncertain {
 			return nil, last
 		}
 	}
--- a/croftmoor/relay/relay_test.go
+++ b/croftmoor/relay/relay_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"croftmoor.dev/croftmoor/batch"
+	"croftmoor.dev/croftmoor/intake"
 	"croftmoor.dev/croftmoor/rpcs"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/elect"
@@ -19,14 +19,14 @@
 
 // answers stands in for what an instance knows of the ledger.
 type answers struct {
-	page batch.Page
+	page intake.Page
 	err  error
 	ends int
 }
 
-func (a *answers) Submit(context.Context, batch.Submission) error { return a.err }
+func (a *answers) Submit(context.Context, intake.Submission) error { return a.err }
 
-func (a *answers) Read(context.Context, ident.Job, int, clock.Millis) (batch.Page, error) {
+func (a *answers) Read(context.Context, ident.Job, int, clock.Millis) (intake.Page, error) {
 	return a.page, a.err
 }
 
@@ -53,26 +53,26 @@
 
 func relayTo(followers ...elect.Member) *Relay {
 	r := &Relay{
-		Local: &answers{err: fault.New("local", batch.Unsure, "")}, Knows: func() bool { return false }, Clock: clock.New(),
+		Local: &answers{err: fault.New("local", intake.Unsure, "")}, Knows: func() bool { return false }, Clock: clock.New(),
 		Followers: func(string) []elect.Member { return followers },
 	}
 	r.Setup()
 	return r
 }
 
-func wantKind(t *testing.T, err error, want batch.Kind) {
+func wantKind(t *testing.T, err error, want intake.Kind) {
 	t.Helper()
-	if got := fault.KindOf[batch.Kind](err); got != want {
+	if got := fault.KindOf[intake.Kind](err); got != want {
 		t.Errorf("error %v of kind %q, want %q", err, got, want)
 	}
 }
 
 func TestRelay(t *testing.T) {
-	page := batch.Page{Total: 3, Next: 2, Results: []batch.Listed{
+	page := intake.Page{Total: 3, Next: 2, Results: []intake.Listed{
 		{ID: "a", State: jobs.Completed, Text: "one\ntwo", Versions: []ident.Version{4, 5}, Score: "s"},
 		{ID: "b", State: jobs.Terminated},
 	}}
-	unsure := fault.New("f", batch.Unsure, "in arrears")
+	unsure := fault.New("f", intake.Unsure, "in arrears")
 	nobody := elect.Member{Name: "gone", Address: "127.0.0.1:1"}
 	t.Run("results come unchanged", func(t *testing.T) {
 		got, err := relayTo(follower(t, &answers{page: page})).Read(t.Context(), "j", 0, 0)
@@ -88,17 +88,17 @@
 	})
 	t.Run("an unknown job is a follower's word", func(t *testing.T) {
 		second := &answers{page: page}
-		_, err := relayTo(follower(t, &answers{err: fault.New("f", batch.Unknown, "no job")}), follower(t, second)).Read(t.Context(), "j", 0, 0)
-		wantKind(t, err, batch.Unknown)
+		_, err := relayTo(follower(t, &answers{err: fault.New("f", intake.Unknown, "no job")}), follower(t, second)).Read(t.Context(), "j", 0, 0)
+		wantKind(t, err, intake.Unknown)
 	})
 	t.Run("nobody to ask is no word on the job", func(t *testing.T) {
 		_, err := relayTo().Read(t.Context(), "j", 0, 0)
-		wantKind(t, err, batch.Unsure)
+		wantKind(t, err, intake.Unsure)
 		_, err = relayTo(nobody).Body(t.Context(), "j", "a")
-		wantKind(t, err, batch.Unsure)
+		wantKind(t, err, intake.Unsure)
 	})
 	t.Run("an end without an answer is uncertain", func(t *testing.T) {
-		wantKind(t, relayTo(nobody).End(t.Context(), "j"), batch.Uncertain)
+		wantKind(t, relayTo(nobody).End(t.Context(), "j"), intake.Uncertain)
 	})
 	t.Run("an end is acknowledged by one follower", func(t *testing.T) {
 		first, second := &answers{}, &answers{}
--- a/croftmoor/relay/wire.go
+++ b/croftmoor/relay/wire.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/http"
 
-	"croftmoor.dev/croftmoor/batch"
+	"croftmoor.dev/croftmoor/intake"
 	"croftmoor.dev/croftmoor/rpcs"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
@@ -54,7 +54,7 @@
 	Score    string
 }
 
-func pageToWire(p batch.Page) *pageWire {
+func pageToWire(p intake.Page) *pageWire {
 	w := &pageWire{Total: p.Total, Next: p.Next, Results: make([]listedWire, 0, len(p.Results))}
 	for _, r := range p.Results {
 		listed := listedWire{Item: string(r.ID), State: string(r.State), Text: r.Text, Score: r.Score}
@@ -66,10 +66,10 @@
 	return w
 }
 
-func pageFromWire(w *pageWire) batch.Page {
-	p := batch.Page{Total: w.Total, Next: w.Next, Results: make([]batch.Listed, 0, len(w.Results))}
+func pageFromWire(w *pageWire) intake.Page {
+	p := intake.Page{Total: w.Total, Next: w.Next, Results: make([]intake.Listed, 0, len(w.Results))}
 	for _, r := range w.Results {
-		listed := batch.Listed{ID: ident.Item(r.Item), State: jobs.State(r.State), Text: r.Text, Score: r.Score}
+		listed := intake.Listed{ID: ident.Item(r.Item), State: jobs.State(r.State), Text: r.Text, Score: r.Score}
 		for _, v := range r.Versions {
 			listed.Versions = append(listed.Versions, ident.Version(v))
 		}
@@ -96,5 +96,5 @@
 
 // toConnect maps an error to the wire.
 func toConnect(err error) error {
-	return rpcs.WithKind(err, string(fault.KindOf[batch.Kind](err)))
+	return rpcs.WithKind(err, string(fault.KindOf[intake.Kind](err)))
 }
--- a/croftmoor/batch/codec.go
+++ b/croftmoor/work/codec.go
@@ -1,4 +1,4 @@
-package batch
+package work
 
 import (
 	"bytes"
@@ -35,8 +35,8 @@
 	Body []byte
 }
 
-// encodeItem returns an item's bytes.
-func encodeItem(item Item) ([]byte, error) {
+// Encode returns an item's bytes.
+func Encode(item Item) ([]byte, error) {
 	pack := itemPack{
 		ID: string(item.ID), Group: string(item.Group), Expect: int32(item.Expect),
 		Host: item.Host, Path: item.Path, Body: item.Body,
@@ -52,16 +52,16 @@
 	encoder.UseArrayEncodedStructs(true)
 	encoder.UseCompactInts(true)
 	if err := encoder.Encode(&pack); err != nil {
-		return nil, fault.Wrap("batch.encodeItem", Invalid, err, "item "+string(item.ID))
+		return nil, fault.Wrap("work.Encode", Corrupt, err, "item "+string(item.ID))
 	}
 	return out.Bytes(), nil
 }
 
-// decodeItem reads what encodeItem wrote.
-func decodeItem(data []byte) (Item, error) {
+// Decode reads what Encode wrote.
+func Decode(data []byte) (Item, error) {
 	var pack itemPack
 	if err := msgpack.Unmarshal(data, &pack); err != nil {
-		return Item{}, fault.Wrap("batch.decodeItem", Invalid, err, "the kept item is unreadable")
+		return Item{}, fault.Wrap("work.Decode", Corrupt, err, "the kept item is unreadable")
 	}
 	item := Item{
 		ID: ident.Item(pack.ID), Group: ident.Group(pack.Group), Expect: ident.Tokens(pack.Expect),
