Appends that end without a word at once are repeated with a pause

An append without an answer was repeated at once, since such a call usually took its whole time: 145,000 repeats in 6 s were logged, each a call through another instance as well. Change: only the first repeat goes out at once; later ones pause as after a refusal, 30 ms doubling to 0.5 s. Pauses of appends and of followed streams differ by up to a quarter, so that instances that failed together do not come back together.

--- a/kernel/tail/tail.go
+++ b/kernel/tail/tail.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
@@ -139,7 +140,7 @@
 			if t.Clock.Mono()-began >= timeout {
 				timeout = min(2*timeout, timeoutGrowth*usual)
 			}
-			t.Clock.Sleep(ctx, pause)
+			t.Clock.Sleep(ctx, jitter(pause))
 			pause = min(2*pause, retryMost)
 			continue
 		}
@@ -152,6 +153,12 @@
 	}
 }
 
+// jitter returns a pause that differs by up to a quarter from the given one, so that
+// instances that failed together do not come back together.
+func jitter(pause clock.Millis) clock.Millis {
+	return pause*3/4 + clock.Millis(rand.Int64N(int64(pause)/2+1))
+}
+
 func (t *Tailer) pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
--- a/kernel/tail/writer.go
+++ b/kernel/tail/writer.go
@@ -201,6 +201,10 @@
 func (w *Writer) append(ctx context.Context, stream ident.Stream, l *lane, batch []*entry) {
 	timeout := min(max(patience*l.took, leastPatience), mostPatience)
 	pause := refusedFirst
+	// uncertain tells that a try ended without the log's word. Only the first repeat
+	// goes out at once: an answer may be lost alone, but a log that resets connections
+	// does so to the next one too.
+	uncertain := false
 	for ctx.Err() == nil {
 		records, ok := l.send(&batch)
 		if !ok {
@@ -223,7 +227,7 @@
 		switch fault.KindOf[Kind](err) {
 		case Refused:
 			l.unsend(batch)
-			w.Clock.Sleep(ctx, pause)
+			w.Clock.Sleep(ctx, jitter(pause))
 			pause = min(2*pause, refusedMost)
 		case OutOfOrder:
 			l.epoch++
@@ -231,6 +235,11 @@
 		default:
 			l.uncertain(batch)
 			timeout = min(2*timeout, mostPatience)
+			if uncertain {
+				w.Clock.Sleep(ctx, jitter(pause))
+				pause = min(2*pause, refusedMost)
+			}
+			uncertain = true
 		}
 	}
 }
--- a/kernel/tail/writer_test.go
+++ b/kernel/tail/writer_test.go
@@ -147,3 +147,22 @@
 		}
 	})
 }
+
+// A log that resets each connection at once must not be asked again without a pause:
+// 48 instances made 35,000 appends a second so.
+func TestResetAppendsPause(t *testing.T) {
+	log := &fakeLog{outcome: func(int) fate { return callLost }}
+	w := runWriter(t, log)
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	_, err := w.Write(ctx, "s", []byte("a"))
+	if kind := fault.KindOf[Kind](err); kind != Unknown {
+		t.Errorf("error %v, want Unknown", err)
+	}
+	const most = 8
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	if log.calls > most {
+		t.Errorf("%d calls in half a second, want %d at most", log.calls, most)
+	}
+}
