--- a/croftmoor/batch/move_test.go
+++ b/croftmoor/batch/move_test.go
@@ -1,9 +1,13 @@
 package batch
 
 import (
+	"context"
 	"testing"
 
+	"croftmoor.dev/croftmoor/work"
 	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
 )
@@ -40,3 +44,30 @@
 		t.Error("the item moves while nobody can learn of it")
 	}
 }
+
+// noEngines fails the test when an item is sent to an engine.
+type noEngines struct{ t *testing.T }
+
+func (n noEngines) Run(_ context.Context, engine fleet.Member, _ work.Item, _ int) (Events, error) {
+	n.t.Errorf("sent to %s", engine.Name)
+	return nil, fault.New("noEngines", NotRun, "")
+}
+
+// A claim may be read long after it was written, by an instance that was frozen:
+// its engine may be leaving by then, and must not get new work.
+func TestNoRunAtAnEngineThatLeaves(t *testing.T) {
+	r := crowd(4, 4, 1)
+	r.Engines = noEngines{t}
+	list := r.Fleet.View().Backends["models"]
+	for i := range list {
+		list[i].State = fleet.Leaving
+	}
+	r.Fleet.Set(list)
+	ledger, _ := r.Ledger.(*bookLedger)
+	job := ledger.book.Jobs["job-0"]
+	c := claimed{key: jobs.ItemKey{Job: "job-0"}, item: job.Items[0], accept: job.Accept}
+	err := r.generate(t.Context(), work.Item{}, &progress{runner: r, claim: c}, &meter{clock: r.Clock})
+	if kind := fault.KindOf[EngineKind](err); kind != NotRun {
+		t.Errorf("error %v, want NotRun", err)
+	}
+}
--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -73,8 +73,8 @@
 // generate has an engine make the rest of the text.
 func (r *Runner) generate(ctx context.Context, item work.Item, made *progress, meter *meter) error {
 	engine, ok := r.member(made.claim)
-	if !ok {
-		return fault.New("batch.generate", NotRun, "the engine has left")
+	if !ok || engine.State == fleet.Leaving || r.Fleet.MarkedLeaving(engine.Name) {
+		return fault.New("batch.generate", NotRun, "the engine has left, or is leaving")
 	}
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
