Without a dealer, items are shared out by hash

Whenever the dealer fell silent all actors claimed the same longest item within 30 ms of each other, one with success, and then the next one: items were placed up to 54 times, and the first steps waited up to 5 s for engines that stood free. Change: engines that have rested for 0.4 s get the items that fall to their instance by rendezvous hashing, as while the store is away; any item only after 1.2 s, when another one deals at the latest. Test: TestSilentDealer with 30 instances and 60 engines (1.16 claims an item before, 1.05 at most now).

--- a/croftmoor/batch/dealer.go
+++ b/croftmoor/batch/dealer.go
@@ -28,6 +28,12 @@
 // race.
 const idleTerm = 400 * clock.Millis(1)
 
+// aloneTerm is how long an engine may have rested before its instance takes any item
+// rather than those that fall to it by rendezvous hashing: without a dealer all
+// instances would claim the same longest item, one of them with success, and again
+// for the next one.
+const aloneTerm = 1200 * clock.Millis(1)
+
 // dealer returns the instance that deals for a service; mu is held, and the actors
 // have been worked out.
 func (r *Runner) dealer(service ident.Service) ident.InstanceName {
@@ -80,21 +86,29 @@
 // unaided returns claims for engines that this instance acts for and that have had
 // room for long without the dealer giving them an item.
 func (r *Runner) unaided(s *survey, own func(deal.Engine) bool) []jobs.Claim {
-	deals := deal.Spread(s.pieces, s.only(own), 0, s.allowed)
 	idle := map[ident.BackendName]clock.Millis{}
-	var late []deal.Assignment
-	for _, d := range deals {
+	longest := clock.Millis(0)
+	for _, d := range deal.Spread(s.pieces, s.only(own), 0, s.allowed) {
 		since, known := r.idle[d.Engine]
 		if !known {
 			since = s.now
 		}
 		idle[d.Engine] = since
-		if s.now-since > idleTerm {
-			late = append(late, d)
-		}
+		longest = max(longest, s.now-since)
 	}
 	r.idle = idle
-	return r.claims(s, late)
+	if longest <= idleTerm {
+		return nil
+	}
+	rested := func(e deal.Engine) bool {
+		since, known := idle[e.Name]
+		return known && s.now-since > idleTerm
+	}
+	pieces := s.pieces
+	if longest <= aloneTerm {
+		pieces = r.share(s)
+	}
+	return r.claims(s, deal.Spread(pieces, s.only(rested), 0, s.allowed))
 }
 
 // claims turns a deal into claims, one for each job and engine, and leaves out what
--- a/croftmoor/batch/race_test.go
+++ b/croftmoor/batch/race_test.go
@@ -163,7 +163,6 @@
 }
 
 func TestSilentDealer(t *testing.T) {
-	const items = 20
 	dealer := func(s *scene) int {
 		for n, r := range s.runners {
 			if r.dealer("models") == r.Self {
@@ -174,7 +173,8 @@
 		return 0
 	}
 	t.Run("instances place items at their own engines meanwhile", func(t *testing.T) {
-		s := newScene(t, 6, 6)
+		const items = 200
+		s := newScene(t, 30, 60)
 		s.accept("j", items)
 		for n := range s.runners {
 			s.catchUp(n, len(s.log))
@@ -189,9 +189,16 @@
 		}
 		s.runners[0].Clock.Sleep(context.Background(), idleTerm+50*clock.Millis(1))
 		s.play(6)
+		if shared := len(s.claims); shared < items*4/5 {
+			t.Errorf("%d of %d items were claimed without the dealer", shared, items)
+		}
+		s.wantClaims(len(s.claims), 1.05)
+		s.runners[0].Clock.Sleep(context.Background(), aloneTerm)
+		s.play(6)
 		s.wantClaims(items, 1.5)
 	})
 	t.Run("another deals once it is known to be gone", func(t *testing.T) {
+		const items = 20
 		s := newScene(t, 6, 6)
 		s.accept("j", items)
 		for n := range s.runners {
