--- a/kernel/jobs/jobs_test.go
+++ b/kernel/jobs/jobs_test.go
@@ -338,3 +338,17 @@
 		}
 	}
 }
+
+// Records of programs that did not know of dealers are in the ledger when an instance
+// is upgraded.
+func TestClaimWithoutDealer(t *testing.T) {
+	want := Claim{Job: "j", By: "i", Engine: "e", Targets: []Target{{Index: 1, Replaces: 4}}}
+	data := Encode(want)
+	got, err := Decode(data[:len(data)-1])
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, error %v, want %+v", got, err, want)
+	}
+	if claim, _ := got.(Claim); claim.Writer() != "i" {
+		t.Errorf("written by %q, want the instance that runs the items", claim.Writer())
+	}
+}
