A step of the claims' test that stood twice

Cause: both parts of TestSilentDealer had all instances read and plan with the same lines. Change: scene.planAll; the checks are as they were. No code of the product changes.

--- a/croftmoor/batch/race_test.go
+++ b/croftmoor/batch/race_test.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// planAll has all instances read the ledger to its end and plan, and drops the plans:
+// they know from then on who deals.
+func (s *scene) planAll() {
+	for n, r := range s.runners {
+		s.catchUp(n, len(s.log))
+		r.plan()
+	}
+}
+
 // act has an instance claim what it should, unless it waits for its last claims.
 func (s *scene) act(n int) {
 	r := s.runners[n]
@@ -182,10 +191,7 @@
 		const items = 200
 		s := newScene(t, 30, 60)
 		s.accept("j", items)
-		for n := range s.runners {
-			s.catchUp(n, len(s.log))
-			s.runners[n].plan()
-		}
+		s.planAll()
 		gone := dealer(s)
 		s.silent[gone] = true
 		clear(s.claims)
@@ -207,10 +213,7 @@
 		const items = 20
 		s := newScene(t, 6, 6)
 		s.accept("j", items)
-		for n := range s.runners {
-			s.catchUp(n, len(s.log))
-			s.runners[n].plan()
-		}
+		s.planAll()
 		clear(s.claims)
 		gone := dealer(s)
 		s.silent[gone] = true
