Requests belong to the organisation of their key

Cause: the product knew no organisations. A job keeps its organisation in the ledger; for others it does not exist. The key goes no further and in no line of the log; the rank of an organisation comes before its route's at engines. An unknown key is denied only by a configuration that is known to be current, else 503.

--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -67,7 +67,19 @@
 		made.kept = partial
 		made.events, made.versions, made.whole = partial.Events, slices.Clone(partial.Versions), partial.Whole
 	}
-	return work.Decode(data)
+	item, err := work.Decode(data)
+	item.Organisation, item.Urgent = c.accept.Organisation, r.urgent(c.accept)
+	return item, err
+}
+
+// urgent returns the rank of a job's items: its organisation's, or else its route's.
+func (r *Runner) urgent(accept jobs.Accept) int {
+	table := r.Routes()
+	if table == nil {
+		return 0
+	}
+	route, _ := table.Exact(accept.Host, accept.Prefix)
+	return table.Organisations.Urgent(accept.Organisation, route.Urgent)
 }
 
 // generate has an engine make the rest of the text.
--- a/croftmoor/intake/intake.go
+++ b/croftmoor/intake/intake.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"croftmoor.dev/croftmoor/work"
+	"croftmoor.dev/kernel/access"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
@@ -47,6 +48,8 @@
 	Least  ident.Version
 	Wanted int
 	Items  []work.Item
+	// Organisation is whose job it is; empty if nobody's.
+	Organisation ident.Organisation
 }
 
 // Ledger is the shared state as this package uses it.
@@ -93,7 +96,11 @@
 
 // Submit makes a job durable. When it returns nil, all of the job is kept.
 func (i *Intake) Submit(ctx context.Context, s Submission) error {
-	if i.known(s.Job) {
+	known, err := i.known(s.Organisation, s.Job)
+	if err != nil {
+		return err
+	}
+	if known {
 		i.note(string(s.Job), trail.Hand, "known", "submitted again")
 		return nil
 	}
@@ -121,7 +128,7 @@
 func (i *Intake) keepBodies(ctx context.Context, s Submission) (jobs.Accept, error) {
 	accept := jobs.Accept{
 		Job: s.Job, Host: s.Route.Host, Prefix: s.Route.Prefix, Service: s.Route.Shares[0].Service, Model: s.Model,
-		Step: s.Step, Least: s.Least, Wanted: s.Wanted, Single: s.Route.SingleVersion,
+		Step: s.Step, Least: s.Least, Wanted: s.Wanted, Single: s.Route.SingleVersion, Organisation: s.Organisation,
 	}
 	blobs := make([][]byte, 0, len(s.Items))
 	for _, item := range s.Items {
@@ -142,10 +149,15 @@
 	return accept, nil
 }
 
-func (i *Intake) known(job ident.Job) bool {
-	known := false
-	i.Ledger.View(func(b *jobs.Book) { known = b.Jobs[job] != nil })
-	return known
+// known tells whether a job of the caller's organisation has been accepted; one of
+// another organisation keeps its id.
+func (i *Intake) known(by ident.Organisation, job ident.Job) (bool, error) {
+	known, seen := false, false
+	i.Ledger.View(func(b *jobs.Book) { known, seen = b.Jobs[job] != nil, visible(b, by, job) != nil })
+	if known && !seen {
+		return false, fault.New("intake.Submit", Invalid, "job "+string(job)+" has an id that is taken")
+	}
+	return known, nil
 }
 
 // Listed is a result as callers read it.
@@ -165,12 +177,12 @@
 }
 
 // Read returns the results of a job from a position on, waiting for one if
-// there is none yet.
-func (i *Intake) Read(ctx context.Context, job ident.Job, from int, wait clock.Millis) (Page, error) {
+// there is none yet. For callers of other organisations the job does not exist.
+func (i *Intake) Read(ctx context.Context, by ident.Organisation, job ident.Job, from int, wait clock.Millis) (Page, error) {
 	deadline := i.Clock.Mono() + wait
 	for {
 		changed := i.Ledger.Changed()
-		results, total, known := i.results(job, from)
+		results, total, known := i.results(by, job, from)
 		if !known {
 			return Page{}, i.missing("intake.Read", job)
 		}
@@ -196,9 +208,17 @@
 	jobs.Result
 }
 
-func (i *Intake) results(job ident.Job, from int) (results []listedResult, total int, known bool) {
+// visible returns a job if callers of an organisation may see it.
+func visible(b *jobs.Book, by ident.Organisation, job ident.Job) *jobs.Job {
+	if j := b.Jobs[job]; j != nil && access.Allows(by, j.Organisation) {
+		return j
+	}
+	return nil
+}
+
+func (i *Intake) results(by ident.Organisation, job ident.Job, from int) (results []listedResult, total int, known bool) {
 	i.Ledger.View(func(b *jobs.Book) {
-		j := b.Jobs[job]
+		j := visible(b, by, job)
 		if j == nil {
 			return
 		}
@@ -257,11 +277,11 @@
 }
 
 // Body returns the body of an item.
-func (i *Intake) Body(ctx context.Context, job ident.Job, id ident.Item) ([]byte, error) {
+func (i *Intake) Body(ctx context.Context, by ident.Organisation, job ident.Job, id ident.Item) ([]byte, error) {
 	var span jobs.Span
 	known, found := false, false
 	i.Ledger.View(func(b *jobs.Book) {
-		j := b.Jobs[job]
+		j := visible(b, by, job)
 		if j == nil {
 			return
 		}
@@ -288,11 +308,11 @@
 }
 
 // End closes a job.
-func (i *Intake) End(ctx context.Context, job ident.Job) error {
+func (i *Intake) End(ctx context.Context, by ident.Organisation, job ident.Job) error {
 	ended := false
 	known := false
 	i.Ledger.View(func(b *jobs.Book) {
-		if j := b.Jobs[job]; j != nil {
+		if j := visible(b, by, job); j != nil {
 			known, ended = true, j.Ended
 		}
 	})
--- a/croftmoor/intake/intake_test.go
+++ b/croftmoor/intake/intake_test.go
@@ -46,10 +46,51 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			i := &Intake{Ledger: agedLedger{book, tc.age}, Clock: c, Trail: noDecisions{}}
-			_, err := i.Read(t.Context(), tc.job, 0, 0)
+			_, err := i.Read(t.Context(), "", tc.job, 0, 0)
 			if got := fault.KindOf[Kind](err); got != tc.want {
 				t.Errorf("kind %q (%v), want %q", got, err, tc.want)
 			}
 		})
 	}
 }
+
+func TestJobsOfOthers(t *testing.T) {
+	book := jobs.NewBook()
+	book.Apply(1, jobs.Accept{Job: "theirs", Organisation: "shops", Items: []jobs.Plan{{ID: "a"}}}, 0)
+	book.Apply(2, jobs.Accept{Job: "anybody's", Items: []jobs.Plan{{ID: "b"}}}, 0)
+	i := &Intake{Ledger: agedLedger{book, 0}, Clock: clock.New(), Trail: noDecisions{}}
+	cases := []struct {
+		name string
+		by   ident.Organisation
+		job  ident.Job
+		want Kind
+	}{
+		{"its own organisation reads it", "shops", "theirs", ""},
+		{"for another one it does not exist", "tables", "theirs", Unknown},
+		{"nor for a caller without a key", "", "theirs", Unknown},
+		{"a job of nobody is everybody's", "tables", "anybody's", ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, readErr := i.Read(t.Context(), tc.by, tc.job, 0, 0)
+			endErr := i.End(t.Context(), tc.by, tc.job)
+			for _, err := range []error{readErr, endErr} {
+				if got := fault.KindOf[Kind](err); got != tc.want {
+					t.Errorf("kind %q (%v), want %q", got, err, tc.want)
+				}
+			}
+			if tc.want == Unknown {
+				_, err := i.Body(t.Context(), tc.by, tc.job, "a")
+				if got := fault.KindOf[Kind](err); got != Unknown {
+					t.Errorf("its body: kind %q, want %q", got, Unknown)
+				}
+			}
+		})
+	}
+	t.Run("an id of another organisation is not taken again", func(t *testing.T) {
+		err := i.Submit(t.Context(), Submission{Job: "theirs", Organisation: "tables"})
+		if got := fault.KindOf[Kind](err); got != Invalid {
+			t.Errorf("kind %q (%v), want %q", got, err, Invalid)
+		}
+	})
+}
--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -46,6 +46,10 @@
 	Target  string
 	Headers []httpc.Header
 	Body    []byte
+	// Organisation is whose call it is; empty if nobody's.
+	Organisation ident.Organisation
+	// Urgent is its rank, 0 first.
+	Urgent int
 	// Until is when the caller stops waiting, by the steady clock.
 	Until clock.Millis
 }
--- a/croftmoor/relay/relay.go
+++ b/croftmoor/relay/relay.go
@@ -18,9 +18,9 @@
 // Jobs answers the callers of batch jobs.
 type Jobs interface {
 	Submit(ctx context.Context, s intake.Submission) error
-	Read(ctx context.Context, job ident.Job, from int, wait clock.Millis) (intake.Page, error)
-	Body(ctx context.Context, job ident.Job, id ident.Item) ([]byte, error)
-	End(ctx context.Context, job ident.Job) error
+	Read(ctx context.Context, by ident.Organisation, job ident.Job, from int, wait clock.Millis) (intake.Page, error)
+	Body(ctx context.Context, by ident.Organisation, job ident.Job, id ident.Item) ([]byte, error)
+	End(ctx context.Context, by ident.Organisation, job ident.Job) error
 }
 
 const (
@@ -58,14 +58,14 @@
 }
 
 // Read returns results of a job.
-func (r *Relay) Read(ctx context.Context, job ident.Job, from int, wait clock.Millis) (intake.Page, error) {
+func (r *Relay) Read(ctx context.Context, by ident.Organisation, job ident.Job, from int, wait clock.Millis) (intake.Page, error) {
 	if r.Knows() {
-		return r.Local.Read(ctx, job, from, wait)
+		return r.Local.Read(ctx, by, job, from, wait)
 	}
 	until := r.Clock.Mono() + wait
 	answer, err := ask(ctx, r, job, wait+answerTerm, intake.Unsure, func(ctx context.Context, to ident.Address) (*pageWire, error) {
 		left := max(until-r.Clock.Mono(), 0)
-		return rpcs.Call[readWire, pageWire](ctx, r.client, to, readPath, &readWire{Job: string(job), From: from, WaitMillis: int64(left)})
+		return rpcs.Call[readWire, pageWire](ctx, r.client, to, readPath, &readWire{Organisation: string(by), Job: string(job), From: from, WaitMillis: int64(left)})
 	})
 	if err != nil {
 		return intake.Page{}, err
@@ -74,12 +74,12 @@
 }
 
 // Body returns the body of an item.
-func (r *Relay) Body(ctx context.Context, job ident.Job, id ident.Item) ([]byte, error) {
+func (r *Relay) Body(ctx context.Context, by ident.Organisation, job ident.Job, id ident.Item) ([]byte, error) {
 	if r.Knows() {
-		return r.Local.Body(ctx, job, id)
+		return r.Local.Body(ctx, by, job, id)
 	}
 	answer, err := ask(ctx, r, job, answerTerm, intake.Unsure, func(ctx context.Context, to ident.Address) (*bodyWire, error) {
-		return rpcs.Call[itemWire, bodyWire](ctx, r.client, to, bodyPath, &itemWire{Job: string(job), Item: string(id)})
+		return rpcs.Call[itemWire, bodyWire](ctx, r.client, to, bodyPath, &itemWire{Organisation: string(by), Job: string(job), Item: string(id)})
 	})
 	if err != nil {
 		return nil, err
@@ -88,12 +88,12 @@
 }
 
 // End closes a job.
-func (r *Relay) End(ctx context.Context, job ident.Job) error {
+func (r *Relay) End(ctx context.Context, by ident.Organisation, job ident.Job) error {
 	if r.Knows() {
-		return r.Local.End(ctx, job)
+		return r.Local.End(ctx, by, job)
 	}
 	_, err := ask(ctx, r, job, endTerm, intake.Uncertain, func(ctx context.Context, to ident.Address) (*emptyWire, error) {
-		return rpcs.Call[jobWire, emptyWire](ctx, r.client, to, endPath, &jobWire{Job: string(job)})
+		return rpcs.Call[jobWire, emptyWire](ctx, r.client, to, endPath, &jobWire{Organisation: string(by), Job: string(job)})
 	})
 	return err
 }
--- a/croftmoor/relay/relay_test.go
+++ b/croftmoor/relay/relay_test.go
@@ -22,19 +22,24 @@
 	page intake.Page
 	err  error
 	ends int
+	// by is the organisation of the last caller.
+	by ident.Organisation
 }
 
 func (a *answers) Submit(context.Context, intake.Submission) error { return a.err }
 
-func (a *answers) Read(context.Context, ident.Job, int, clock.Millis) (intake.Page, error) {
+func (a *answers) Read(_ context.Context, by ident.Organisation, _ ident.Job, _ int, _ clock.Millis) (intake.Page, error) {
+	a.by = by
 	return a.page, a.err
 }
 
-func (a *answers) Body(context.Context, ident.Job, ident.Item) ([]byte, error) {
+func (a *answers) Body(_ context.Context, by ident.Organisation, _ ident.Job, _ ident.Item) ([]byte, error) {
+	a.by = by
 	return []byte("body"), a.err
 }
 
-func (a *answers) End(context.Context, ident.Job) error {
+func (a *answers) End(_ context.Context, by ident.Organisation, _ ident.Job) error {
+	a.by = by
 	a.ends++
 	return a.err
 }
@@ -67,6 +72,13 @@
 	}
 }
 
+func wantOrganisation(t *testing.T, a *answers, want ident.Organisation) {
+	t.Helper()
+	if a.by != want {
+		t.Errorf("asked by %q, want %q", a.by, want)
+	}
+}
+
 func TestRelay(t *testing.T) {
 	page := intake.Page{Total: 3, Next: 2, Results: []intake.Listed{
 		{ID: "a", State: jobs.Completed, Text: "one\ntwo", Versions: []ident.Version{4, 5}, Score: "s"},
@@ -75,41 +87,54 @@
 	unsure := fault.New("f", intake.Unsure, "in arrears")
 	nobody := elect.Member{Name: "gone", Address: "127.0.0.1:1"}
 	t.Run("results come unchanged", func(t *testing.T) {
-		got, err := relayTo(follower(t, &answers{page: page})).Read(t.Context(), "j", 0, 0)
+		got, err := relayTo(follower(t, &answers{page: page})).Read(t.Context(), "", "j", 0, 0)
 		if err != nil || !reflect.DeepEqual(got, page) {
 			t.Errorf("%+v, error %v, want %+v", got, err, page)
 		}
 	})
 	t.Run("a follower that is gone or unsure is passed over", func(t *testing.T) {
 		r := relayTo(nobody, follower(t, &answers{err: unsure}), follower(t, &answers{page: page}))
-		if got, err := r.Read(t.Context(), "j", 0, 0); err != nil || got.Total != 3 {
+		if got, err := r.Read(t.Context(), "", "j", 0, 0); err != nil || got.Total != 3 {
 			t.Errorf("%+v, error %v", got, err)
 		}
 	})
 	t.Run("an unknown job is a follower's word", func(t *testing.T) {
 		second := &answers{page: page}
-		_, err := relayTo(follower(t, &answers{err: fault.New("f", intake.Unknown, "no job")}), follower(t, second)).Read(t.Context(), "j", 0, 0)
+		_, err := relayTo(follower(t, &answers{err: fault.New("f", intake.Unknown, "no job")}), follower(t, second)).Read(t.Context(), "", "j", 0, 0)
 		wantKind(t, err, intake.Unknown)
 	})
 	t.Run("nobody to ask is no word on the job", func(t *testing.T) {
-		_, err := relayTo().Read(t.Context(), "j", 0, 0)
+		_, err := relayTo().Read(t.Context(), "", "j", 0, 0)
 		wantKind(t, err, intake.Unsure)
-		_, err = relayTo(nobody).Body(t.Context(), "j", "a")
+		_, err = relayTo(nobody).Body(t.Context(), "", "j", "a")
 		wantKind(t, err, intake.Unsure)
 	})
 	t.Run("an end without an answer is uncertain", func(t *testing.T) {
-		wantKind(t, relayTo(nobody).End(t.Context(), "j"), intake.Uncertain)
+		wantKind(t, relayTo(nobody).End(t.Context(), "", "j"), intake.Uncertain)
 	})
 	t.Run("an end is acknowledged by one follower", func(t *testing.T) {
 		first, second := &answers{}, &answers{}
-		if err := relayTo(follower(t, first), follower(t, second)).End(t.Context(), "j"); err != nil || first.ends != 1 || second.ends != 0 {
+		if err := relayTo(follower(t, first), follower(t, second)).End(t.Context(), "", "j"); err != nil || first.ends != 1 || second.ends != 0 {
 			t.Errorf("ends %d and %d, error %v", first.ends, second.ends, err)
 		}
 	})
+	t.Run("a follower learns whose call it is", func(t *testing.T) {
+		to := &answers{page: page}
+		r := relayTo(follower(t, to))
+		_, readErr := r.Read(t.Context(), "read", "j", 0, 0)
+		wantOrganisation(t, to, "read")
+		_, bodyErr := r.Body(t.Context(), "body", "j", "a")
+		wantOrganisation(t, to, "body")
+		endErr := r.End(t.Context(), "end", "j")
+		wantOrganisation(t, to, "end")
+		if readErr != nil || bodyErr != nil || endErr != nil {
+			t.Errorf("errors %v, %v, %v", readErr, bodyErr, endErr)
+		}
+	})
 	t.Run("who knows the ledger answers itself", func(t *testing.T) {
 		r := relayTo(nobody)
 		r.Local, r.Knows = &answers{page: page}, func() bool { return true }
-		if got, err := r.Read(t.Context(), "j", 0, 0); err != nil || got.Total != 3 {
+		if got, err := r.Read(t.Context(), "", "j", 0, 0); err != nil || got.Total != 3 {
 			t.Errorf("%+v, error %v", got, err)
 		}
 	})
--- a/croftmoor/relay/wire.go
+++ b/croftmoor/relay/wire.go
@@ -20,18 +20,22 @@
 )
 
 type readWire struct {
-	Job        string
-	From       int
-	WaitMillis int64
+	// Organisation is the caller's, as the instance that was asked found it.
+	Organisation string
+	Job          string
+	From         int
+	WaitMillis   int64
 }
 
 type itemWire struct {
-	Job  string
-	Item string
+	Organisation string
+	Job          string
+	Item         string
 }
 
 type jobWire struct {
-	Job string
+	Organisation string
+	Job          string
 }
 
 type emptyWire struct{}
@@ -82,15 +86,15 @@
 // this one knows of it.
 func Handle(mux *http.ServeMux, local Jobs) {
 	rpcs.Handle(mux, readPath, toConnect, func(ctx context.Context, w *readWire) (*pageWire, error) {
-		page, err := local.Read(ctx, ident.Job(w.Job), w.From, clock.Millis(w.WaitMillis))
+		page, err := local.Read(ctx, ident.Organisation(w.Organisation), ident.Job(w.Job), w.From, clock.Millis(w.WaitMillis))
 		return pageToWire(page), err
 	})
 	rpcs.Handle(mux, bodyPath, toConnect, func(ctx context.Context, w *itemWire) (*bodyWire, error) {
-		body, err := local.Body(ctx, ident.Job(w.Job), ident.Item(w.Item))
+		body, err := local.Body(ctx, ident.Organisation(w.Organisation), ident.Job(w.Job), ident.Item(w.Item))
 		return &bodyWire{Body: body}, err
 	})
 	rpcs.Handle(mux, endPath, toConnect, func(ctx context.Context, w *jobWire) (*emptyWire, error) {
-		return &emptyWire{}, local.End(ctx, ident.Job(w.Job))
+		return &emptyWire{}, local.End(ctx, ident.Organisation(w.Organisation), ident.Job(w.Job))
 	})
 }
 
--- a/croftmoor/work/work.go
+++ b/croftmoor/work/work.go
@@ -35,4 +35,8 @@
 	Body    []byte
 	// Reward is nil if texts are not scored.
 	Reward *Reward
+	// Organisation is whose item it is, and Urgent its rank, 0 first; both come from
+	// the job and the configuration when the item runs, and are not kept with it.
+	Organisation ident.Organisation
+	Urgent       int
 }
--- /dev/null
+++ b/kernel/access/access_test.go
@@ -0,0 +1,157 @@
+package access
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/ident"
+)
+
+func directory(t testing.TB, list ...Organisation) *Directory {
+	t.Helper()
+	d, err := NewDirectory(list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func TestDecide(t *testing.T) {
+	d := directory(t,
+		Organisation{Name: "shops", Keys: []ident.Key{"k1", "k2"}, Urgent: 1, Ranked: true},
+		Organisation{Name: "tables", Keys: []ident.Key{"k3"}},
+		Organisation{Name: "keyless"})
+	const stale = CurrentTerm + 1
+	cases := []struct {
+		name string
+		in   *Directory
+		ask  Question
+		want ident.Organisation
+		kind Kind
+	}{
+		{"a key in force", d, Question{Key: "k1"}, "shops", ""},
+		{"another key of the same organisation", d, Question{Key: "k2"}, "shops", ""},
+		{"a key in force, by a configuration of before", d, Question{Key: "k3", Age: stale}, "tables", ""},
+		{"an unknown key", d, Question{Key: "k4"}, "", Denied},
+		{"an unknown key, by a configuration of before", d, Question{Key: "k4", Age: stale}, "", Unsure},
+		{"no key", d, Question{}, "", Denied},
+		{"no key, by a configuration of before", d, Question{Age: stale}, "", Denied},
+		{"no key on a public route", d, Question{Public: true}, "", ""},
+		{"an unknown key on a public route", d, Question{Key: "k4", Public: true}, "", ""},
+		{"a key in force on a public route", d, Question{Key: "k3", Public: true}, "tables", ""},
+		{"no organisations", nil, Question{Key: "k1", Age: stale}, "", ""},
+		{"a list without entries", directory(t), Question{Key: "k1"}, "", Denied},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := c.in.Decide(c.ask)
+			if got != c.want || fault.KindOf[Kind](err) != c.kind {
+				t.Errorf("organisation %q, kind %q, want %q and %q", got, fault.KindOf[Kind](err), c.want, c.kind)
+			}
+			if err != nil && strings.Contains(err.Error(), "k4") {
+				t.Errorf("the error shows the key: %v", err)
+			}
+		})
+	}
+}
+
+func TestUrgent(t *testing.T) {
+	d := directory(t, Organisation{Name: "a", Urgent: 1, Ranked: true}, Organisation{Name: "b"})
+	cases := []struct {
+		in   *Directory
+		name ident.Organisation
+		want int
+	}{{d, "a", 1}, {d, "b", 4}, {d, "", 4}, {d, "unknown", 4}, {nil, "a", 4}}
+	for _, c := range cases {
+		if got := c.in.Urgent(c.name, 4); got != c.want {
+			t.Errorf("%q has rank %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+func TestRefusedLists(t *testing.T) {
+	cases := map[string][]Organisation{
+		"a name twice":               {{Name: "a"}, {Name: "a"}},
+		"no name":                    {{Keys: []ident.Key{"k"}}},
+		"a key of two organisations": {{Name: "a", Keys: []ident.Key{"k"}}, {Name: "b", Keys: []ident.Key{"k"}}},
+		"an empty key":               {{Name: "a", Keys: []ident.Key{""}}},
+	}
+	for name, list := range cases {
+		t.Run(name, func(t *testing.T) {
+			if d, err := NewDirectory(list); d != nil || fault.KindOf[Kind](err) != Invalid {
+				t.Errorf("directory %v, error %v, want a refusal", d, err)
+			}
+		})
+	}
+	t.Run("a key twice in one organisation is harmless", func(t *testing.T) {
+		directory(t, Organisation{Name: "a", Keys: []ident.Key{"k", "k"}})
+	})
+}
+
+func TestAllows(t *testing.T) {
+	if !Allows("a", "a") || !Allows("a", "") || !Allows("", "") || Allows("a", "b") || Allows("", "b") {
+		t.Error("a job is its organisation's, or everybody's if it has none")
+	}
+}
+
+// FuzzNewDirectory checks that each key of an accepted list leads to one
+// organisation that has it, whatever the list.
+func FuzzNewDirectory(f *testing.F) {
+	f.Add("a=k1,k2;b=k3")
+	f.Add("a=k1;b=k1")
+	f.Add("=;a=,")
+	f.Fuzz(func(t *testing.T, text string) {
+		var list []Organisation
+		for part := range strings.SplitSeq(text, ";") {
+			name, keys, _ := strings.Cut(part, "=")
+			o := Organisation{Name: ident.Organisation(name)}
+			for key := range strings.SplitSeq(keys, ",") {
+				o.Keys = append(o.Keys, ident.Key(key))
+			}
+			list = append(list, o)
+		}
+		d, err := NewDirectory(list)
+		if err != nil {
+			return
+		}
+		for _, o := range list {
+			for _, key := range o.Keys {
+				if got, err := d.Decide(Question{Key: key}); err != nil || got != o.Name {
+					t.Fatalf("a key of %q leads to %q, %v", o.Name, got, err)
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkDecide looks a key up among 100,000.
+func BenchmarkDecide(b *testing.B) {
+	var list []Organisation
+	for n := range 1000 {
+		o := Organisation{Name: ident.Organisation(fmt.Sprintf("o%d", n))}
+		for k := range 100 {
+			o.Keys = append(o.Keys, ident.Key(fmt.Sprintf("key-%d-%d", n, k)))
+		}
+		list = append(list, o)
+	}
+	b.Run("build", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			directory(b, list...)
+		}
+	})
+	d := directory(b, list...)
+	b.Run("known", func(b *testing.B) {
+		for b.Loop() {
+			_, _ = d.Decide(Question{Key: "key-999-99"})
+		}
+	})
+	b.Run("unknown", func(b *testing.B) {
+		for b.Loop() {
+			_, _ = d.Decide(Question{Key: "none", Age: clock.Second})
+		}
+	})
+}
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -38,6 +38,10 @@
 	Group string
 	// Model names a model whose weights change by versions.
 	Model string
+	// Organisation names a customer of the platform; keys belong to one.
+	Organisation string
+	// Key is a secret by which a caller shows whose request it is.
+	Key string
 )
 
 // Units.
@@ -68,6 +72,9 @@
 	lifeDigits = 8
 )
 
+// String keeps keys out of logs and messages.
+func (Key) String() string { return "(key)" }
+
 // NewRandom returns a fresh random id in hexadecimal.
 func NewRandom() string {
 	var raw [randomBytes]byte
--- a/kernel/jobs/codec.go
+++ b/kernel/jobs/codec.go
@@ -113,6 +113,7 @@
 		w.int(int64(item.Expect))
 		w.span(item.Body)
 	}
+	w.text(string(a.Organisation))
 }
 
 func (w *writer) claim(c Claim) {
@@ -315,6 +316,7 @@
 			ID: ident.Item(r.text()), Group: ident.Group(r.text()), Expect: ident.Tokens(r.int()), Body: r.span(),
 		})
 	}
+	a.Organisation = ident.Organisation(r.added())
 	return a
 }
 
--- a/kernel/jobs/record.go
+++ b/kernel/jobs/record.go
@@ -56,6 +56,8 @@
 	// Single tells that one version must have made the whole of a text.
 	Single bool
 	Items  []Plan
+	// Organisation is whose job it is; empty if nobody's.
+	Organisation ident.Organisation
 }
 
 // Target is one item that a claim is for. Replaces is the claim that it takes
--- a/kernel/paths/paths.go
+++ b/kernel/paths/paths.go
@@ -4,8 +4,10 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 
+	"croftmoor.dev/kernel/access"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/ident"
 )
@@ -47,6 +49,10 @@
 	Attempts int
 	// Timeout bounds a request; 0 is no bound.
 	Timeout clock.Millis
+	// Public requests need no key.
+	Public bool
+	// Urgent is the rank of the route's requests, 0 first.
+	Urgent int
 	// Due is the time after its submission by which a batch job should be done; 0 is
 	// no such time.
 	Due clock.Millis
@@ -71,6 +77,9 @@
 	Version  int64
 	Services map[ident.Service]Service
 	Limits   Limits
+	// Organisations is nil where callers need no keys. It is set before the table is
+	// used.
+	Organisations *access.Directory
 
 	byHost map[string][]Route
 }
@@ -143,6 +152,11 @@
 	return false
 }
 
+// TakesPublicJobs tells whether jobs may be submitted to a host without a key.
+func (t *Table) TakesPublicJobs(host string) bool {
+	return slices.ContainsFunc(t.byHost[strings.ToLower(host)], func(r Route) bool { return r.Public && r.Repeat == Batch })
+}
+
 // Routes returns all routes.
 func (t *Table) Routes() []Route {
 	var all []Route
