A lease for every role, out of the weights' keeper

Cause: usage and scaling want one holder each with a fence, as the weights have. Change: croftmoor/lease takes and keeps a role by a record of the ledger, waits out a term after another instance's acts where the role asks for it, and takes the role anew after its number was refused; swaps uses it as before.

--- a/croftmoor/swaps/hold_test.go
+++ b/croftmoor/swaps/hold_test.go
@@ -39,33 +39,6 @@
 func (l *bookLedger) Heard() clock.Millis                       { return l.silence }
 func (l *bookLedger) Since() clock.Millis                       { return -clock.Second }
 
-// The role may fall to an instance that has just died and still counts as alive.
-func TestVacantRoleGoesOn(t *testing.T) {
-	c := clock.New()
-	ledger := &bookLedger{book: jobs.NewBook(), clock: c}
-	ledger.book.Next = 1
-	for _, name := range []ident.InstanceName{"a~1", "b~1", "c~1"} {
-		_, _ = ledger.Append(t.Context(), jobs.Beat{By: name, Zone: "z"})
-	}
-	last := ident.InstanceName("")
-	for _, name := range []ident.InstanceName{"a~1", "b~1", "c~1"} {
-		if turnOf(name, "", ledger.book.Live(0)) == 2 {
-			last = name
-		}
-	}
-	// Only the last in turn does anything.
-	k := &Keeper{Self: last, Ledger: ledger, Clock: c, Trail: &trail.Trail{Log: zerolog.Nop(), Clock: c}}
-	k.hold(t.Context())
-	if by := ledger.book.Holds[role].By; by != "" {
-		t.Fatalf("%s took the role before its turn", by)
-	}
-	c.Sleep(t.Context(), 2*turnTerm+50)
-	k.hold(t.Context())
-	if by := ledger.book.Holds[role].By; by != last {
-		t.Errorf("held by %q, want %s", by, last)
-	}
-}
-
 // lone is an engine service with two models of which newer versions were named,
 // kept by one instance whose ledger applies what it appends at once.
 type lone struct {
@@ -140,7 +113,7 @@
 	l := newLone(t)
 	fence := l.hold(t, "b~1")
 	w := want{engine: fleet.Member{Name: "e"}, key: jobs.EngineModel{Engine: "e", Model: "m"}, version: 5}
-	l.ledger.silence = holdTerm
+	l.ledger.silence = ledger.DeadAfter - clock.Second
 	if err := l.keeper.order(t.Context(), w, fence); fault.KindOf[Kind](err) != Fenced {
 		t.Errorf("order: %v, want it fenced", err)
 	}
@@ -151,9 +124,6 @@
 	if err := l.keeper.order(t.Context(), w, fence); err != nil || len(l.engines.orders) != 1 {
 		t.Errorf("in touch: %v, %d orders, want one", err, len(l.engines.orders))
 	}
-	if holdTerm >= ledger.DeadAfter {
-		t.Errorf("a holder stops after %d ms, others follow after %d", holdTerm, ledger.DeadAfter)
-	}
 }
 
 // The store's time is what loads share: an engine that is late to tell, or an
@@ -188,12 +158,6 @@
 	_, _ = l.ledger.Append(t.Context(), jobs.Order{Role: role, Fence: first, Engine: "e", Model: "m", Version: 2})
 	_, _ = l.ledger.Append(t.Context(), jobs.Beat{By: "b~2", Zone: "z"})
 	l.keeper.Self = "b~2"
-	if turn := turnOf("b~2", "b~1", l.ledger.book.Live(0)); turn != 0 {
-		t.Errorf("the new life of the last holder has turn %d, want 0", turn)
-	}
-	if turn := turnOf("a~1", "b~1", l.ledger.book.Live(0)); turn != 1 {
-		t.Errorf("another instance has turn %d, want 1", turn)
-	}
 	if wants := l.keeper.wanted(l.hold(t, "b~2")); len(wants) != 1 {
 		t.Errorf("%d orders of the new life to its own engine, want 1", len(wants))
 	}
--- a/croftmoor/swaps/order.go
+++ b/croftmoor/swaps/order.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return fault.Wrap("swaps.order", Unsure, err, "the order is not in the ledger")
 	}
-	if !k.holds(fence) {
+	if !k.lease.Holds(fence) {
 		return fault.New("swaps.order", Fenced, "the role was lost")
 	}
 	orderCtx, stop := context.WithTimeout(ctx, callTerm.Duration())
@@ -77,15 +77,6 @@
 	return report.Count, report.Versions[w.key.Model], err
 }
 
-func (k *Keeper) holds(fence ident.Fence) bool {
-	held := false
-	k.Ledger.View(func(b *jobs.Book) {
-		h := b.Holds[role]
-		held = h.By == k.Self && h.Fence == fence
-	})
-	return held && k.Ledger.Heard() < holdTerm
-}
-
 func (k *Keeper) report(ctx context.Context, w want) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTerm.Duration())
 	defer cancel()
--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -5,14 +5,13 @@
 package swaps
 
 import (
-	"cmp"
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 
 	"github.com/sourcegraph/conc"
 
+	"croftmoor.dev/croftmoor/lease"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/fleet"
@@ -21,7 +20,6 @@
 	"croftmoor.dev/kernel/paths"
 	"croftmoor.dev/kernel/toggle"
 	"croftmoor.dev/kernel/trail"
-	"croftmoor.dev/kernel/views"
 )
 
 // Kind classifies the errors of this package.
@@ -91,10 +89,6 @@
 const (
 	role   = "weights"
 	period = 100 * clock.Millis(1)
-	// holdTerm is how long after its last acknowledged sign of life the holder
-	// may still give orders; it is far below the silence after which another
-	// takes the role.
-	holdTerm = 1500 * clock.Millis(1)
 	// shareAtOnce is the part of a service's engines that load at once; more are
 	// served no sooner by the weight store, and would take no items meanwhile.
 	shareAtOnce = 5
@@ -112,10 +106,6 @@
 	loadTerm   = 4 * clock.Second
 	callTerm   = 800 * clock.Millis(1)
 	appendTerm = 1500 * clock.Millis(1)
-	// turnTerm is how long an instance leaves a vacant role to each of those that
-	// come before it: one that has just died or is cut off still counts as alive.
-	// Of several that take the role at once the ledger's order decides.
-	turnTerm = 300 * clock.Millis(1)
 	// retryTerm keeps an engine from orders after one failed.
 	retryTerm = 1 * clock.Second
 )
@@ -137,10 +127,8 @@
 	// Without are the mechanisms that are switched off.
 	Without toggle.Set
 
-	// vacant tells that the role is seen to have no holder, since vacantAt; only the
-	// rounds use them, one after the other.
-	vacant   bool
-	vacantAt clock.Millis
+	// lease has no term of its own: the ledger knows the last order of each engine.
+	lease lease.Lease
 
 	mu      sync.Mutex
 	loading map[jobs.EngineModel]loading
@@ -162,6 +150,7 @@
 }
 
 func (k *Keeper) setup() {
+	k.lease = lease.Lease{Role: role, Self: k.Self, Ledger: k.Ledger, Clock: k.Clock, Trail: k.Trail, Without: k.Without}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.loading = map[jobs.EngineModel]loading{}
@@ -184,7 +173,7 @@
 	if leaving || !k.Ledger.Fresh() || k.Routes() == nil {
 		return
 	}
-	fence, ok := k.hold(ctx)
+	fence, ok := k.lease.Hold(ctx)
 	if !ok {
 		return
 	}
@@ -193,74 +182,6 @@
 	}
 }
 
-// hold returns the fencing number if this instance holds the role. It takes the
-// role if its holder is gone and this instance is the one to follow.
-func (k *Keeper) hold(ctx context.Context) (ident.Fence, bool) {
-	var holding jobs.Holding
-	mine := false
-	now := k.Clock.Mono()
-	k.Ledger.View(func(b *jobs.Book) {
-		holding = b.Holds[role]
-		since := k.Ledger.Since()
-		holder := b.Members[holding.By]
-		if b.Alive(holding.By, since) && holder != nil && !holder.Leaving {
-			k.vacant = false
-			return
-		}
-		if !k.vacant {
-			k.vacant, k.vacantAt = true, now
-		}
-		last := holding.By
-		if !k.Without.On(toggle.Succession) {
-			last = ""
-		}
-		turn := turnOf(k.Self, last, b.Live(since))
-		mine = turn >= 0 && now-k.vacantAt >= clock.Millis(turn)*turnTerm
-	})
-	if holding.By == k.Self {
-		return holding.Fence, k.Ledger.Heard() < holdTerm
-	}
-	if !mine {
-		return 0, false
-	}
-	callCtx, cancel := context.WithTimeout(ctx, appendTerm.Duration())
-	defer cancel()
-	offset, err := k.Ledger.Append(callCtx, jobs.Hold{Role: role, By: k.Self, Replaces: ident.Offset(holding.Fence)})
-	if err == nil {
-		err = k.Ledger.Await(callCtx, offset+1)
-	}
-	reason := fmt.Sprintf("after %s with fence %d, offset %d", holding.By, holding.Fence, offset)
-	if err != nil {
-		reason += ": " + err.Error()
-	}
-	k.Trail.Add(trail.Decision{ID: role, Action: trail.Grant, Choice: string(k.Self), Reason: reason})
-	return 0, false
-}
-
-// turnOf returns how many members come before this instance in holding the role;
-// -1 if it is none of them. A new life of the last holder comes first: it need not
-// wait for the lease of its own orders.
-func turnOf(self, last ident.InstanceName, live []jobs.Member) int {
-	members := make([]views.Member, 0, len(live))
-	for _, m := range live {
-		members = append(members, views.Member{Name: m.Name, Zone: m.Zone})
-	}
-	ranked := views.Rank(role, members)
-	slices.SortStableFunc(ranked, func(a, b views.Member) int {
-		return cmp.Compare(follows(a.Name, last), follows(b.Name, last))
-	})
-	return slices.IndexFunc(ranked, func(m views.Member) bool { return m.Name == self })
-}
-
-// follows orders the members that may hold the role: 0 for a new life of the last
-// holder, else 1.
-func follows(name, last ident.InstanceName) int {
-	if name.ListName() == last.ListName() {
-		return 0
-	}
-	return 1
-}
-
 // want is an engine that is to load a version.
 type want struct {
 	engine  fleet.Member
