Use of organisations is reported, once a window, under a fence

Change: the proxy tells a meter of each call of an organisation that a server began; every instance writes its counts to the ledger within 0.2 s.

--- a/croftmoor/lease/lease_test.go
+++ b/croftmoor/lease/lease_test.go
@@ -35,10 +35,8 @@
 	return l
 }
 
-func (l *oneLedger) write(r jobs.Record) ident.Offset {
-	offset := l.book.Next
-	l.book.Apply(offset, r, l.clock.Mono())
-	return offset
+func (l *oneLedger) write(r jobs.Record) {
+	l.book.Apply(l.book.Next, r, l.clock.Mono())
 }
 
 func (l *oneLedger) View(look func(*jobs.Book)) { look(l.book) }
--- a/croftmoor/ledger/ledger.go
+++ b/croftmoor/ledger/ledger.go
@@ -83,8 +83,10 @@
 	hurry   chan struct{}
 	// read is when the log last answered, ended when an answer last reached the
 	// end of the stream: in between, the state is known to be in arrears.
-	read    clock.Millis
-	ended   clock.Millis
+	read  clock.Millis
+	ended clock.Millis
+	// steady is since when the log has answered without a gap.
+	steady  clock.Millis
 	began   bool
 	current bool
 	lost    bool
@@ -133,6 +135,9 @@
 	if l.began && now-l.read > freshTerm {
 		l.book.Shift(now - l.read)
 	}
+	if !l.began || now-l.read > freshTerm {
+		l.steady = now
+	}
 	l.book.Current = l.current && now-l.read <= freshTerm
 	l.began = true
 	l.read = now
@@ -304,6 +309,12 @@
 	return l.Clock.Mono() - l.read
 }
 
+// Steady returns for how long the log has answered without a gap. It may be called
+// within View.
+func (l *Ledger) Steady() clock.Millis {
+	return l.Clock.Mono() - l.steady
+}
+
 // Away tells that the log does not answer: the state stays as it is. An instance
 // that is in arrears is not away, its state is about to change.
 func (l *Ledger) Away() bool {
--- a/croftmoor/metric/metric.go
+++ b/croftmoor/metric/metric.go
@@ -22,6 +22,7 @@
 	stored   *prometheus.CounterVec
 	bytes    *prometheus.CounterVec
 	items    *prometheus.CounterVec
+	windows  *prometheus.CounterVec
 	dropped  prometheus.Counter
 }
 
@@ -48,11 +49,14 @@
 		items: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "croftmoor_items_total", Help: "Items of batch jobs that this instance claimed, for itself or others, and listed.",
 		}, []string{"event"}),
+		windows: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "croftmoor_usage_windows_total", Help: "Windows of use: reported in time, late, or warned of because they were about to be missed.",
+		}, []string{"event"}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "croftmoor_log_lines_dropped_total", Help: "Log lines that no reader took in time.",
 		}),
 	}
-	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.dropped, collectors.NewGoCollector(),
+	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.windows, s.dropped, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -95,6 +99,11 @@
 	s.items.WithLabelValues("listed").Inc()
 }
 
+// UsageWindow counts what became of a window of use.
+func (s *Set) UsageWindow(event string) {
+	s.windows.WithLabelValues(event).Inc()
+}
+
 // Dropped counts log lines that were dropped.
 func (s *Set) Dropped(lines int) {
 	s.dropped.Add(float64(lines))
--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -88,6 +88,14 @@
 	// Patience is how long a repeatable call waits for one server before it is
 	// tried at another.
 	Patience clock.Millis
+	// Usage is told of calls of organisations that began to run; it may be nil.
+	Usage Usage
+}
+
+// Usage counts what organisations use.
+type Usage interface {
+	// Began counts a call that a server began at a time of the steady clock.
+	Began(organisation ident.Organisation, at clock.Millis)
 }
 
 // leastSend is the time below which a call is not sent any more: the server
@@ -100,6 +108,7 @@
 		r.Until = min(r.Until, p.Clock.Mono()+r.Route.Timeout)
 	}
 	state := &state{service: r.Route.Service(newRandom())}
+	defer func() { p.count(r, state) }()
 	for state.tries < max(r.Route.Attempts, 1) {
 		if ctx.Err() != nil || r.Until-p.Clock.Mono() < leastSend {
 			break
@@ -130,9 +139,12 @@
 	service ident.Service
 	tries   int
 	tried   []ident.BackendName
-	// ran tells that a server may have run the call.
-	ran  bool
-	last error
+	// ran tells that a server may have run the call, answered that one certainly did;
+	// began is when the call was last sent to one that did.
+	ran      bool
+	answered bool
+	began    clock.Millis
+	last     error
 }
 
 func (p *Proxy) pick(r Request, s *state) *pool.Server {
@@ -157,6 +169,14 @@
 	return server
 }
 
+// count tells the meter of a call that a server began. A call counts once, however
+// many servers it came to: callers see one.
+func (p *Proxy) count(r Request, s *state) {
+	if p.Usage != nil && r.Organisation != "" && (s.ran || s.answered) {
+		p.Usage.Began(r.Organisation, s.began)
+	}
+}
+
 // slots returns how many requests a server of the service runs at once.
 func (p *Proxy) slots(service ident.Service) int {
 	for _, m := range p.Pool.Fleet.View().Backends[service] {
@@ -186,10 +206,12 @@
 	answer, err := p.Client.Do(tryCtx, call)
 	took := p.Clock.Mono() - began
 	if err != nil {
+		s.noteLost(err, began)
 		server.Release(p.Clock, true, took, false)
 		return nil, p.failed(ctx, r, server, s, repeatable, err)
 	}
 	verdict := p.Protocol.Judge(answer)
+	s.noteAnswer(verdict, began)
 	p.learn(server, verdict)
 	server.Release(p.Clock, true, took, !verdict.NotRun && !verdict.Faulty)
 	if verdict.NotRun {
@@ -209,6 +231,24 @@
 	return answer, false
 }
 
+// noteAnswer notes a server's answer to a call that was sent to it at a time.
+func (s *state) noteAnswer(v Verdict, at clock.Millis) {
+	if !v.NotRun {
+		s.answered, s.began = true, at
+	}
+}
+
+// noteLost notes a call without an answer.
+func (s *state) noteLost(err error, at clock.Millis) {
+	if fault.KindOf[httpc.Kind](err) == httpc.NotSent {
+		return
+	}
+	s.ran = true
+	if !s.answered {
+		s.began = at
+	}
+}
+
 func (p *Proxy) learn(server *pool.Server, v Verdict) {
 	if v.HasLoad {
 		server.NoteLoad(v.Load, p.Clock.Mono())
@@ -219,7 +259,6 @@
 func (p *Proxy) failed(ctx context.Context, r Request, server *pool.Server, s *state, repeatable bool, err error) bool {
 	s.last = err
 	sent := fault.KindOf[httpc.Kind](err) != httpc.NotSent
-	s.ran = s.ran || sent
 	if ctx.Err() != nil {
 		return false
 	}
--- a/croftmoor/proxy/stream.go
+++ b/croftmoor/proxy/stream.go
@@ -47,6 +47,7 @@
 	ctx, cancel := context.WithTimeout(ctx, (r.Until - p.Clock.Mono()).Duration())
 	defer cancel()
 	f := &flow{state: state{service: r.Route.Service(newRandom())}, sink: sink}
+	defer func() { p.count(r, &f.state) }()
 	for f.tries < max(r.Route.Attempts, 1) && ctx.Err() == nil {
 		server := p.pick(r, &f.state)
 		if server == nil {
@@ -89,7 +90,7 @@
 	defer cancel()
 	stream, err := p.Client.Open(ctx, p.streamCall(r, server, f))
 	if err != nil {
-		f.ran = f.ran || fault.KindOf[httpc.Kind](err) != httpc.NotSent
+		f.noteLost(err, began)
 		server.Breaker.Failed(p.Clock.Mono())
 		return false, err
 	}
@@ -101,6 +102,7 @@
 		return false, fault.New("proxy.flow", NotRun, http.StatusText(stream.Status))
 	}
 	f.ran = true
+	f.noteAnswer(verdict, began)
 	if f.begun && stream.Status != http.StatusOK {
 		return false, fault.New("proxy.flow", Lost, "not continued: "+http.StatusText(stream.Status))
 	}
--- /dev/null
+++ b/croftmoor/usage/meter.go
@@ -0,0 +1,79 @@
+package usage
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+)
+
+// flushPeriod is how long a count waits in memory: what is lost with a process that
+// is killed. 14 calls a second of 76 instances are as many records a second at most.
+const flushPeriod = 200 * clock.Millis(1)
+
+// Meter counts the calls that begin at this instance. Set the exported fields before
+// use. Counts are guarded by mu; flushing lets one flush at a time.
+type Meter struct {
+	Self   ident.InstanceName
+	Ledger interface {
+		Append(ctx context.Context, records ...jobs.Record) (ident.Offset, error)
+	}
+	Clock *clock.Clock
+	Wall  Wall
+	Terms Terms
+	Log   zerolog.Logger
+
+	flushing sync.Mutex
+	mu       sync.Mutex
+	counts   map[ident.Window]map[ident.Organisation]int64
+}
+
+// Began counts a call that began at a time of the steady clock.
+func (m *Meter) Began(organisation ident.Organisation, at clock.Millis) {
+	window := m.Terms.at(m.Wall.At(at))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.counts == nil {
+		m.counts = map[ident.Window]map[ident.Organisation]int64{}
+	}
+	if m.counts[window] == nil {
+		m.counts[window] = map[ident.Organisation]int64{}
+	}
+	m.counts[window][organisation]++
+}
+
+// Run writes the counts down until ctx ends.
+func (m *Meter) Run(ctx context.Context) {
+	m.Clock.Every(ctx, flushPeriod, func() { m.Flush(ctx) })
+}
+
+// Flush writes what was counted. The log is asked until it has the records or ctx
+// ends; repeats of an append count once there.
+func (m *Meter) Flush(ctx context.Context) {
+	m.flushing.Lock()
+	defer m.flushing.Unlock()
+	records := m.take()
+	if len(records) == 0 {
+		return
+	}
+	if _, err := m.Ledger.Append(ctx, records...); err != nil {
+		m.Log.Error().Err(err).Int("Records", len(records)).Msg("usage not written, the reports of its windows are too low")
+	}
+}
+
+// take returns the counts as records and begins anew.
+func (m *Meter) take() []jobs.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var records []jobs.Record
+	for window, counts := range m.counts {
+		used := jobs.WindowUse{Counts: counts}
+		records = append(records, jobs.Used{By: m.Self, Window: window, Counts: used.Sorted()})
+	}
+	m.counts = nil
+	return records
+}
--- /dev/null
+++ b/croftmoor/usage/settle.go
@@ -0,0 +1,44 @@
+package usage
+
+import (
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/jobs"
+)
+
+const (
+	// soonTerm is when a window is settled if every instance could write what it saw:
+	// a call of a second and a half, a flush, and a write that is repeated.
+	soonTerm = 3 * clock.Second
+	// sendTerm is what is left of the time until a report is due once its window is
+	// settled at the latest: several tries at an API that is away for 2 s.
+	sendTerm = 2500 * clock.Millis(1)
+	// steadyTerm is how long the log must have answered again before counts that
+	// waited for it are known to be in.
+	steadyTerm = 1500 * clock.Millis(1)
+	// missedTerm is the silence after which an instance may hold back counts, and
+	// goneTerm that after which it will write none any more.
+	missedTerm = 1500 * clock.Millis(1)
+	goneTerm   = 10 * clock.Second
+)
+
+// settles tells whether a window's sum is settled so long after its end: soon if
+// nobody can still hold back counts, else as late as leaves time to report it. A cut
+// of a zone takes some 5.5 s on the users' deployments: its counts of the window's
+// last seconds come within the time that is waited.
+func settles(after, due clock.Millis, whole bool) bool {
+	if whole {
+		return after >= min(soonTerm, due-sendTerm)
+	}
+	return after >= due-sendTerm
+}
+
+// allHeard tells whether every instance that may have counted has been heard lately.
+func allHeard(b *jobs.Book, now clock.Millis) bool {
+	for _, m := range b.Members {
+		silence := now - m.Heard
+		if !m.Over && !m.Leaving && silence > missedTerm && silence < goneTerm {
+			return false
+		}
+	}
+	return true
+}
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -54,6 +54,8 @@
 	Version int64
 	// Step counts a trainer's steps.
 	Step int64
+	// Window numbers the spans of true time for which use is reported.
+	Window int64
 	// Slot is the index of a sample within a step.
 	Slot int32
 	// Tokens counts generated tokens.
--- a/kernel/jobs/book.go
+++ b/kernel/jobs/book.go
@@ -143,6 +143,8 @@
 	Current bool
 	// Kept finds the newest job that has an item, for items brought back.
 	Kept map[ident.Item]ident.Job
+	// Use is what is known of each window of use.
+	Use  map[ident.Window]*WindowUse
 	Next ident.Offset
 }
 
@@ -153,6 +155,7 @@
 		Weights: map[EngineModel]Weights{}, LastOrders: map[ident.BackendName]LastOrder{}, Loads: map[ident.BackendName]Load{}, Paces: map[ident.BackendName]Pace{},
 		Kept: map[ident.Item]ident.Job{}, Avoided: map[ident.BackendName]clock.Millis{},
 		Claims: map[ident.InstanceName]map[ItemKey]struct{}{}, Faults: map[ident.BackendName]float64{},
+		Use: map[ident.Window]*WindowUse{},
 	}
 }
 
@@ -181,6 +184,12 @@
 		b.order(r, now)
 	case Loaded:
 		b.loaded(r)
+	case Used:
+		b.used(r)
+	case Usage:
+		b.usage(r)
+	case Reported:
+		b.reported(r)
 	case Avoid:
 		b.avoid(r, now)
 	}
--- a/kernel/jobs/codec.go
+++ b/kernel/jobs/codec.go
@@ -50,6 +50,8 @@
 		w.text(string(v.Engine))
 		w.text(string(v.Model))
 		w.int(int64(v.Version))
+	case Used, Usage, Reported:
+		w.use(v)
 	case Keep:
 		w.keep(v)
 	case Avoid:
@@ -96,6 +98,31 @@
 	}
 }
 
+// use writes the fields of the records on use.
+func (w *writer) use(r Record) {
+	switch v := r.(type) {
+	case Used:
+		w.text(string(v.By))
+		w.int(int64(v.Window))
+		w.counts(v.Counts)
+	case Usage:
+		w.text(v.Role)
+		w.int(int64(v.Fence))
+		w.int(int64(v.Window))
+		w.counts(v.Counts)
+	case Reported:
+		w.int(int64(v.Window))
+	}
+}
+
+func (w *writer) counts(list []Count) {
+	w.length(len(list))
+	for _, c := range list {
+		w.text(string(c.Organisation))
+		w.int(c.Requests)
+	}
+}
+
 func (w *writer) accept(a Accept) {
 	w.text(string(a.Job))
 	w.text(a.Host)
@@ -266,6 +293,15 @@
 	return list
 }
 
+func (r *reader) counts() []Count {
+	n := r.length()
+	var list []Count
+	for range n {
+		list = append(list, Count{Organisation: ident.Organisation(r.text()), Requests: r.int()})
+	}
+	return list
+}
+
 func (r *reader) record(kind recordKind) Record {
 	switch kind {
 	case acceptKind:
@@ -295,6 +331,12 @@
 		}
 	case loadedKind:
 		return Loaded{Engine: ident.BackendName(r.text()), Model: ident.Model(r.text()), Version: ident.Version(r.int())}
+	case usedKind:
+		return Used{By: ident.InstanceName(r.text()), Window: ident.Window(r.int()), Counts: r.counts()}
+	case usageKind:
+		return Usage{Role: r.text(), Fence: ident.Fence(r.int()), Window: ident.Window(r.int()), Counts: r.counts()}
+	case reportedKind:
+		return Reported{Window: ident.Window(r.int())}
 	case keepKind:
 		return Keep{Job: ident.Job(r.text()), By: ident.InstanceName(r.text()), Index: int(r.int()), Partial: r.partial()}
 	case avoidKind:
--- a/kernel/jobs/record.go
+++ b/kernel/jobs/record.go
@@ -204,6 +204,33 @@
 	Version ident.Version
 }
 
+// Count is how many requests of an organisation began to run.
+type Count struct {
+	Organisation ident.Organisation
+	Requests     int64
+}
+
+// Used adds requests that an instance saw begin in a window.
+type Used struct {
+	By     ident.InstanceName
+	Window ident.Window
+	Counts []Count
+}
+
+// Usage is the sum of a window that is reported: it counts only while Fence is the
+// hold on Role that stands, and the first one of a window counts.
+type Usage struct {
+	Role   string
+	Fence  ident.Fence
+	Window ident.Window
+	Counts []Count
+}
+
+// Reported tells that the platform has taken the report of a window.
+type Reported struct {
+	Window ident.Window
+}
+
 // Record is one of the types above.
 type Record interface {
 	kind() recordKind
@@ -224,16 +251,22 @@
 	loadedKind
 	avoidKind
 	keepKind
+	usedKind
+	usageKind
+	reportedKind
 )
 
-func (Accept) kind() recordKind { return acceptKind }
-func (Claim) kind() recordKind  { return claimKind }
-func (Yield) kind() recordKind  { return yieldKind }
-func (Finish) kind() recordKind { return finishKind }
-func (End) kind() recordKind    { return endKind }
-func (Beat) kind() recordKind   { return beatKind }
-func (Hold) kind() recordKind   { return holdKind }
-func (Order) kind() recordKind  { return orderKind }
-func (Loaded) kind() recordKind { return loadedKind }
-func (Avoid) kind() recordKind  { return avoidKind }
-func (Keep) kind() recordKind   { return keepKind }
+func (Accept) kind() recordKind   { return acceptKind }
+func (Claim) kind() recordKind    { return claimKind }
+func (Yield) kind() recordKind    { return yieldKind }
+func (Finish) kind() recordKind   { return finishKind }
+func (End) kind() recordKind      { return endKind }
+func (Beat) kind() recordKind     { return beatKind }
+func (Hold) kind() recordKind     { return holdKind }
+func (Order) kind() recordKind    { return orderKind }
+func (Loaded) kind() recordKind   { return loadedKind }
+func (Avoid) kind() recordKind    { return avoidKind }
+func (Keep) kind() recordKind     { return keepKind }
+func (Used) kind() recordKind     { return usedKind }
+func (Usage) kind() recordKind    { return usageKind }
+func (Reported) kind() recordKind { return reportedKind }
