Items begin while the store is away for all

Change: an item falls to one engine that can run it (deal.Fixed, weighted rendezvous), and so to the instance that acts for it; two instances read each body ahead and lend it while the log does not answer (blobs.Borrow).

--- a/croftmoor/batch/alone.go
+++ b/croftmoor/batch/alone.go
@@ -17,10 +17,14 @@
 // instance that has not read the ledger yet counts as older.
 const mostAlone = 30 * clock.Second
 
-// goOn runs items without claims while the ledger can't be reached: those that
-// nobody had claimed in the state that was read last are shared out by
-// rendezvous hashing among the instances that acted for engines then. What is
-// made is listed when the ledger is back; an item that ran twice is listed once.
+// goOn runs items without claims while the ledger can't be reached: each that
+// nobody had claimed in the state that was read last falls to one engine which can
+// run it, and so to the instance that acted for it then. What is made is listed when
+// the ledger is back; an item that ran twice is listed once.
+//
+// The load it answers: the log is away for all for 7 s while four steps wait. When
+// items fell to instances, whether these had an engine with the version or not, 30
+// began in 2 s, of several hundred that engines with room could have run.
 func (r *Runner) goOn(ctx context.Context) {
 	table := r.Routes()
 	if table == nil || !r.Ledger.Away() || r.Ledger.Age() > mostAlone {
@@ -51,30 +55,47 @@
 	}
 }
 
-// share returns the waiting items that fall to this instance and that it does
-// not run already; mu is held.
+// share returns the waiting items that fall to engines of this instance and that it
+// does not run already; mu is held.
 func (r *Runner) share(s *survey) []deal.Piece {
-	known := map[ident.InstanceName]bool{}
-	var actors []views.Member
-	for _, e := range s.engines {
-		actor := s.actor[e.Name]
-		if !known[actor] {
-			known[actor] = true
-			actors = append(actors, views.Member{Name: actor})
-		}
-	}
 	var mine []deal.Piece
+	fixed := deal.NewFixed(s.engines, s.allowed)
 	for _, p := range s.pieces {
 		if r.runs[jobs.ItemKey{Job: p.Job, Index: p.Target.Index}] != nil {
 			continue
 		}
-		if actor, ok := views.First(string(s.item(p).ID), actors); ok && actor.Name == r.Self {
+		if engine, ok := fixed.Engine(s.item(p).ID, p.Job); ok && s.actor[engine] == r.Self {
 			mine = append(mine, p)
 		}
 	}
 	return mine
 }
 
+// keepers is how many instances read a body ahead. The first is often the one that is
+// cut off or restarted in the same trouble.
+const keepers = 2
+
+// keepersOf returns the instances that read the body of an item ahead, best first,
+// by rendezvous hashing among those that act for engines: who runs it is not known
+// yet.
+func (s *survey) keepersOf(id ident.Item) []views.Member {
+	ranked := views.Rank("keep "+string(id), s.actors())
+	return ranked[:min(keepers, len(ranked))]
+}
+
+// actors returns the instances that act for engines which may get items.
+func (s *survey) actors() []views.Member {
+	known := map[ident.InstanceName]bool{}
+	var actors []views.Member
+	for _, e := range s.engines {
+		if actor := s.actor[e.Name]; !known[actor] {
+			known[actor] = true
+			actors = append(actors, views.Member{Name: actor})
+		}
+	}
+	return actors
+}
+
 // ownEngines returns the engines that this instance acts for, with the load of
 // its own runs: the ledger's does not fall while it can't be read; mu is held.
 func (r *Runner) ownEngines(s *survey) []deal.Engine {
@@ -128,9 +149,9 @@
 	r.fetched = open
 }
 
-// fetch reads the bodies of those waiting items of a job into the cache that fall
-// to this instance while the store is away. So each body is read ahead once,
-// however many instances there are.
+// fetch reads the bodies of those waiting items of a job into the cache of which this
+// instance is a keeper. So each body is read ahead twice, however many instances there
+// are.
 func (r *Runner) fetch(ctx context.Context, id ident.Job) {
 	for _, span := range r.ahead(id) {
 		if _, err := r.Blobs.Get(ctx, span); err != nil {
@@ -160,10 +181,55 @@
 			return
 		}
 		s.addPieces()
-		s.pieces = slices.DeleteFunc(s.pieces, func(p deal.Piece) bool { return p.Job != id })
-		for _, p := range r.share(s) {
-			spans = append(spans, s.item(p).Body)
+		for _, p := range s.pieces {
+			if p.Job != id {
+				continue
+			}
+			item := s.item(p)
+			if slices.ContainsFunc(s.keepersOf(item.ID), func(m views.Member) bool { return m.Name == r.Self }) {
+				spans = append(spans, item.Body)
+			}
 		}
 	})
 	return spans
 }
+
+// body returns what is kept of an item: from the log, or while that does not answer
+// from an instance that has read it ahead.
+func (r *Runner) body(ctx context.Context, item *jobs.Item) ([]byte, error) {
+	if !r.Ledger.Away() {
+		data, err := r.Blobs.Get(ctx, item.Body)
+		if err == nil {
+			return data, nil
+		}
+	}
+	for _, from := range r.lenders(item.ID) {
+		if data, err := r.Blobs.Borrow(ctx, from, item.Body); err == nil {
+			return data, nil
+		}
+	}
+	return r.Blobs.Get(ctx, item.Body)
+}
+
+// lenders returns where an item's body may have been read ahead.
+func (r *Runner) lenders(id ident.Item) []ident.Address {
+	table := r.Routes()
+	if table == nil {
+		return nil
+	}
+	var addresses []ident.Address
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Ledger.View(func(b *jobs.Book) {
+		s := r.survey(b, table, r.Ledger.QuietSince()-r.Ledger.Idle())
+		if s == nil {
+			return
+		}
+		for _, m := range s.keepersOf(id) {
+			if member := b.Members[m.Name]; member != nil && m.Name != r.Self && member.Address != "" {
+				addresses = append(addresses, member.Address)
+			}
+		}
+	})
+	return addresses
+}
--- /dev/null
+++ b/croftmoor/batch/away_test.go
@@ -0,0 +1,108 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+
+	"croftmoor.dev/croftmoor/work"
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/fleet"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+)
+
+// awayLedger is a ledger that was read to its end and answers no more.
+type awayLedger struct{ *bookLedger }
+
+func (l awayLedger) Fresh() bool       { return false }
+func (l awayLedger) Away() bool        { return true }
+func (l awayLedger) Age() clock.Millis { return 2 * clock.Second }
+func (l awayLedger) Append(context.Context, ...jobs.Record) (ident.Offset, error) {
+	return 0, errors.New("away")
+}
+
+// fullEngines notes where each item is begun, and never ends one.
+type fullEngines struct {
+	mu sync.Mutex
+	at map[ident.Item][]ident.BackendName
+}
+
+func (e *fullEngines) Run(ctx context.Context, engine fleet.Member, item work.Item, _ int) (Events, error) {
+	e.mu.Lock()
+	e.at[item.ID] = append(e.at[item.ID], ident.BackendName(engine.Name))
+	e.mu.Unlock()
+	<-ctx.Done()
+	return nil, fault.New("t", Broken, "stopped")
+}
+
+// itemBlobs has every body, as instances have read them ahead.
+type itemBlobs struct{ countingBlobs }
+
+func (b *itemBlobs) Get(context.Context, jobs.Span) ([]byte, error) {
+	return nil, errors.New("away")
+}
+
+func (b *itemBlobs) Borrow(_ context.Context, _ ident.Address, span jobs.Span) ([]byte, error) {
+	return work.Encode(work.Item{ID: ident.Item(fmt.Sprintf("0-%d", span.First))})
+}
+
+// The log goes away for all while a step of 160 items waits and a quarter of 44
+// engines have its version. Callers get the step only if its items begin all the same:
+// each at one engine that can run it, as many as these have slots for.
+func TestItemsBeginWhileTheLogIsAway(t *testing.T) {
+	const instances, engines, slots = 20, 44, 8
+	began := &fullEngines{at: map[ident.Item][]ident.BackendName{}}
+	ctx, stop := context.WithCancel(t.Context())
+	var runners []*Runner
+	for n := range instances {
+		r := crowd(instances, engines, 0)
+		r.Self = ident.InstanceName(fmt.Sprintf("front-%d", n))
+		ledger, _ := r.Ledger.(*bookLedger)
+		r.Ledger, r.Engines, r.Blobs = awayLedger{ledger}, began, &itemBlobs{}
+		accept := jobs.Accept{Job: "job-0", Host: "h", Prefix: "/p/", Service: "models", Model: "m", Least: 2}
+		for i := range 160 {
+			accept.Items = append(accept.Items, jobs.Plan{ID: ident.Item(fmt.Sprintf("0-%d", i)), Expect: 100, Body: jobs.Span{First: ident.Offset(i), Count: 1}})
+		}
+		ledger.book.Apply(ledger.book.Next+1, accept, r.Clock.Mono())
+		for m := range instances {
+			by := ident.InstanceName(fmt.Sprintf("front-%d", m))
+			ledger.book.Members[by].Address = ident.Address(by)
+		}
+		for e := 0; e < engines; e += 4 {
+			ledger.book.Apply(ledger.book.Next+1, jobs.Loaded{Engine: ident.BackendName(fmt.Sprintf("engine-%d", e)), Model: "m", Version: 2}, r.Clock.Mono())
+		}
+		runners = append(runners, r)
+		r.goOn(ctx)
+	}
+	running := 0
+	for _, r := range runners {
+		running += r.Running()
+	}
+	c := clock.New()
+	for range 300 {
+		began.mu.Lock()
+		n := len(began.at)
+		began.mu.Unlock()
+		if n == running {
+			break
+		}
+		c.Sleep(t.Context(), 10)
+	}
+	stop()
+	for _, r := range runners {
+		r.group.Wait()
+	}
+	const room = engines / 4 * slots
+	if len(began.at) < room*4/5 || len(began.at) > room {
+		t.Errorf("%d items began, want nearly the %d that the engines have slots for", len(began.at), room)
+	}
+	for id, at := range began.at {
+		if len(at) != 1 {
+			t.Errorf("%s began at %v, want one engine", id, at)
+		}
+	}
+}
--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -59,7 +59,7 @@
 // load reads the item and takes over what was kept of its text.
 func (r *Runner) load(ctx context.Context, made *progress) (work.Item, error) {
 	c := made.claim
-	data, err := r.Blobs.Get(ctx, c.item.Body)
+	data, err := r.body(ctx, &c.item)
 	if err != nil {
 		return work.Item{}, err
 	}
--- a/croftmoor/blobs/blobs.go
+++ b/croftmoor/blobs/blobs.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"sync"
 
@@ -67,6 +68,8 @@
 	// CacheBytes bounds the cache.
 	CacheBytes int
 
+	client *http.Client
+
 	mu     sync.Mutex
 	cache  map[place][]byte
 	order  []place
--- a/croftmoor/relay/wire.go
+++ b/croftmoor/relay/wire.go
@@ -20,22 +20,22 @@
 )
 
 type readWire struct {
+	Job        string
+	From       int
+	WaitMillis int64
 	// Organisation is the caller's, as the instance that was asked found it.
 	Organisation string
-	Job          string
-	From         int
-	WaitMillis   int64
 }
 
 type itemWire struct {
-	Organisation string
 	Job          string
 	Item         string
+	Organisation string
 }
 
 type jobWire struct {
-	Organisation string
 	Job          string
+	Organisation string
 }
 
 type emptyWire struct{}
--- /dev/null
+++ b/kernel/deal/fixed.go
@@ -0,0 +1,67 @@
+package deal
+
+import (
+	"math"
+
+	"croftmoor.dev/kernel/ident"
+)
+
+// Fixed says which engine an item falls to while nobody can say who runs what: by
+// weighted rendezvous hashing among the engines that can run its job, a faster one or
+// one with more slots counting more. Instances whose knowledge differs by an engine
+// differ only on that engine's items; a deal by load would differ on all that follow.
+type Fixed struct {
+	engines []Engine
+	// weights and hashes are by engine.
+	weights []float64
+	hashes  []uint64
+	allowed func(ident.BackendName, ident.Job) bool
+	fits    map[ident.Job][]bool
+}
+
+// NewFixed returns what falls to which of the engines. Allowed tells whether an engine
+// can run a job's items.
+func NewFixed(engines []Engine, allowed func(ident.BackendName, ident.Job) bool) *Fixed {
+	f := &Fixed{engines: engines, allowed: allowed, fits: map[ident.Job][]bool{}}
+	median := MedianPace(engines)
+	for i := range engines {
+		pace := engines[i].PerEvent
+		if pace == 0 {
+			pace = median
+		}
+		f.weights = append(f.weights, float64(max(engines[i].Slots, 1))/pace)
+		f.hashes = append(f.hashes, ident.Hash(string(engines[i].Name)))
+	}
+	return f
+}
+
+// Engine returns the engine that an item falls to, if one can run it.
+func (f *Fixed) Engine(item ident.Item, job ident.Job) (ident.BackendName, bool) {
+	if f.fits[job] == nil {
+		f.fits[job] = fitting(f.engines, job, f.allowed)
+	}
+	own := ident.Hash(string(item))
+	best, score := -1, math.Inf(-1)
+	for i, fits := range f.fits[job] {
+		if !fits {
+			continue
+		}
+		if s := f.weights[i] / -math.Log(unit(own, f.hashes[i])); s > score {
+			best, score = i, s
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	return f.engines[best].Name, true
+}
+
+// unit mixes two hashes to a number between 0 and 1, neither included.
+func unit(a, b uint64) float64 {
+	x := a ^ (b * 0x9e3779b97f4a7c15)
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	const bits = 53
+	return (float64(x>>(64-bits)) + 0.5) / (1 << bits)
+}
