--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -11,6 +11,7 @@
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/fleet"
+	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
 	"croftmoor.dev/kernel/trail"
 )
@@ -182,20 +183,24 @@
 		pause = avoidBroken
 	}
 	if pause > 0 {
-		r.tell(ctx, c, jobs.Avoid{By: r.Self, Engine: c.item.Engine, Millis: pause})
+		// The engine is told of together with the item: an append and its way back more
+		// would keep the item from its next engine for some 50 ms, and for 2 s while the
+		// log is away.
+		r.giveBack(ctx, made, yield, reason, jobs.Avoid{By: r.Self, Engine: c.item.Engine, Millis: pause})
+		return
 	}
 	r.giveBack(ctx, made, yield, reason)
 }
 
-// tell appends a record and waits until it has been read back, so that this
-// instance does not act on the state before it: it would begin an item anew that
+// tell appends records and waits until they have been read back, so that this
+// instance does not act on the state before them: it would begin an item anew that
 // it has just given back.
-func (r *Runner) tell(ctx context.Context, c claimed, record jobs.Record) {
+func (r *Runner) tell(ctx context.Context, c claimed, records ...jobs.Record) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), yieldTerm.Duration())
 	defer cancel()
-	offset, err := r.Ledger.Append(ctx, record)
+	offset, err := r.Ledger.Append(ctx, records...)
 	if err == nil {
-		err = r.Ledger.Await(ctx, offset+1)
+		err = r.Ledger.Await(ctx, offset+ident.Offset(len(records)))
 	}
 	if err != nil {
 		r.note(c, trail.Hold, "not told", err.Error())
@@ -206,8 +211,9 @@
 	r.Trail.Add(trail.Decision{ID: string(c.item.ID), Action: action, Choice: choice, Reason: reason})
 }
 
-// giveBack yields an item, keeping what was made of it.
-func (r *Runner) giveBack(ctx context.Context, made *progress, yield jobs.Yield, reason string) {
+// giveBack yields an item, keeping what was made of it; before it come the given
+// records.
+func (r *Runner) giveBack(ctx context.Context, made *progress, yield jobs.Yield, reason string, before ...jobs.Record) {
 	c := made.claim
 	r.note(c, trail.Cancel, string(c.item.Engine), fmt.Sprintf("%s; %d events made", reason, made.events))
 	keepCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), yieldTerm.Duration())
@@ -217,7 +223,7 @@
 		r.note(c, trail.Hold, "progress not kept", err.Error())
 	}
 	yield.Job, yield.By, yield.Index, yield.Partial = c.key.Job, r.Self, c.key.Index, kept
-	r.tell(ctx, c, yield)
+	r.tell(ctx, c, append(before, yield)...)
 }
 
 // complete scores a whole text, keeps it, and lists the result. It goes on when
