--- a/croftmoor/scaler/scaler.go
+++ b/croftmoor/scaler/scaler.go
@@ -96,8 +96,10 @@
 	LeaseTerm clock.Millis
 	Without   toggle.Set
 
-	lease  lease.Lease
-	needs  map[ident.Service]*scale.Need
+	lease lease.Lease
+	needs map[ident.Service]*scale.Need
+	// usual is the most regular engines that each service was seen to have.
+	usual  map[ident.Service]int
 	orders map[subject]ordered
 }
 
@@ -121,6 +123,7 @@
 func (s *Scaler) Run(ctx context.Context) {
 	s.lease = lease.Lease{Role: role, Self: s.Self, Ledger: s.Ledger, Clock: s.Clock, Trail: s.Trail, Term: s.LeaseTerm, Without: s.Without}
 	s.needs = map[ident.Service]*scale.Need{}
+	s.usual = map[ident.Service]int{}
 	s.orders = map[subject]ordered{}
 	s.Clock.Every(ctx, period, func() { s.round(ctx) })
 }
@@ -168,7 +171,7 @@
 	engines := s.Fleet.View().Backends[service.Name]
 	zones, spot := s.zones(service, engines)
 	items := s.needs[service.Name].Most()
-	desired := scale.Spot(*service.Scaling, zones, items, service.Slots)
+	desired := scale.Spot(*service.Scaling, zones, s.usualOf(service.Name, zones), items, service.Slots)
 	for _, zone := range zones {
 		key := subject{service: service.Name, zone: zone.Name}
 		if s.due(key, fence, desired[zone.Name], spot[zone.Name], service.Scaling.Boot) {
@@ -178,6 +181,16 @@
 	}
 }
 
+// usualOf returns the most regular engines that a service was seen to have.
+func (s *Scaler) usualOf(service ident.Service, zones []scale.Zone) int {
+	regular := 0
+	for _, z := range zones {
+		regular += z.Regular
+	}
+	s.usual[service] = max(s.usual[service], regular)
+	return s.usual[service]
+}
+
 // zones returns the zones in which a service may have engines, and the spot engines
 // that each has.
 func (s *Scaler) zones(service paths.Service, engines []fleet.Member) ([]scale.Zone, map[ident.Zone]int) {
--- a/kernel/scale/scale.go
+++ b/kernel/scale/scale.go
@@ -74,8 +74,9 @@
 }
 
 // Spot returns how many spot engines each zone should hold; slots is how many items one
-// engine runs at once. Cheaper zones come first where the number can't be shared evenly.
-func Spot(limits Limits, zones []Zone, items, slots int) map[ident.Zone]int {
+// engine runs at once, and usual how many regular engines there are as a rule: while some
+// of them are lost more are needed, not fewer. Cheaper zones come first where the number can't be shared evenly.
+func Spot(limits Limits, zones []Zone, usual, items, slots int) map[ident.Zone]int {
 	desired := map[ident.Zone]int{}
 	if limits.SpotPrice <= 0 || slots <= 0 {
 		return desired
@@ -93,7 +94,7 @@
 		return cmp.Or(cmp.Compare(limits.Prices[a.Name], limits.Prices[b.Name]), cmp.Compare(a.Name, b.Name))
 	})
 	missing := (items+slots-1)/slots - regular
-	extra := min(max(missing, 0), int(mostExtra*float64(regular)))
+	extra := min(max(missing, 0), int(mostExtra*float64(usual)))
 	for extra > 0 {
 		given := 0
 		for _, z := range open {
--- a/kernel/scale/scale_test.go
+++ b/kernel/scale/scale_test.go
@@ -37,12 +37,13 @@
 		{"four steps of 176 are shared evenly, up to half as many more", limits, zones(), 704, map[ident.Zone]int{"a": 5, "b": 6, "c": 5, "d": 6}},
 		{"where none are to be had the others have them", limits, zones("b", "c"), 704, map[ident.Zone]int{"a": 11, "b": 0, "c": 0, "d": 11}},
 		{"the operator's limit holds", crowded, zones(), 704, map[ident.Zone]int{"a": 2, "b": 2, "c": 2, "d": 2}},
+		{"regular ones that are lost don't make them fewer", limits, zones()[1:], 704, map[ident.Zone]int{"b": 8, "c": 7, "d": 7}},
 		{"all dry", limits, zones("a", "b", "c", "d"), 704, map[ident.Zone]int{"a": 0, "b": 0, "c": 0, "d": 0}},
 		{"no spot engines at all", none, zones(), 704, map[ident.Zone]int{}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if got := Spot(c.limits, c.zones, c.items, 8); !maps.Equal(got, c.want) {
+			if got := Spot(c.limits, c.zones, 44, c.items, 8); !maps.Equal(got, c.want) {
 				t.Errorf("%v, want %v", got, c.want)
 			}
 		})
