--- a/croftmoor/batch/ahead_test.go
+++ b/croftmoor/batch/ahead_test.go
@@ -27,7 +27,7 @@
 	return nil, nil
 }
 
-func (b *countingBlobs) Borrow(context.Context, ident.Address, jobs.Span) ([]byte, error) {
+func (b *countingBlobs) FetchFrom(context.Context, ident.Address, jobs.Span) ([]byte, error) {
 	return nil, nil
 }
 
@@ -57,8 +57,8 @@
 				t.Errorf("%d bodies read ahead of %d items that wait", len(blobs.reads), waiting)
 			}
 			for span, reads := range blobs.reads {
-				if reads != keepers {
-					t.Fatalf("body %d was read %d times, want %d", span.First, reads, keepers)
+				if reads != replicas {
+					t.Fatalf("body %d was read %d times, want %d", span.First, reads, replicas)
 				}
 			}
 		})
--- a/croftmoor/batch/alone.go
+++ b/croftmoor/batch/alone.go
@@ -71,16 +71,16 @@
 	return mine
 }
 
-// keepers is how many instances read a body ahead. The first is often the one that is
+// replicas is how many instances read a body ahead. The first is often the one that is
 // cut off or restarted in the same trouble.
-const keepers = 2
+const replicas = 2
 
-// keepersOf returns the instances that read the body of an item ahead, best first,
+// replicasOf returns the instances that read the body of an item ahead, best first,
 // by rendezvous hashing among those that act for engines: who runs it is not known
 // yet.
-func (s *survey) keepersOf(id ident.Item) []views.Member {
-	ranked := views.Rank("keep "+string(id), s.actors())
-	return ranked[:min(keepers, len(ranked))]
+func (s *survey) replicasOf(id ident.Item) []views.Member {
+	ranked := views.Rank("replica "+string(id), s.actors())
+	return ranked[:min(replicas, len(ranked))]
 }
 
 // actors returns the instances that act for engines which may get items.
@@ -150,7 +150,7 @@
 }
 
 // fetch reads the bodies of those waiting items of a job into the cache of which this
-// instance is a keeper. So each body is read ahead twice, however many instances there
+// instance holds a replica. So each body is read ahead twice, however many instances there
 // are.
 func (r *Runner) fetch(ctx context.Context, id ident.Job) {
 	for _, span := range r.ahead(id) {
@@ -186,7 +186,7 @@
 				continue
 			}
 			item := s.item(p)
-			if slices.ContainsFunc(s.keepersOf(item.ID), func(m views.Member) bool { return m.Name == r.Self }) {
+			if slices.ContainsFunc(s.replicasOf(item.ID), func(m views.Member) bool { return m.Name == r.Self }) {
 				spans = append(spans, item.Body)
 			}
 		}
@@ -203,16 +203,16 @@
 			return data, nil
 		}
 	}
-	for _, from := range r.lenders(item.ID) {
-		if data, err := r.Blobs.Borrow(ctx, from, item.Body); err == nil {
+	for _, from := range r.replicaAddresses(item.ID) {
+		if data, err := r.Blobs.FetchFrom(ctx, from, item.Body); err == nil {
 			return data, nil
 		}
 	}
 	return r.Blobs.Get(ctx, item.Body)
 }
 
-// lenders returns where an item's body may have been read ahead.
-func (r *Runner) lenders(id ident.Item) []ident.Address {
+// replicaAddresses returns where an item's body may have been read ahead.
+func (r *Runner) replicaAddresses(id ident.Item) []ident.Address {
 	table := r.Routes()
 	if table == nil {
 		return nil
@@ -225,7 +225,7 @@
 		if s == nil {
 			return
 		}
-		for _, m := range s.keepersOf(id) {
+		for _, m := range s.replicasOf(id) {
 			if member := b.Members[m.Name]; member != nil && m.Name != r.Self && member.Address != "" {
 				addresses = append(addresses, member.Address)
 			}
--- a/croftmoor/batch/away_test.go
+++ b/croftmoor/batch/away_test.go
@@ -46,7 +46,7 @@
 	return nil, errors.New("away")
 }
 
-func (b *itemBlobs) Borrow(_ context.Context, _ ident.Address, span jobs.Span) ([]byte, error) {
+func (b *itemBlobs) FetchFrom(_ context.Context, _ ident.Address, span jobs.Span) ([]byte, error) {
 	return work.Encode(work.Item{ID: ident.Item(fmt.Sprintf("0-%d", span.First))})
 }
 
--- a/croftmoor/batch/batch.go
+++ b/croftmoor/batch/batch.go
@@ -107,8 +107,8 @@
 type Blobs interface {
 	PutText(ctx context.Context, job ident.Job, text []byte) (jobs.Span, error)
 	Get(ctx context.Context, span jobs.Span) ([]byte, error)
-	// Borrow asks another instance for what it holds in memory.
-	Borrow(ctx context.Context, from ident.Address, span jobs.Span) ([]byte, error)
+	// FetchFrom asks another instance for what it holds in memory.
+	FetchFrom(ctx context.Context, from ident.Address, span jobs.Span) ([]byte, error)
 }
 
 // Counts counts what becomes of items.
--- a/croftmoor/blobs/lend.go
+++ b/croftmoor/blobs/peer.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	lendPath = "/croftmoor.Blobs/Lend"
-	// lendTerm bounds a question to another instance's memory; one that is cut off
+	heldPath = "/croftmoor.Blobs/Held"
+	// fetchTerm bounds a question to another instance's memory; one that is cut off
 	// costs no more.
-	lendTerm = 300 * clock.Millis(1)
+	fetchTerm = 300 * clock.Millis(1)
 )
 
 type spanWire struct {
@@ -31,18 +31,18 @@
 // Setup makes the store able to ask other instances.
 func (s *Store) Setup() { s.client = rpcs.NewClient() }
 
-// Borrow asks another instance for a blob that it holds in memory, so that work goes
+// FetchFrom asks another instance for a blob that it holds in memory, so that work goes
 // on while the log does not answer. What the log has acknowledged never changes, so
 // the answer is the blob itself.
-func (s *Store) Borrow(ctx context.Context, from ident.Address, span jobs.Span) ([]byte, error) {
+func (s *Store) FetchFrom(ctx context.Context, from ident.Address, span jobs.Span) ([]byte, error) {
 	if data, ok := s.held(span); ok {
 		return data, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, lendTerm.Duration())
+	ctx, cancel := context.WithTimeout(ctx, fetchTerm.Duration())
 	defer cancel()
-	answer, err := rpcs.Call[spanWire, blobWire](ctx, s.client, from, lendPath, &spanWire{Stream: string(span.Stream), First: int64(span.First), Count: span.Count})
+	answer, err := rpcs.Call[spanWire, blobWire](ctx, s.client, from, heldPath, &spanWire{Stream: string(span.Stream), First: int64(span.First), Count: span.Count})
 	if err != nil {
-		return nil, fault.Wrap("blobs.Borrow", Unavailable, err, "from "+string(from))
+		return nil, fault.Wrap("blobs.FetchFrom", Unavailable, err, "from "+string(from))
 	}
 	return answer.Data, nil
 }
@@ -60,13 +60,13 @@
 	return blob, span.Count > 0
 }
 
-// Handle lends other instances what this one holds in memory.
+// Handle answers other instances from what this one holds in memory.
 func Handle(mux *http.ServeMux, s *Store) {
 	refused := func(err error) error { return rpcs.WithKind(err, string(fault.KindOf[Kind](err))) }
-	rpcs.Handle(mux, lendPath, refused, func(_ context.Context, w *spanWire) (*blobWire, error) {
+	rpcs.Handle(mux, heldPath, refused, func(_ context.Context, w *spanWire) (*blobWire, error) {
 		data, ok := s.held(jobs.Span{Stream: ident.Stream(w.Stream), First: ident.Offset(w.First), Count: w.Count})
 		if !ok {
-			return nil, fault.New("blobs.Lend", Unavailable, "not in memory: "+w.Stream)
+			return nil, fault.New("blobs.Held", Unavailable, "not in memory: "+w.Stream)
 		}
 		return &blobWire{Data: data}, nil
 	})
--- a/croftmoor/blobs/lend_test.go
+++ b/croftmoor/blobs/peer_test.go
@@ -25,8 +25,8 @@
 	return tail.Batch{First: 1, Next: 2, Records: []tail.Record{{Offset: 1, Data: []byte("body")}}}, nil
 }
 
-// lender serves a store's memory and returns where.
-func lender(t *testing.T, s *Store) ident.Address {
+// peerWith serves a store's memory and returns where.
+func peerWith(t *testing.T, s *Store) ident.Address {
 	t.Helper()
 	mux := http.NewServeMux()
 	Handle(mux, s)
@@ -37,15 +37,15 @@
 	return ident.Address(strings.TrimPrefix(server.URL, "http://"))
 }
 
-func TestBorrow(t *testing.T) {
+func TestFetchFrom(t *testing.T) {
 	log := &oneRecord{}
 	holder := &Store{Reader: log, CacheBytes: 1 << 10}
 	span := jobs.Span{Stream: "bodies.0", First: 1, Count: 1}
-	from := lender(t, holder)
-	borrower := &Store{}
-	borrower.Setup()
-	t.Run("what the other has not read is not lent, nor read for it", func(t *testing.T) {
-		if _, err := borrower.Borrow(t.Context(), from, span); fault.KindOf[Kind](err) != Unavailable || log.reads != 0 {
+	from := peerWith(t, holder)
+	asker := &Store{}
+	asker.Setup()
+	t.Run("what the other has not read is not handed out, nor read for it", func(t *testing.T) {
+		if _, err := asker.FetchFrom(t.Context(), from, span); fault.KindOf[Kind](err) != Unavailable || log.reads != 0 {
 			t.Errorf("error %v, %d reads, want Unavailable and none", err, log.reads)
 		}
 	})
@@ -53,13 +53,13 @@
 		if _, err := holder.Get(t.Context(), span); err != nil {
 			t.Fatal(err)
 		}
-		data, err := borrower.Borrow(t.Context(), from, span)
+		data, err := asker.FetchFrom(t.Context(), from, span)
 		if err != nil || string(data) != "body" {
 			t.Errorf("%q, error %v", data, err)
 		}
 	})
 	t.Run("one that is gone costs a short wait", func(t *testing.T) {
-		if _, err := borrower.Borrow(t.Context(), "127.0.0.1:1", span); fault.KindOf[Kind](err) != Unavailable {
+		if _, err := asker.FetchFrom(t.Context(), "127.0.0.1:1", span); fault.KindOf[Kind](err) != Unavailable {
 			t.Errorf("error %v, want Unavailable", err)
 		}
 	})
