A window is not settled from what a dropped history has left

Cause: found by reading. Change: the ledger tells whether records were dropped before they were read; then only windows are settled that began later, or before which enough is known.

--- a/croftmoor/ledger/ledger.go
+++ b/croftmoor/ledger/ledger.go
@@ -50,6 +50,8 @@
 	keepTerm     = 180 * clock.Second
 	forgetPeriod = 5 * clock.Second
 	beatTimeout  = 2 * clock.Second
+	// firstOffset is that of the ledger's first record.
+	firstOffset ident.Offset = 1
 )
 
 // Writer appends records to streams.
@@ -86,7 +88,11 @@
 	read  clock.Millis
 	ended clock.Millis
 	// steady is since when the log has answered without a gap.
-	steady  clock.Millis
+	steady clock.Millis
+	// gap is when records were last found to be missing that the log had dropped, gapped
+	// that this has happened.
+	gap     clock.Millis
+	gapped  bool
 	began   bool
 	current bool
 	lost    bool
@@ -138,6 +144,9 @@
 	if !l.began || now-l.read > freshTerm {
 		l.steady = now
 	}
+	if batch.First > max(l.book.Next, firstOffset) {
+		l.gap, l.gapped = now, true
+	}
 	l.book.Current = l.current && now-l.read <= freshTerm
 	l.began = true
 	l.read = now
@@ -315,6 +324,12 @@
 	return l.Clock.Mono() - l.steady
 }
 
+// Gap tells whether this copy lacks records that the log had dropped before they were
+// read, and when that was last found. It may be called within View.
+func (l *Ledger) Gap() (at clock.Millis, found bool) {
+	return l.gap, l.gapped
+}
+
 // Away tells that the log does not answer: the state stays as it is. An instance
 // that is in arrears is not away, its state is about to change.
 func (l *Ledger) Away() bool {
--- a/croftmoor/usage/reporter.go
+++ b/croftmoor/usage/reporter.go
@@ -94,7 +94,7 @@
 		whole := r.Ledger.Steady() >= steadyTerm && allHeard(b, r.Clock.Mono())
 		for _, w := range r.windows(b, now) {
 			use := b.Use[w]
-			if (use == nil || !use.Settled) && settles(now-r.Terms.end(w), r.Terms.Due, whole) {
+			if (use == nil || !use.Settled) && r.complete(b, w) && settles(now-r.Terms.end(w), r.Terms.Due, whole) {
 				records = append(records, jobs.Usage{Role: role, Fence: fence, Window: w, Counts: use.Sorted()})
 			}
 		}
@@ -114,6 +114,14 @@
 	}
 }
 
+// complete tells whether all that was told of a window can have been read. Of one that
+// an earlier holder settled before the log dropped its history only late counts may be
+// left; to settle it anew would report it twice with different counts.
+func (r *Reporter) complete(b *jobs.Book, w ident.Window) bool {
+	at, found := r.Ledger.Gap()
+	return wholeHistory(b, w, found, r.Terms.at(r.Wall.At(at)))
+}
+
 // windows returns the windows that have ended and are still reported, oldest first:
 // from the first one in which anything began.
 func (r *Reporter) windows(b *jobs.Book, now clock.Millis) []ident.Window {
--- a/croftmoor/usage/settle.go
+++ b/croftmoor/usage/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
 )
 
@@ -19,6 +20,9 @@
 	// goneTerm that after which it will write none any more.
 	missedTerm = 1500 * clock.Millis(1)
 	goneTerm   = 10 * clock.Second
+	// reachBack is how many windows before one must be known for its own records to be
+	// all there: what is told of a window comes within 30 s, the longest cut and a margin.
+	reachBack = 6
 )
 
 // settles tells whether a window's sum is settled so long after its end: soon if
@@ -42,3 +46,18 @@
 	}
 	return true
 }
+
+// wholeHistory tells whether all records of a window are known to have been read. They
+// are if nothing was found to be missing, if the window began after that was found, or if
+// the history that is left reaches back far enough.
+func wholeHistory(b *jobs.Book, w ident.Window, missing bool, foundIn ident.Window) bool {
+	if !missing || w > foundIn {
+		return true
+	}
+	for known := range b.Use {
+		if known <= w-reachBack {
+			return true
+		}
+	}
+	return false
+}
--- a/croftmoor/usage/usage.go
+++ b/croftmoor/usage/usage.go
@@ -54,6 +54,9 @@
 	Since() clock.Millis
 	// Steady is for how long the log has answered without a gap.
 	Steady() clock.Millis
+	// Gap tells whether records were dropped before they were read, and when that was
+	// last found.
+	Gap() (at clock.Millis, found bool)
 }
 
 // Wall tells true time.
--- a/croftmoor/usage/usage_test.go
+++ b/croftmoor/usage/usage_test.go
@@ -26,6 +26,8 @@
 	book  *jobs.Book
 	clock *clock.Clock
 	away  bool
+	// gap is when records were found missing; 0 is never.
+	gap clock.Millis
 }
 
 func (l *oneLedger) View(look func(*jobs.Book)) { look(l.book) }
@@ -50,6 +52,7 @@
 func (l *oneLedger) Fresh() bool                               { return !l.away }
 func (l *oneLedger) Heard() clock.Millis                       { return 0 }
 func (l *oneLedger) Since() clock.Millis                       { return l.clock.Mono() - 2500 }
+func (l *oneLedger) Gap() (clock.Millis, bool)                 { return l.gap, l.gap > 0 }
 func (l *oneLedger) Steady() clock.Millis                      { return clock.Minute }
 
 // api takes reports, and fails the first ones with the given errors.
@@ -266,6 +269,54 @@
 	group.Wait()
 }
 
+// The log drops its history after a window was settled and reported; late counts of the
+// window come, and an instance that has just started takes the role.
+func TestDroppedHistoryIsNotReportedAnew(t *testing.T) {
+	s := newScene(t)
+	s.pass(terms.Window - 200)
+	s.ledger.book.Use = map[ident.Window]*jobs.WindowUse{}
+	s.ledger.gap = s.clock.Mono()
+	_, _ = s.ledger.Append(t.Context(), jobs.Used{By: "late~1", Window: 200, Counts: []jobs.Count{{Organisation: "shops", Requests: 1}}})
+	s.pass(400)
+	s.use("shops", 2)
+	s.pass(2 * terms.Due)
+	for _, report := range s.api.taken {
+		if report.Window == 200 {
+			t.Errorf("window 200 is reported with %v", report.Counts)
+		}
+	}
+	if len(s.api.taken) == 0 || s.api.taken[0].Window != 201 {
+		t.Errorf("reports %+v, want those of the windows from 201 on", s.api.taken)
+	}
+}
+
+func TestWholeHistory(t *testing.T) {
+	const found = 100
+	cases := []struct {
+		name    string
+		known   ident.Window
+		window  ident.Window
+		missing bool
+		want    bool
+	}{
+		{"nothing is missing", 99, 99, false, true},
+		{"a window of before", 99, 99, true, false},
+		{"one that was under way", 99, found, true, false},
+		{"one that began after", 99, found + 1, true, true},
+		{"what is left reaches back far enough", 99 - reachBack, 99, true, true},
+		{"and nearly", 100 - reachBack, 99, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := jobs.NewBook()
+			b.Use[c.known] = &jobs.WindowUse{}
+			if got := wholeHistory(b, c.window, c.missing, found); got != c.want {
+				t.Errorf("%v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 func TestSettles(t *testing.T) {
 	const due = 10 * clock.Second
 	cases := []struct {
