--- a/croftmoor/detour/detour.go
+++ b/croftmoor/detour/detour.go
@@ -50,6 +50,10 @@
 	// over: longer than an append is repeated before others take over the work of an
 	// instance that can't write, 1.2 s.
 	shunTerm = 2 * clock.Second
+	// fairTime is the least time that a call must have had for its end to be the log's
+	// fault: half of the shortest that an append is given, and ten times what a read of
+	// texts takes. A call for another instance carries that one's deadline.
+	fairTime = 100 * clock.Millis(1)
 )
 
 // probeStream is read by a probe; every deployment has it.
@@ -194,15 +198,17 @@
 	var none A
 	var failure error
 	if !s.isAway() {
+		began := s.Clock.Mono()
 		answer, err := direct()
 		if err == nil {
 			s.back()
 			return answer, nil
 		}
-		if errors.Is(ctx.Err(), context.Canceled) {
-			// Whoever wanted the answer has left; that says nothing of the log. Callers
-			// that leave while texts are read would otherwise turn an instance away from
-			// a healthy log, 3 to 4 times a second over 77 instances on a busy day.
+		if errors.Is(ctx.Err(), context.Canceled) || (ctx.Err() != nil && s.Clock.Mono()-began < fairTime) {
+			// Whoever wanted the answer has left, or left no time for it; that says nothing
+			// of the log. Callers that leave while texts are read would otherwise turn an
+			// instance away from a healthy log, 3 to 4 times a second over 77 instances on
+			// a busy day.
 			return none, err
 		}
 		if kind := fault.KindOf[tail.Kind](err); kind == tail.OutOfOrder || !s.bad(err) {
