--- a/croftmoor/usage/reporter.go
+++ b/croftmoor/usage/reporter.go
@@ -79,7 +79,7 @@
 	if r.Clock.Mono() < r.next {
 		return
 	}
-	for _, report := range r.untold(fence) {
+	for _, report := range r.unreported(fence) {
 		if !r.send(ctx, report) {
 			return
 		}
@@ -137,13 +137,13 @@
 	return list
 }
 
-// untold returns the settled reports that the platform has not taken, oldest first.
-func (r *Reporter) untold(fence ident.Fence) []Report {
+// unreported returns the settled reports that the platform has not taken, oldest first.
+func (r *Reporter) unreported(fence ident.Fence) []Report {
 	var reports []Report
 	now := r.Wall.Now()
 	r.Ledger.View(func(b *jobs.Book) {
 		for _, w := range r.windows(b, now) {
-			if use := b.Use[w]; use != nil && use.Settled && !use.Told {
+			if use := b.Use[w]; use != nil && use.Settled && !use.Reported {
 				reports = append(reports, Report{Holder: r.Self, Fence: fence, Window: w, Counts: slices.Clone(use.Sum)})
 			}
 		}
@@ -194,7 +194,7 @@
 	r.Ledger.View(func(b *jobs.Book) {
 		for _, w := range r.windows(b, now) {
 			use := b.Use[w]
-			if (use != nil && use.Told) || now < r.Terms.end(w)+r.Terms.Due-warnTerm || r.warned[w] {
+			if (use != nil && use.Reported) || now < r.Terms.end(w)+r.Terms.Due-warnTerm || r.warned[w] {
 				continue
 			}
 			r.warned[w] = true
--- a/kernel/jobs/use.go
+++ b/kernel/jobs/use.go
@@ -16,8 +16,8 @@
 	// Sum is what is reported, once Settled is set; it never changes then.
 	Sum     []Count
 	Settled bool
-	// Told tells that the platform has taken the report.
-	Told bool
+	// Reported tells that the platform has taken the report.
+	Reported bool
 }
 
 // mostWindows is how many windows are remembered: five minutes of the shortest that
@@ -62,7 +62,7 @@
 	}
 }
 
-func (b *Book) reported(r Reported) { b.window(r.Window).Told = true }
+func (b *Book) reported(r Reported) { b.window(r.Window).Reported = true }
 
 // Sorted returns the counts told so far, by organisation; none for a window of which
 // nobody told.
