What the list of 3,000 engines costs each instance

Each change of one engine's entry, some 270 a second while versions load, had all entries decoded and each server searched for in the list of all (profile of BenchmarkFollow: 58% in pool.update); instances that do not deal made a deal of their own after each batch of records.

--- a/croftmoor/batch/dealer.go
+++ b/croftmoor/batch/dealer.go
@@ -28,6 +28,11 @@
 // race.
 const idleTerm = 400 * clock.Millis(1)
 
+// lookPause is the pause between two looks at own engines that may have rested: a deal
+// of its own after each batch of records, up to 60 a second, took an instance 1 to 4 ms
+// with 300 engines and 1,000 items that wait (measured on this function).
+const lookPause = 100 * clock.Millis(1)
+
 // aloneTerm is how long an engine may have rested before its instance takes any item
 // rather than those that fall to it by rendezvous hashing: without a dealer all
 // instances would claim the same longest item, one of them with success, and again
@@ -73,6 +78,10 @@
 			claims = r.claims(s, deal.Spread(s.pieces, s.only(dealt), overbook, s.allowed))
 		}
 		own := func(e deal.Engine) bool { return s.actor[e.Name] == r.Self && !dealt(e) }
+		if s.now < r.looked+lookPause {
+			return
+		}
+		r.looked = s.now
 		if s.room(own, 0) {
 			s.addPieces()
 			claims = append(claims, r.unaided(s, own)...)
--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -62,6 +62,8 @@
 	// idle is since when engines that this instance acts for have had room for an
 	// item that waits, without getting one.
 	idle map[ident.BackendName]clock.Millis
+	// looked is when these were last looked for.
+	looked clock.Millis
 	// fetched are the open jobs whose bodies have been asked for.
 	fetched map[ident.Job]bool
 	actors  actors
@@ -78,6 +80,7 @@
 	r.runs = map[jobs.ItemKey]*run{}
 	r.pending = map[jobs.ItemKey]bool{}
 	r.idle = map[ident.BackendName]clock.Millis{}
+	r.looked = -lookPause
 	r.fetched = map[ident.Job]bool{}
 	r.kick = make(chan struct{}, 1)
 }
--- a/croftmoor/pool/pool.go
+++ b/croftmoor/pool/pool.go
@@ -153,9 +153,14 @@
 func (p *Pool) update(service ident.Service, members []fleet.Member) {
 	s := p.set(service)
 	old := *s.list.Load()
+	// By name: a search for each of 3,000 servers took 10 of the 18 ms of one change.
+	known := make(map[ident.BackendName]*Server, len(old))
+	for _, server := range old {
+		known[server.Name] = server
+	}
 	fresh := make([]*Server, 0, len(members))
 	for _, m := range members {
-		server := find(old, ident.BackendName(m.Name))
+		server := known[ident.BackendName(m.Name)]
 		if server == nil {
 			server = &Server{Name: ident.BackendName(m.Name), Service: service, Zone: m.Zone}
 		}
