--- a/croftmoor/batch/alone.go
+++ b/croftmoor/batch/alone.go
@@ -75,11 +75,10 @@
 // cut off or restarted in the same trouble.
 const replicas = 2
 
-// replicasOf returns the instances that read the body of an item ahead, best first,
-// by rendezvous hashing among those that act for engines: who runs it is not known
-// yet.
-func (s *survey) replicasOf(id ident.Item) []views.Member {
-	ranked := views.Rank("replica "+string(id), s.actors())
+// replicasOf returns which of the instances that act for engines read the body of an
+// item ahead, best first, by rendezvous hashing: who runs it is not known yet.
+func replicasOf(id ident.Item, actors []views.Member) []views.Member {
+	ranked := views.Rank("replica "+string(id), actors)
 	return ranked[:min(replicas, len(ranked))]
 }
 
@@ -181,12 +180,13 @@
 			return
 		}
 		s.addPieces()
+		actors := s.actors()
 		for _, p := range s.pieces {
 			if p.Job != id {
 				continue
 			}
 			item := s.item(p)
-			if slices.ContainsFunc(s.replicasOf(item.ID), func(m views.Member) bool { return m.Name == r.Self }) {
+			if slices.ContainsFunc(replicasOf(item.ID, actors), func(m views.Member) bool { return m.Name == r.Self }) {
 				spans = append(spans, item.Body)
 			}
 		}
@@ -225,7 +225,7 @@
 		if s == nil {
 			return
 		}
-		for _, m := range s.replicasOf(id) {
+		for _, m := range replicasOf(id, s.actors()) {
 			if member := b.Members[m.Name]; member != nil && m.Name != r.Self && member.Address != "" {
 				addresses = append(addresses, member.Address)
 			}
