--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 lint: $(LINT)
 	@test -z "$$(gofmt -l $(MODULES))" || { echo "not formatted:"; gofmt -l $(MODULES); exit 1; }
-	@for m in $(MODULES); do (cd $$m && $(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && $(LINT) run --allow-parallel-runners --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
 # Longer runs of the state machine models than plain tests make.
 models:
