Lines tell when a server ended under a request, and which request it was

Cause: ids differ each time a request comes again and lines named no body, so that logs could not tell a request that ends servers from servers that end for themselves or from overload; a lost answer and a server's end looked alike. Change: after a call without an answer the server's port is tried; a line Ended names the request by a fingerprint of organisation, host, method, target and body, and the time since it was sent; a metric counts ends by service; the error of a call that was sent once more says why its first connection was given up.

--- a/croftmoor/metric/metric.go
+++ b/croftmoor/metric/metric.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
 )
 
 // Set is the metrics of one instance. Labels are bounded by configuration:
@@ -23,6 +24,7 @@
 	bytes    *prometheus.CounterVec
 	items    *prometheus.CounterVec
 	windows  *prometheus.CounterVec
+	ends     *prometheus.CounterVec
 	dropped  prometheus.Counter
 }
 
@@ -52,11 +54,14 @@
 		windows: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "croftmoor_usage_windows_total", Help: "Windows of use: reported in time, late, or warned of because they were about to be missed.",
 		}, []string{"event"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "croftmoor_server_ends_total", Help: "Servers that ended while they ran a request of this instance, by service.",
+		}, []string{"service"}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "croftmoor_log_lines_dropped_total", Help: "Log lines that no reader took in time.",
 		}),
 	}
-	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.windows, s.dropped, collectors.NewGoCollector(),
+	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.windows, s.ends, s.dropped, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -104,6 +109,11 @@
 	s.windows.WithLabelValues(event).Inc()
 }
 
+// ServerEnded counts a server that ended while it ran a request.
+func (s *Set) ServerEnded(service ident.Service) {
+	s.ends.WithLabelValues(string(service)).Inc()
+}
+
 // Dropped counts log lines that were dropped.
 func (s *Set) Dropped(lines int) {
 	s.dropped.Add(float64(lines))
--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -90,6 +90,14 @@
 	Patience clock.Millis
 	// Usage is told of calls of organisations that began to run; it may be nil.
 	Usage Usage
+	// Counts may be nil.
+	Counts Counts
+}
+
+// Counts counts what operators watch.
+type Counts interface {
+	// ServerEnded counts a server of a service that ended while it ran a call.
+	ServerEnded(service ident.Service)
 }
 
 // Usage counts what organisations use.
@@ -208,6 +216,9 @@
 	if err != nil {
 		s.noteLost(err, began)
 		server.Release(p.Clock, true, took, false)
+		if fault.KindOf[httpc.Kind](err) == httpc.Lost {
+			p.noteEnd(tryCtx, r, server, took)
+		}
 		return nil, p.failed(ctx, r, server, s, repeatable, err)
 	}
 	verdict := p.Protocol.Judge(answer)
--- a/croftmoor/proxy/stream.go
+++ b/croftmoor/proxy/stream.go
@@ -92,6 +92,9 @@
 	if err != nil {
 		f.noteLost(err, began)
 		server.Breaker.Failed(p.Clock.Mono())
+		if fault.KindOf[httpc.Kind](err) == httpc.Lost {
+			p.noteEnd(ctx, r, server, p.Clock.Mono()-began)
+		}
 		return false, err
 	}
 	defer stream.Close()
@@ -119,6 +122,9 @@
 	}
 	err = p.events(r, stream, f, cancel)
 	ended = err == nil
+	if fault.KindOf[Kind](err) == Lost {
+		p.noteEnd(ctx, r, server, p.Clock.Mono()-began)
+	}
 	return ended, err
 }
 
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -253,7 +253,29 @@
 	}
 	fresh := *call
 	fresh.Fresh = true
-	return c.Do(ctx, &fresh)
+	again, failure := c.Do(ctx, &fresh)
+	return again, afterBroken(failure, err)
+}
+
+// afterBroken adds to the error of a call that was sent once more why its first
+// connection was given up: only together they tell that a server may have ended while
+// it ran the call.
+func afterBroken(failure, first error) error {
+	if failure == nil {
+		return nil
+	}
+	return fault.Wrap("httpc.again", fault.KindOf[Kind](failure), failure, "after a reused connection broke ("+first.Error()+")")
+}
+
+// Refuses tells whether nobody listens at an address any more: its server has ended.
+// A connection that comes about is kept for calls; silence tells nothing.
+func (c *Client) Refuses(ctx context.Context, address ident.Address) bool {
+	l, err := c.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.put(address, l, defaultRest)
+	return false
 }
 
 // distrust closes the idle connections to an address if the call on one of them
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -48,7 +48,8 @@
 	}
 	fresh := *call
 	fresh.Fresh = true
-	return c.Open(ctx, &fresh)
+	again, failure := c.Open(ctx, &fresh)
+	return again, afterBroken(failure, err)
 }
 
 func (c *Client) open(ctx context.Context, call *Call, l *link) (*Stream, error) {
--- a/kernel/trail/trail.go
+++ b/kernel/trail/trail.go
@@ -27,6 +27,8 @@
 	Grant  Action = "Grant"
 	Hand   Action = "Hand"
 	Config Action = "Config"
+	// Ended tells that a server ended while it ran a request.
+	Ended Action = "Ended"
 )
 
 // Decision is one decision and the reason for it.
