A call that broke on a reused connection is lost, also if the port is closed afterwards

Change: the second try's error is always Lost after a first one that broke. The same promise was made of appends to the store, orders to engines and calls that run once; they go through this client.

--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -257,14 +257,15 @@
 	return again, afterBroken(failure, err)
 }
 
-// afterBroken adds to the error of a call that was sent once more why its first
-// connection was given up: only together they tell that a server may have ended while
-// it ran the call.
+// afterBroken returns the error of a call that was sent once more after its first
+// connection broke. It is lost whatever became of the second: a server that ended while
+// it ran the call leaves a closed port, and a call that only met the closed port would
+// pass for one that was never sent.
 func afterBroken(failure, first error) error {
 	if failure == nil {
 		return nil
 	}
-	return fault.Wrap("httpc.again", fault.KindOf[Kind](failure), failure, "after a reused connection broke ("+first.Error()+")")
+	return fault.Wrap("httpc.again", Lost, failure, "after a reused connection broke ("+first.Error()+")")
 }
 
 // Refuses tells whether nobody listens at an address any more: its server has ended.
