Items that end engines are kept from engines, and so are reward calls that end servers

Cause: items go their own way from the ledger to engines, which no guard looked at; a reward call that is held was asked for again each 30 ms. Change: the instance that is to run an item asks the guard and tells it of engines that ended or answered; a held item goes to no engine for 2 s at a time (record Defer of the ledger, which older programs pass over) and is not given up, since its trainer may have that result only at the job's end; a run that was given up for silence is an error of its own, since it says nothing of the engine's end; the port is tried for 100 ms at most.

--- a/croftmoor/batch/away_test.go
+++ b/croftmoor/batch/away_test.go
@@ -31,6 +31,8 @@
 	at map[ident.Item][]ident.BackendName
 }
 
+func (*fullEngines) Ended(context.Context, fleet.Member) bool { return false }
+
 func (e *fullEngines) Run(ctx context.Context, engine fleet.Member, item work.Item, _ int) (Events, error) {
 	e.mu.Lock()
 	e.at[item.ID] = append(e.at[item.ID], ident.BackendName(engine.Name))
--- a/croftmoor/batch/back_test.go
+++ b/croftmoor/batch/back_test.go
@@ -26,6 +26,8 @@
 // busyEngines have no room.
 type busyEngines struct{}
 
+func (busyEngines) Ended(context.Context, fleet.Member) bool { return false }
+
 func (busyEngines) Run(context.Context, fleet.Member, work.Item, int) (Events, error) {
 	return nil, fault.New("t", Busy, "full")
 }
--- a/croftmoor/batch/batch.go
+++ b/croftmoor/batch/batch.go
@@ -12,6 +12,7 @@
 	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/poison"
 	"croftmoor.dev/kernel/trail"
 )
 
@@ -43,6 +44,8 @@
 	Busy EngineKind = "Busy"
 	// Broken means that the answer ended before its end.
 	Broken EngineKind = "Broken"
+	// Silent means that the engine said nothing for too long; it may live.
+	Silent EngineKind = "Silent"
 	// Failed means that the engine ran the item and failed it.
 	Failed EngineKind = "Failed"
 	// Slow means that the rest is better made by another engine.
@@ -58,6 +61,19 @@
 type Engines interface {
 	// Run starts an item at an engine; from is the last event that is known.
 	Run(ctx context.Context, engine fleet.Member, item work.Item, from int) (Events, error)
+	// Ended tells whether nobody listens at an engine's address any more.
+	Ended(ctx context.Context, engine fleet.Member) bool
+}
+
+// Guard knows the requests that end the engines that run them, as far as any instance
+// has seen.
+type Guard interface {
+	// Held returns for how long a request goes to no engine, and why; 0 if it may.
+	Held(request poison.Fingerprint) (left clock.Millis, why string)
+	// Ended tells that an engine ended while it ran a request.
+	Ended(request poison.Fingerprint, engine poison.Server)
+	// Answered tells that an engine answered a request.
+	Answered(request poison.Fingerprint)
 }
 
 // RewardKind classifies what went wrong with a reward call.
@@ -69,6 +85,8 @@
 	RewardFailed RewardKind = "RewardFailed"
 	// RewardLost means that there was no answer to go by.
 	RewardLost RewardKind = "RewardLost"
+	// RewardHeld means that the call goes to no server, since servers ended under it.
+	RewardHeld RewardKind = "RewardHeld"
 )
 
 // RewardError is the error of a reward call.
--- a/croftmoor/batch/move_test.go
+++ b/croftmoor/batch/move_test.go
@@ -48,6 +48,8 @@
 // noEngines fails the test when an item is sent to an engine.
 type noEngines struct{ t *testing.T }
 
+func (noEngines) Ended(context.Context, fleet.Member) bool { return false }
+
 func (n noEngines) Run(_ context.Context, engine fleet.Member, _ work.Item, _ int) (Events, error) {
 	n.t.Errorf("sent to %s", engine.Name)
 	return nil, fault.New("noEngines", NotRun, "")
--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 
@@ -44,14 +45,20 @@
 		r.giveBack(ctx, made, jobs.Yield{}, "kept data: "+err.Error())
 		return
 	}
+	if left, why := r.held(item); left > 0 {
+		r.putOff(ctx, made, left, why)
+		return
+	}
 	meter := &meter{clock: r.Clock, began: r.Clock.Mono()}
 	r.Ledger.View(func(b *jobs.Book) { meter.look(beside(b, c.item)) })
 	if !made.whole {
 		if err := r.generate(ctx, item, made, meter); err != nil {
+			r.noteEnd(ctx, item, made, err)
 			r.broken(ctx, made, meter, err)
 			return
 		}
 		made.whole = true
+		r.answered(item)
 	}
 	own.made.Store(true)
 	r.complete(ctx, item, made, meter)
@@ -95,13 +102,13 @@
 	defer silence.Stop()
 	events, err := r.Engines.Run(runCtx, engine, item, made.events)
 	if err != nil {
-		return err
+		return silent(runCtx, err)
 	}
 	defer events.Close()
 	for {
 		event, more, err := events.Next()
 		if err != nil {
-			return err
+			return silent(runCtx, err)
 		}
 		if !more {
 			return nil
@@ -119,6 +126,14 @@
 	}
 }
 
+// silent returns the error of a run, which is Silent if the engine was waited for in vain.
+func silent(runCtx context.Context, err error) error {
+	if errors.Is(context.Cause(runCtx), context.DeadlineExceeded) {
+		return fault.Wrap("batch.generate", Silent, err, "no event in time")
+	}
+	return err
+}
+
 // silenceTerm returns how long an engine may take to the first event of an item.
 func (r *Runner) silenceTerm(c claimed, engine fleet.Member) clock.Millis {
 	slots := engine.Slots
@@ -244,6 +259,10 @@
 		r.finish(ctx, c, jobs.Finish{State: jobs.Terminated}, scoreErr.Error())
 		return
 	}
+	if fault.KindOf[RewardKind](scoreErr) == RewardHeld {
+		r.putOff(ctx, made, putOffTerm, scoreErr.Error())
+		return
+	}
 	if keepErr != nil || scoreErr != nil {
 		r.giveBack(ctx, made, jobs.Yield{}, fmt.Sprintf("text kept: %v, scored: %v", keepErr, scoreErr))
 		return
@@ -270,6 +289,9 @@
 		if err == nil {
 			return score, nil
 		}
+		if fault.KindOf[RewardKind](err) == RewardHeld {
+			return "", err
+		}
 		if fault.KindOf[RewardKind](err) == RewardFailed {
 			failures++
 			if failures >= r.Rewards.Attempts(*item.Reward) {
--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -51,8 +51,9 @@
 	Routes  func() *paths.Table
 	Clock   *clock.Clock
 	Trail   Decisions
-	// Counts may be nil.
+	// Counts and Guard may be nil.
 	Counts Counts
+	Guard  Guard
 	// Without are the mechanisms that are switched off.
 	Without toggle.Set
 
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -122,7 +122,7 @@
 		var waits []deal.Wait
 		for n := range job.Items {
 			item := &job.Items[n]
-			if item.Done || (item.Claim != 0 && !s.silent[item.Owner]) {
+			if item.Done || (item.Claim != 0 && !s.silent[item.Owner]) || s.now < item.Deferred {
 				continue
 			}
 			waits = append(waits, deal.Wait{
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -268,9 +268,15 @@
 	return fault.Wrap("httpc.again", Lost, failure, "after a reused connection broke ("+first.Error()+")")
 }
 
+// refuseTerm bounds the wait for a refusal, which comes within a round trip: some 6 ms
+// on the users' deployments. Whoever asks holds up work that should go on elsewhere.
+const refuseTerm = 100 * clock.Millis(1)
+
 // Refuses tells whether nobody listens at an address any more: its server has ended.
 // A connection that comes about is kept for calls; silence tells nothing.
 func (c *Client) Refuses(ctx context.Context, address ident.Address) bool {
+	ctx, cancel := context.WithTimeout(ctx, refuseTerm.Duration())
+	defer cancel()
 	l, err := c.dial(ctx, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
--- a/kernel/jobs/book.go
+++ b/kernel/jobs/book.go
@@ -22,6 +22,8 @@
 	FailedAt []ident.BackendName
 	// Yields counts how often the item was given back.
 	Yields int
+	// Deferred is until when, in this reader's time, the item goes to no engine.
+	Deferred clock.Millis
 }
 
 // Result is a result at its position.
@@ -184,14 +186,12 @@
 		b.order(r, now)
 	case Loaded:
 		b.loaded(r)
-	case Used:
-		b.used(r)
-	case Usage:
-		b.usage(r)
-	case Reported:
-		b.reported(r)
+	case Used, Usage, Reported:
+		b.applyUse(r)
 	case Avoid:
 		b.avoid(r, now)
+	case Defer:
+		b.defers(r, now)
 	}
 }
 
@@ -311,6 +311,15 @@
 	}
 }
 
+// defers keeps an item from all engines for a while, unless the record is read in
+// arrears: then its time is over, or nearly.
+func (b *Book) defers(d Defer, now clock.Millis) {
+	b.hear(d.By, now)
+	if _, item := b.item(d.Job, d.Index); item != nil && b.Current {
+		item.Deferred = max(item.Deferred, now+clock.Millis(d.Millis))
+	}
+}
+
 func (b *Book) keep(k Keep, now clock.Millis) {
 	b.hear(k.By, now)
 	if _, item := b.item(k.Job, k.Index); item != nil {
--- a/kernel/jobs/codec.go
+++ b/kernel/jobs/codec.go
@@ -54,6 +54,11 @@
 		w.use(v)
 	case Keep:
 		w.keep(v)
+	case Defer:
+		w.text(string(v.Job))
+		w.text(string(v.By))
+		w.int(int64(v.Index))
+		w.int(int64(v.Millis))
 	case Avoid:
 		w.text(string(v.By))
 		w.text(string(v.Engine))
@@ -331,14 +336,12 @@
 		}
 	case loadedKind:
 		return Loaded{Engine: ident.BackendName(r.text()), Model: ident.Model(r.text()), Version: ident.Version(r.int())}
-	case usedKind:
-		return Used{By: ident.InstanceName(r.text()), Window: ident.Window(r.int()), Counts: r.counts()}
-	case usageKind:
-		return Usage{Role: r.text(), Fence: ident.Fence(r.int()), Window: ident.Window(r.int()), Counts: r.counts()}
-	case reportedKind:
-		return Reported{Window: ident.Window(r.int())}
+	case usedKind, usageKind, reportedKind:
+		return r.use(kind)
 	case keepKind:
 		return Keep{Job: ident.Job(r.text()), By: ident.InstanceName(r.text()), Index: int(r.int()), Partial: r.partial()}
+	case deferKind:
+		return Defer{Job: ident.Job(r.text()), By: ident.InstanceName(r.text()), Index: int(r.int()), Millis: int(r.int())}
 	case avoidKind:
 		return Avoid{By: ident.InstanceName(r.text()), Engine: ident.BackendName(r.text()), Millis: int(r.int())}
 	default:
@@ -346,6 +349,18 @@
 	}
 }
 
+// use reads the fields of the records on use.
+func (r *reader) use(kind recordKind) Record {
+	switch kind {
+	case usedKind:
+		return Used{By: ident.InstanceName(r.text()), Window: ident.Window(r.int()), Counts: r.counts()}
+	case usageKind:
+		return Usage{Role: r.text(), Fence: ident.Fence(r.int()), Window: ident.Window(r.int()), Counts: r.counts()}
+	default:
+		return Reported{Window: ident.Window(r.int())}
+	}
+}
+
 func (r *reader) accept() Record {
 	a := Accept{
 		Job: ident.Job(r.text()), Host: r.text(), Prefix: r.text(), Service: ident.Service(r.text()),
--- a/kernel/jobs/jobs_test.go
+++ b/kernel/jobs/jobs_test.go
@@ -48,7 +48,7 @@
 		Finish{Job: "j", By: "i", Index: 1, State: Completed, Versions: []ident.Version{3}, Score: "s", Texts: partial.Texts, Events: 7, Speed: speed},
 		End{Job: "j"}, Beat{By: "i", Zone: "z", Leaving: true, Address: "1.2.3.4:5"},
 		Hold{Role: "r", By: "i", Replaces: 5}, Order{Role: "r", Fence: 5, Engine: "e", Model: "m", Version: 6},
-		Loaded{Engine: "e", Model: "m", Version: 6}, Avoid{By: "i", Engine: "e", Millis: 7},
+		Loaded{Engine: "e", Model: "m", Version: 6}, Avoid{By: "i", Engine: "e", Millis: 7}, Defer{Job: "j", By: "i", Index: 2, Millis: 7},
 	}
 	for _, r := range records {
 		got, err := Decode(Encode(r))
--- a/kernel/jobs/member.go
+++ b/kernel/jobs/member.go
@@ -17,7 +17,7 @@
 // Signs tells whether a record is a sign of life of the instance that wrote it.
 func Signs(r Record) bool {
 	switch r.(type) {
-	case Beat, Claim, Yield, Keep, Finish, Avoid, Hold:
+	case Beat, Claim, Yield, Keep, Finish, Avoid, Hold, Defer:
 		return true
 	default:
 		return false
--- a/kernel/jobs/record.go
+++ b/kernel/jobs/record.go
@@ -117,6 +117,14 @@
 	Millis int
 }
 
+// Defer keeps an item from all engines for a while, since engines ended under it.
+type Defer struct {
+	Job    ident.Job
+	By     ident.InstanceName
+	Index  int
+	Millis int
+}
+
 // Partial is the beginning of a text, or all of it.
 type Partial struct {
 	// Texts are its parts in order; a line feed stands between two of them.
@@ -254,6 +262,7 @@
 	usedKind
 	usageKind
 	reportedKind
+	deferKind
 )
 
 func (Accept) kind() recordKind   { return acceptKind }
@@ -270,3 +279,4 @@
 func (Used) kind() recordKind     { return usedKind }
 func (Usage) kind() recordKind    { return usageKind }
 func (Reported) kind() recordKind { return reportedKind }
+func (Defer) kind() recordKind    { return deferKind }
--- a/kernel/jobs/use.go
+++ b/kernel/jobs/use.go
@@ -42,6 +42,18 @@
 	return b.Use[w]
 }
 
+// applyUse folds a record on use.
+func (b *Book) applyUse(record Record) {
+	switch r := record.(type) {
+	case Used:
+		b.used(r)
+	case Usage:
+		b.usage(r)
+	case Reported:
+		b.reported(r)
+	}
+}
+
 func (b *Book) used(u Used) {
 	w := b.window(u.Window)
 	for _, c := range u.Counts {
