--- a/croftmoor/batch/batch.go
+++ b/croftmoor/batch/batch.go
@@ -71,7 +71,7 @@
 	// Held returns for how long a request goes to no engine, and why; 0 if it may.
 	Held(request poison.Fingerprint) (left clock.Millis, why string)
 	// Ended tells that an engine ended while it ran a request.
-	Ended(request poison.Fingerprint, engine poison.Server)
+	Ended(request poison.Fingerprint, engine ident.BackendName)
 	// Answered tells that an engine answered a request.
 	Answered(request poison.Fingerprint)
 }
--- a/croftmoor/batch/harm.go
+++ b/croftmoor/batch/harm.go
@@ -55,7 +55,7 @@
 	if r.Guard == nil || kind != Broken || ctx.Err() != nil || !listed || engine.State == fleet.Leaving || !r.Engines.Ended(ctx, engine) {
 		return
 	}
-	r.Guard.Ended(fingerprint(item), poison.Server{Name: ident.BackendName(engine.Name), Life: engine.Life})
+	r.Guard.Ended(fingerprint(item), ident.BackendName(engine.Name))
 }
 
 // answered tells the guard that an engine answered an item.
--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -68,6 +68,7 @@
 	// fetched are the open jobs whose bodies have been asked for.
 	fetched map[ident.Job]bool
 	actors  actors
+	starts  starts
 	// leaving tells that nothing more is claimed, given that what is claimed is
 	// given back.
 	leaving bool
@@ -150,12 +151,13 @@
 		r.collect(b, mine)
 	})
 	r.prefetch(ctx, open)
+	starts := r.startsListed()
 	for key, run := range r.runs {
 		c, ok := mine[key]
 		if ok && run.claim == 0 {
 			run.claim = c.item.Claim
 		}
-		if !ok || c.item.Claim != run.claim {
+		if !ok || c.item.Claim != run.claim || (starts.after(run.engine) && !run.made.Load()) {
 			run.cancel()
 		}
 	}
@@ -166,6 +168,37 @@
 	}
 }
 
+// starts are the starts of engines that a view of the fleet lists, by the names that
+// engines keep. It is worked out once a view: with 3,000 engines it would take a follower
+// half a millisecond each time that it reads the ledger.
+type starts struct {
+	view   *fleet.View
+	listed map[string]ident.BackendName
+}
+
+// startsListed returns the starts that are listed now; mu is held.
+func (r *Runner) startsListed() starts {
+	view := r.Fleet.View()
+	if r.starts.view == view {
+		return r.starts
+	}
+	r.starts = starts{view: view, listed: map[string]ident.BackendName{}}
+	for _, members := range view.Backends {
+		for _, m := range members {
+			name := ident.BackendName(m.Name)
+			r.starts.listed[name.ListName()] = name
+		}
+	}
+	return r.starts
+}
+
+// after tells whether another start of an engine is listed: what ran at this one is lost,
+// and its silence is not waited for.
+func (s starts) after(engine ident.BackendName) bool {
+	name, listed := s.listed[engine.ListName()]
+	return listed && name != engine
+}
+
 // collect adds the items that this instance has claimed, and those that it runs
 // without a claim while nobody has claimed them; mu is held.
 func (r *Runner) collect(b *jobs.Book, mine map[jobs.ItemKey]claimed) {
--- a/croftmoor/guard/guard.go
+++ b/croftmoor/guard/guard.go
@@ -124,7 +124,7 @@
 }
 
 // Ended tells all instances that a server ended while it ran a request.
-func (g *Guard) Ended(request poison.Fingerprint, server poison.Server) {
+func (g *Guard) Ended(request poison.Fingerprint, server ident.BackendName) {
 	g.note(poison.End{Request: request, Server: server}, false)
 }
 
@@ -163,7 +163,7 @@
 	case poison.End:
 		if news = g.table.Ended(r, told, now); news {
 			v := g.table.Verdict(r.Request, now)
-			g.Log.Info().Str("Request", string(r.Request)).Str("Server", string(r.Server.Name)).Int64("Life", int64(r.Server.Life)).
+			g.Log.Info().Str("Request", string(r.Request)).Str("Server", string(r.Server)).
 				Bool("Told", told).Int("Ends", v.Ends).Int64("HeldMillis", int64(v.Left)).Bool("Doubt", v.Doubt).Msg("server ended under a request")
 		}
 	case poison.Answer:
--- a/croftmoor/guard/guard_test.go
+++ b/croftmoor/guard/guard_test.go
@@ -118,7 +118,7 @@
 // end has each guard see one server end under a request.
 func end(guards []*Guard, r poison.Fingerprint, count int) {
 	for n := range count {
-		guards[n%len(guards)].Ended(r, poison.Server{Name: ident.BackendName(fmt.Sprint("s", n)), Life: 1})
+		guards[n%len(guards)].Ended(r, ident.NewBackend(fmt.Sprint("s", n), 1))
 	}
 }
 
@@ -177,7 +177,7 @@
 		log := &memory{away: true}
 		guards := started(t, log, 1)
 		for n := range 4 * mostPending {
-			guards[0].Ended(request(fmt.Sprint(n)), poison.Server{Name: "s", Life: 1})
+			guards[0].Ended(request(fmt.Sprint(n)), ident.NewBackend("s", 1))
 		}
 		guards[0].mu.Lock()
 		pending, dropped := guards[0].pending, guards[0].dropped
--- a/croftmoor/metric/metric.go
+++ b/croftmoor/metric/metric.go
@@ -25,6 +25,7 @@
 	items    *prometheus.CounterVec
 	windows  *prometheus.CounterVec
 	ends     *prometheus.CounterVec
+	skipped  *prometheus.CounterVec
 	dropped  prometheus.Counter
 }
 
@@ -57,11 +58,14 @@
 		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "croftmoor_server_ends_total", Help: "Servers that ended while they ran a request of this instance, by service.",
 		}, []string{"service"}),
+		skipped: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "croftmoor_entries_skipped_total", Help: "Entries of the platform's store that could not be read, each once, by stream.",
+		}, []string{"stream"}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "croftmoor_log_lines_dropped_total", Help: "Log lines that no reader took in time.",
 		}),
 	}
-	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.windows, s.ends, s.dropped, collectors.NewGoCollector(),
+	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.windows, s.ends, s.skipped, s.dropped, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -114,6 +118,11 @@
 	s.ends.WithLabelValues(string(service)).Inc()
 }
 
+// EntrySkipped counts an entry of the platform's store that could not be read.
+func (s *Set) EntrySkipped(stream string) {
+	s.skipped.WithLabelValues(stream).Inc()
+}
+
 // Dropped counts log lines that were dropped.
 func (s *Set) Dropped(lines int) {
 	s.dropped.Add(float64(lines))
--- a/croftmoor/pool/pool.go
+++ b/croftmoor/pool/pool.go
@@ -47,7 +47,6 @@
 
 	mu       sync.Mutex
 	address  ident.Address
-	life     ident.Life
 	leaving  bool
 	own      int
 	ownLive  int
@@ -59,6 +58,9 @@
 	// speed is the tokens a second that one sequence would get alone.
 	speed float64
 	seen  map[ident.Trainer]sighting
+	// over ends when the server has started again, under another name.
+	over context.Context
+	end  context.CancelFunc
 }
 
 // Pool holds the servers of all services. Set the exported fields before Run.
@@ -78,6 +80,9 @@
 	Subset int
 	// Warm tells whether a connection to an address rests; it may be nil.
 	Warm func(ident.Address) bool
+	// Restarted is called with the address of a server that has started again; it may be
+	// nil.
+	Restarted func(ident.Address)
 
 	services sync.Map
 	policies sync.Map
@@ -163,12 +168,32 @@
 	for _, m := range members {
 		server := known[ident.BackendName(m.Name)]
 		if server == nil {
-			server = &Server{Name: ident.BackendName(m.Name), Service: service, Zone: m.Zone}
+			server = newServer(ident.BackendName(m.Name), service, m.Zone)
 		}
 		server.place(m)
 		fresh = append(fresh, server)
 	}
 	s.list.Store(&fresh)
+	p.replaceStarts(old, fresh)
+}
+
+// replaceStarts ends what runs at servers that have started again: it is lost there, and
+// its silence would be waited for.
+func (p *Pool) replaceStarts(old, fresh []*Server) {
+	now := make(map[string]*Server, len(fresh))
+	for _, server := range fresh {
+		now[server.Name.ListName()] = server
+	}
+	for _, server := range old {
+		next := now[server.Name.ListName()]
+		if next == nil || next == server {
+			continue
+		}
+		if p.Restarted != nil {
+			p.Restarted(server.Address())
+		}
+		server.end()
+	}
 }
 
 func find(servers []*Server, name ident.BackendName) *Server {
--- a/croftmoor/pool/server.go
+++ b/croftmoor/pool/server.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"context"
 	"slices"
 
 	"croftmoor.dev/kernel/clock"
@@ -21,6 +22,16 @@
 // still count for more.
 const sightingTerm = 1 * clock.Second
 
+func newServer(name ident.BackendName, service ident.Service, zone ident.Zone) *Server {
+	s := &Server{Name: name, Service: service, Zone: zone}
+	s.over, s.end = context.WithCancel(context.Background())
+	return s
+}
+
+// OnRestart has do called once when the server is known to have started again: what it
+// ran is lost then. Stop takes that back.
+func (s *Server) OnRestart(do func()) (stop func() bool) { return context.AfterFunc(s.over, do) }
+
 // Address returns where the server is.
 func (s *Server) Address() ident.Address {
 	s.mu.Lock()
@@ -28,13 +39,6 @@
 	return s.address
 }
 
-// Life returns which of the server's starts the list tells of.
-func (s *Server) Life() ident.Life {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.life
-}
-
 // Leaving tells whether the list says that the server is about to end.
 func (s *Server) Leaving() bool {
 	s.mu.Lock()
@@ -46,7 +50,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.address = m.Address
-	s.life = m.Life
 	s.leaving = m.State == fleet.Leaving
 }
 
--- a/croftmoor/proxy/ended.go
+++ b/croftmoor/proxy/ended.go
@@ -6,6 +6,7 @@
 
 	"croftmoor.dev/croftmoor/pool"
 	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/poison"
 	"croftmoor.dev/kernel/trail"
 )
@@ -19,7 +20,7 @@
 	// Held returns for how long a request goes to no server, and why; 0 if it may.
 	Held(request poison.Fingerprint) (left clock.Millis, why string)
 	// Ended tells that a server ended while it ran a request.
-	Ended(request poison.Fingerprint, server poison.Server)
+	Ended(request poison.Fingerprint, server ident.BackendName)
 	// Answered tells that a server answered a request.
 	Answered(request poison.Fingerprint)
 }
@@ -62,7 +63,7 @@
 	}
 	request := s.fingerprint(r)
 	if p.Guard != nil {
-		p.Guard.Ended(request, poison.Server{Name: server.Name, Life: server.Life()})
+		p.Guard.Ended(request, server.Name)
 	}
 	p.Trail.Add(trail.Decision{
 		ID: string(r.ID), Action: trail.Ended, Choice: string(server.Name),
--- a/croftmoor/proxy/harm_test.go
+++ b/croftmoor/proxy/harm_test.go
@@ -33,7 +33,7 @@
 	return g.left, "held"
 }
 
-func (g *told) Ended(request poison.Fingerprint, server poison.Server) {
+func (g *told) Ended(request poison.Fingerprint, server ident.BackendName) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ended = append(g.ended, poison.End{Request: request, Server: server})
@@ -63,7 +63,7 @@
 	}))
 	t.Cleanup(server.Close)
 	b.member = fleet.Member{
-		Name: name, Life: 7, Kind: fleet.Backend, Service: "plain", State: fleet.Live, Slots: 4,
+		Name: string(ident.NewBackend(name, 7)), Kind: fleet.Backend, Service: "plain", State: fleet.Live, Slots: 4,
 		Address: ident.Address(strings.TrimPrefix(server.URL, "http://")),
 	}
 	return b
@@ -86,12 +86,12 @@
 }
 
 func TestGuardedCalls(t *testing.T) {
-	t.Run("an end is told with the server's life, and the call is lost", func(t *testing.T) {
+	t.Run("an end is told of with the server's start, and the call is lost", func(t *testing.T) {
 		g := &told{}
 		p := newProxy(breaking(t, "s", true))
 		p.Guard = g
 		wantKind(t, call(t, p, "r", 1), Lost)
-		if want := (poison.Server{Name: "s", Life: 7}); len(g.ended) != 1 || g.ended[0].Server != want {
+		if want := ident.NewBackend("s", 7); len(g.ended) != 1 || g.ended[0].Server != want {
 			t.Errorf("told of %v, want one end of %v", g.ended, want)
 		}
 	})
--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -214,6 +214,10 @@
 	}
 	tryCtx, cancel := context.WithTimeout(ctx, patience.Duration())
 	defer cancel()
+	if repeatable {
+		// A call that may not be repeated is waited for: it may have reached the new start.
+		defer server.OnRestart(cancel)()
+	}
 	call := &httpc.Call{
 		Address: server.Address(), Method: r.Method, Path: r.Target, Body: r.Body, Fresh: !repeatable,
 		Headers: p.Protocol.Headers(&r, server.Name, left),
--- a/croftmoor/proxy/stream.go
+++ b/croftmoor/proxy/stream.go
@@ -88,6 +88,9 @@
 	defer func() { server.Release(p.Clock, true, p.Clock.Mono()-began, ended) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if r.Route.Resumable {
+		defer server.OnRestart(cancel)()
+	}
 	stream, err := p.Client.Open(ctx, p.streamCall(r, server, f))
 	if err != nil {
 		f.noteLost(err, began)
--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -255,7 +255,7 @@
 // last order of another instance, of whatever model, is a lease term ago. Earlier
 // lives of this instance have ended, and count as itself.
 func (k *Keeper) leased(b *jobs.Book, engine ident.BackendName, fence ident.Fence, now clock.Millis) bool {
-	last := b.LastOrders[engine]
+	last := b.LastOrders[engine.ListName()]
 	own := last.Fence == fence || (k.Without.On(toggle.Succession) && last.By.ListName() == k.Self.ListName())
 	return last.Fence == 0 || own || now-last.Seen >= k.LeaseTerm
 }
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -49,9 +49,8 @@
 
 // Member is one line of the list.
 type Member struct {
-	Name string
-	// Life tells a backend server's starts under the same name apart.
-	Life    ident.Life
+	// Name is an ident.InstanceName or an ident.BackendName.
+	Name    string
 	Kind    MemberKind
 	Service ident.Service
 	Zone    ident.Zone
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -292,6 +292,11 @@
 	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return
 	}
+	c.GiveUp(address)
+}
+
+// GiveUp closes the idle connections to an address.
+func (c *Client) GiveUp(address ident.Address) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, l := range c.idle[address] {
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"hash/fnv"
+	"strconv"
 	"strings"
 )
 
@@ -14,7 +15,9 @@
 	RequestID string
 	// InstanceName names one entry instance.
 	InstanceName string
-	// BackendName names one backend server.
+	// BackendName names one start of a backend server, its incarnation: one that starts
+	// again holds and knows nothing of before, and must not pass for the old. All that
+	// is believed of a server is kept by this name, so that it ends with the server.
 	BackendName string
 	// Zone names an availability zone.
 	Zone string
@@ -60,10 +63,6 @@
 	Slot int32
 	// Tokens counts generated tokens.
 	Tokens int32
-	// Life tells the starts of a backend server apart that has the same name: it is
-	// when it started, by its own clock in Unix milliseconds, which may go back; 0 if it
-	// does not say. Lives are compared for being the same only.
-	Life int64
 	// Fence is a fencing number; a backend server that checks refuses lower ones.
 	Fence int64
 	// Address is an IP address and port.
@@ -95,11 +94,38 @@
 }
 
 // ListName returns the name under which the platform lists the instance.
-func (n InstanceName) ListName() string {
-	if at := strings.LastIndex(string(n), lifeMark); at >= 0 {
-		return string(n)[:at]
+func (n InstanceName) ListName() string { return listName(string(n)) }
+
+// NewBackend returns the name of one start of a backend server. Born tells the starts
+// apart; it is when the server started by its own clock, which may go back, so that
+// names say which starts are the same and not which came first. 0 is a server that
+// does not tell: it has the same name always.
+func NewBackend(listed string, born int64) BackendName {
+	if born == 0 {
+		return BackendName(listed)
+	}
+	return BackendName(listed + lifeMark + strconv.FormatInt(born, lifeBase))
+}
+
+// lifeBase keeps names short: a time in Unix milliseconds has eight digits.
+const lifeBase = 36
+
+// ListName returns the name under which the platform lists the backend server, which
+// may be that of its other starts as well.
+func (n BackendName) ListName() string { return listName(string(n)) }
+
+// OtherStart returns the name of the start that a server tells of, and whether that is
+// another one than the named one. If either does not tell, it is not known to be.
+func (n BackendName) OtherStart(born int64) (other BackendName, is bool) {
+	other = NewBackend(n.ListName(), born)
+	return other, born != 0 && other != n && n.ListName() != string(n)
+}
+
+func listName(name string) string {
+	if at := strings.LastIndex(name, lifeMark); at >= 0 {
+		return name[:at]
 	}
-	return string(n)
+	return name
 }
 
 // Hash returns a stable 64-bit hash of the parts, with a finaliser so that
--- /dev/null
+++ b/kernel/ident/ident_test.go
@@ -0,0 +1,25 @@
+package ident
+
+import "testing"
+
+func TestBackendNames(t *testing.T) {
+	first, second := NewBackend("i-1", 1_772_000_000_000), NewBackend("i-1", 1_772_000_000_001)
+	if first == second || first.ListName() != "i-1" || second.ListName() != "i-1" {
+		t.Errorf("starts %s and %s, want two of i-1", first, second)
+	}
+	if silent := NewBackend("i-1", 0); silent.ListName() != string(silent) {
+		t.Errorf("%s is listed as %s", silent, silent.ListName())
+	}
+	cases := []struct {
+		name  BackendName
+		told  int64
+		other bool
+	}{
+		{first, 1_772_000_000_000, false}, {first, 1_772_000_000_001, true}, {first, 0, false}, {NewBackend("i-1", 0), 7, false},
+	}
+	for _, c := range cases {
+		if other, is := c.name.OtherStart(c.told); is != c.other {
+			t.Errorf("%s, told %d: another start %v (%s), want %v", c.name, c.told, is, other, c.other)
+		}
+	}
+}
--- a/kernel/jobs/book.go
+++ b/kernel/jobs/book.go
@@ -131,8 +131,9 @@
 	Members map[ident.InstanceName]*Member
 	Holds   map[string]Holding
 	Weights map[EngineModel]Weights
-	// LastOrders holds the last order to each engine.
-	LastOrders map[ident.BackendName]LastOrder
+	// LastOrders holds the last order to each engine, by the name under which it is
+	// listed: a lease ends with its term, not with a start of the engine.
+	LastOrders map[string]LastOrder
 	// Claims are the items whose claim stands, by their owner.
 	Claims map[ident.InstanceName]map[ItemKey]struct{}
 	Loads  map[ident.BackendName]Load
@@ -154,7 +155,7 @@
 func NewBook() *Book {
 	return &Book{
 		Jobs: map[ident.Job]*Job{}, Members: map[ident.InstanceName]*Member{}, Holds: map[string]Holding{},
-		Weights: map[EngineModel]Weights{}, LastOrders: map[ident.BackendName]LastOrder{}, Loads: map[ident.BackendName]Load{}, Paces: map[ident.BackendName]Pace{},
+		Weights: map[EngineModel]Weights{}, LastOrders: map[string]LastOrder{}, Loads: map[ident.BackendName]Load{}, Paces: map[ident.BackendName]Pace{},
 		Kept: map[ident.Item]ident.Job{}, Avoided: map[ident.BackendName]clock.Millis{},
 		Claims: map[ident.InstanceName]map[ItemKey]struct{}{}, Faults: map[ident.BackendName]float64{},
 		Use: map[ident.Window]*WindowUse{},
--- a/kernel/jobs/member.go
+++ b/kernel/jobs/member.go
@@ -100,7 +100,7 @@
 	if holding.Fence != o.Fence {
 		return
 	}
-	b.LastOrders[o.Engine] = LastOrder{By: holding.By, Fence: o.Fence, Seen: now}
+	b.LastOrders[o.Engine.ListName()] = LastOrder{By: holding.By, Fence: o.Fence, Seen: now}
 	key := EngineModel{Engine: o.Engine, Model: o.Model}
 	w := b.Weights[key]
 	w.Ordered, w.OrderSeen = o.Version, now
--- a/kernel/poison/record.go
+++ b/kernel/poison/record.go
@@ -31,7 +31,6 @@
 	Kind    string
 	Request string
 	Server  string `json:",omitempty"`
-	Life    int64  `json:",omitempty"`
 }
 
 const (
@@ -42,7 +41,7 @@
 )
 
 func (e End) wire() recordWire {
-	return recordWire{Kind: endKind, Request: string(e.Request), Server: string(e.Server.Name), Life: int64(e.Server.Life)}
+	return recordWire{Kind: endKind, Request: string(e.Request), Server: string(e.Server)}
 }
 
 func (a Answer) wire() recordWire {
@@ -73,7 +72,7 @@
 		if w.Server == "" || len(w.Server) > longestName {
 			return nil, fault.New("poison.Decode", Invalid, "the record of an end names no server")
 		}
-		return End{Request: Fingerprint(w.Request), Server: Server{Name: ident.BackendName(w.Server), Life: ident.Life(w.Life)}}, nil
+		return End{Request: Fingerprint(w.Request), Server: ident.BackendName(w.Server)}, nil
 	case answerKind:
 		return Answer{Request: Fingerprint(w.Request)}, nil
 	default:
--- a/kernel/poison/table.go
+++ b/kernel/poison/table.go
@@ -36,17 +36,10 @@
 	mostEnds     = 16
 )
 
-// Server is one life of a backend server: one that starts again may do so under the
-// name that it had.
-type Server struct {
-	Name ident.BackendName
-	Life ident.Life
-}
-
 // End is a server that ended while it ran a request.
 type End struct {
 	Request Fingerprint
-	Server  Server
+	Server  ident.BackendName
 }
 
 // Verdict is what is known of a request.
@@ -78,8 +71,8 @@
 // suspect is a request under which servers ended. Ends that happened before a server
 // answered it are excused: it was not the cause.
 type suspect struct {
-	ends    map[Server]bool
-	excused map[Server]bool
+	ends    map[ident.BackendName]bool
+	excused map[ident.BackendName]bool
 	last    clock.Millis
 	// told is when the log last told of it.
 	told clock.Millis
@@ -110,7 +103,7 @@
 	s := t.suspects[e.Request]
 	if s == nil {
 		t.makeRoom()
-		s = &suspect{ends: map[Server]bool{}, excused: map[Server]bool{}}
+		s = &suspect{ends: map[ident.BackendName]bool{}, excused: map[ident.BackendName]bool{}}
 		t.suspects[e.Request] = s
 		t.order = append(t.order, e.Request)
 	}
@@ -212,7 +205,7 @@
 		}
 	}
 	slices.SortFunc(ends, func(a, b End) int {
-		return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Server.Name, b.Server.Name), cmp.Compare(a.Server.Life, b.Server.Life))
+		return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Server, b.Server))
 	})
 	return ends
 }
@@ -238,7 +231,7 @@
 func (t *Table) judge() {
 	clear(t.held)
 	open := slices.Collect(maps.Keys(t.many))
-	explained := map[Server]bool{}
+	explained := map[ident.BackendName]bool{}
 	for len(open) > 0 {
 		most, left := 0, map[Fingerprint]int{}
 		for _, request := range open {
@@ -263,7 +256,7 @@
 }
 
 // unexplained counts the ends of a request that no held one explains.
-func (t *Table) unexplained(request Fingerprint, explained map[Server]bool) int {
+func (t *Table) unexplained(request Fingerprint, explained map[ident.BackendName]bool) int {
 	n := 0
 	for server := range t.suspects[request].ends {
 		if !explained[server] {
@@ -274,7 +267,7 @@
 }
 
 // shares tells whether another request that explains as much was at one of the ends.
-func (t *Table) shares(request Fingerprint, others []Fingerprint, explained map[Server]bool) bool {
+func (t *Table) shares(request Fingerprint, others []Fingerprint, explained map[ident.BackendName]bool) bool {
 	return slices.ContainsFunc(others, func(other Fingerprint) bool {
 		if other == request {
 			return false
--- a/kernel/poison/table_test.go
+++ b/kernel/poison/table_test.go
@@ -17,7 +17,7 @@
 	innocent Fingerprint = "innocent"
 )
 
-func life(n int) Server { return Server{Name: ident.BackendName(fmt.Sprintf("s%d", n)), Life: 1} }
+func life(n int) ident.BackendName { return ident.NewBackend(fmt.Sprintf("s%d", n), 1) }
 
 // ended notes that servers ended under a request.
 func ended(t *Table, request Fingerprint, servers ...int) {
@@ -50,7 +50,7 @@
 	t.Run("a server that starts again under its name ends again", func(t *testing.T) {
 		table := NewTable()
 		for n := range Threshold {
-			table.Ended(End{Request: harmful, Server: Server{Name: "s", Life: ident.Life(n)}}, true, 0)
+			table.Ended(End{Request: harmful, Server: ident.NewBackend("s", int64(n))}, true, 0)
 		}
 		wantHeld(t, table, harmful, 0, true)
 	})
@@ -175,7 +175,7 @@
 
 func TestRecords(t *testing.T) {
 	request := Subject{Target: "/a"}.Fingerprint()
-	for _, r := range []Record{End{Request: request, Server: Server{Name: "s", Life: 7}}, Answer{Request: request}} {
+	for _, r := range []Record{End{Request: request, Server: ident.NewBackend("s", 7)}, Answer{Request: request}} {
 		data, err := Encode(r)
 		if err != nil {
 			t.Fatal(err)
@@ -186,7 +186,7 @@
 	}
 	for _, text := range []string{
 		"", "null", "[]", "{}", `{"Kind":"End"}`, `{"Kind":"End","Request":7}`, fmt.Sprintf(`{"Kind":"End","Request":%q}`, request),
-		fmt.Sprintf(`{"Kind":"End","Request":%q,"Server":"s","Life":"x"}`, request), "\xff\xfe",
+		fmt.Sprintf(`{"Kind":"End","Request":%q,"Server":7}`, request), "\xff\xfe",
 	} {
 		if r, err := Decode([]byte(text)); err == nil {
 			t.Errorf("%q was read as %v", text, r)
@@ -198,7 +198,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	f.Add([]byte(`{"Kind":"End","Request":"00000000000000000000000000000000","Server":"s","Life":1}`))
+	f.Add([]byte(`{"Kind":"End","Request":"00000000000000000000000000000000","Server":"s~1"}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		r, err := Decode(data)
 		if err != nil || r == nil {
