Calls of the teams' own interface are guarded as well

Change: calls ask the guard before each try and tell it of ends and answers; instances tell each other through the log and the peer port. Completions and samples (croftmoor/gener) are not guarded yet.

--- a/croftmoor/calls/calls.go
+++ b/croftmoor/calls/calls.go
@@ -58,6 +58,8 @@
 	Claimer Claimer
 	Clock   *clock.Clock
 	Trail   *trail.Trail
+	// Guard may be nil.
+	Guard Guard
 
 	client  httpc.Client
 	group   conc.WaitGroup
@@ -75,6 +77,9 @@
 
 // Do carries a call to its end. ctx holds the deadline.
 func (c *Caller) Do(ctx context.Context, r Request) (Answer, error) {
+	if err := c.held(&r); err != nil {
+		return Answer{}, err
+	}
 	if r.Repeatable {
 		return c.doRepeatable(ctx, r)
 	}
@@ -102,6 +107,9 @@
 			c.note(r, trail.Refuse, "", "", "no retry left in the class's budget")
 			break
 		}
+		if try > 0 && c.held(&r) != nil {
+			break
+		}
 		server := c.pick(r, tried, try)
 		if server == nil {
 			break
@@ -148,6 +156,7 @@
 	answer, err := c.client.Do(tryCtx, call)
 	now := c.Clock.Mono()
 	how := judge(answer, err)
+	c.learn(tryCtx, &r, server, how)
 	server.Release(c.Clock, false, now-began, how == answered)
 	if how == answered {
 		return Answer{Status: answer.Status, ContentType: answer.Header(typeHeader), Body: answer.Body, Backend: server.Name}, how, nil
--- a/croftmoor/peers/server.go
+++ b/croftmoor/peers/server.go
@@ -37,6 +37,8 @@
 	News func() News
 	// Heard takes the news of a peer that pings.
 	Heard func(News)
+	// More registers the procedures of other parts.
+	More func(*http.ServeMux)
 }
 
 const headerTimeout = 5 * clock.Second
@@ -76,6 +78,9 @@
 		return &emptyWire{}, s.Shards.SettleHere(ctx, settleFromWire(*w))
 	})
 	s.handleTrainers(mux)
+	if s.More != nil {
+		s.More(mux)
+	}
 	return mux
 }
 
--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -19,6 +19,7 @@
 	"croftmoor.dev/croftmoor/feed"
 	"croftmoor.dev/croftmoor/front"
 	"croftmoor.dev/croftmoor/gener"
+	"croftmoor.dev/croftmoor/guard"
 	"croftmoor.dev/croftmoor/home"
 	"croftmoor.dev/croftmoor/keeper"
 	"croftmoor.dev/croftmoor/metric"
@@ -54,6 +55,7 @@
 	home     *home.Home
 	pool     *pool.Pool
 	calls    *calls.Caller
+	guard    *guard.Guard
 	feed     *feed.Feed
 	keeper   *keeper.Keeper
 	front    *front.Front
@@ -156,8 +158,9 @@
 	run(i.pool.Run)
 	run(i.keeper.Run)
 	run(i.watcher.Run)
+	run(i.guard.Run)
 	run(i.checkpoints)
-	server := &peers.Server{Reader: i.reader, Shards: i.home, Feeder: i.feed, Noter: i.pool, News: i.news, Heard: i.health.Heard}
+	server := &peers.Server{Reader: i.reader, Shards: i.home, Feeder: i.feed, Noter: i.pool, News: i.news, Heard: i.health.Heard, More: i.handleGuard}
 	run(func(ctx context.Context) { i.report("peer port", server.Run(ctx, ports.peers)) })
 	run(func(ctx context.Context) { i.report("caller port", serveApp(ctx, i.front.App(), ports.callers)) })
 	run(func(ctx context.Context) { i.report("admin port", serveApp(ctx, i.admin.App(), ports.admin)) })
@@ -251,7 +254,9 @@
 		Fleet: i.fleet, Reporter: protocol, Clock: i.clock, Self: c.Instance, Zone: c.Zone,
 		Crossing: c.Crossing, Period: c.LoadPeriod, Subset: c.Subset,
 	}
-	i.calls = &calls.Caller{Self: i.self, Pool: i.pool, Claimer: i.home, Clock: i.clock, Trail: decisions}
+	i.guard = &guard.Guard{Self: i.self, Clock: i.clock, Log: i.log, Reader: i.tail, Writer: &logWriter{log: i.tail, clock: i.clock}, Peers: i.otherPeers}
+	i.guard.Setup()
+	i.calls = &calls.Caller{Self: i.self, Pool: i.pool, Claimer: i.home, Clock: i.clock, Trail: decisions, Guard: i.guard}
 	gen := &gener.Generator{Pool: i.pool, Engine: protocol, Clock: i.clock, Trail: decisions, Mismatch: i.tellKeeper}
 	i.feed = &feed.Feed{
 		Self: i.self, Reader: i.reader, Health: i.health, Caller: i.client, Pool: i.pool, Gen: gen,
