What is known is as old as the answer, not as its receipt

A read of the ledger that had been answered in the freeze lay in its socket; received at 21.2 s it made the state current. Change: an answer holds until its call was sent, plus the time that the call waits, plus 0.3 s (tail.Told).

--- a/croftmoor/ledger/ledger.go
+++ b/croftmoor/ledger/ledger.go
@@ -84,7 +84,8 @@
 	changed chan struct{}
 	hurry   chan struct{}
 	// read is when the log last answered, ended when an answer last reached the
-	// end of the stream: in between, the state is known to be in arrears.
+	// end of the stream: in between, the state is known to be in arrears. Both are of
+	// the answer and not of its receipt (tail.Told).
 	read  clock.Millis
 	ended clock.Millis
 	// steady is since when the log has answered without a gap.
@@ -148,8 +149,12 @@
 		l.gap, l.gapped = now, true
 	}
 	l.book.Current = l.current && now-l.read <= freshTerm
+	told := now
+	if batch.Told > 0 {
+		told = min(now, batch.Told)
+	}
 	l.began = true
-	l.read = now
+	l.read = told
 	if l.lost {
 		l.lost = false
 		l.Log.Info().Str("Dependency", "ledger").Int64("Next", int64(batch.Next)).Msg("regained")
@@ -162,7 +167,7 @@
 		last = batch.Records[n-1].Offset + 1
 	}
 	if max(last, l.book.Next) >= batch.Next {
-		l.current, l.ended = true, now
+		l.current, l.ended = true, told
 	}
 	if len(batch.Records) > 0 {
 		close(l.changed)
--- a/croftmoor/ledger/ledger_test.go
+++ b/croftmoor/ledger/ledger_test.go
@@ -101,3 +101,27 @@
 	time.Sleep(5 * leastPause.Duration())
 	writer.assertLast(t, 2, false)
 }
+
+// An instance froze for 5.7 s while a read waited, and took the answer that had come in its
+// first half second for news when it woke: it answered 404 for a job that the others had
+// accepted meanwhile. The state is as old as the answer, whenever that is received.
+func TestAnswerThatWaited(t *testing.T) {
+	l := newLedger()
+	l.Clock = clock.NewManual(clock.Minute)
+	l.apply(batch(1, 2, jobs.Beat{By: "b~1"}))
+	assertState(t, l, true, false)
+	asked := l.Clock.Mono()
+	l.Clock.Advance(5700)
+	late := batch(2, 2)
+	late.Told = tail.Told(asked, l.Clock.Mono(), readWait)
+	l.apply(late)
+	if l.Fresh() {
+		t.Errorf("an answer that waited for 5.7 s made the state current; age %d ms", l.Age())
+	}
+	asked = l.Clock.Mono()
+	l.Clock.Advance(4)
+	next := batch(2, 2)
+	next.Told = tail.Told(asked, l.Clock.Mono(), readWait)
+	l.apply(next)
+	assertState(t, l, true, false)
+}
--- a/croftmoor/roster/roster.go
+++ b/croftmoor/roster/roster.go
@@ -190,12 +190,11 @@
 	return r.Board.Post(ctx, r.self())
 }
 
-// Heard notes that the roster is current. Time in which it could not be read ages
-// nobody.
-func (r *Roster) Heard() {
+// Heard notes that the roster is known to be current until a time. Time in which it
+// could not be read ages nobody.
+func (r *Roster) Heard(now clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.Clock.Mono()
 	if gap := now - r.last; r.began && gap > awayTerm {
 		for name, m := range r.members {
 			m.Heard += gap
--- a/croftmoor/roster/roster_test.go
+++ b/croftmoor/roster/roster_test.go
@@ -43,7 +43,7 @@
 
 // read has the roster hear posts long enough ago to judge by.
 func read(r *Roster, posted []Posted) {
-	r.Heard()
+	r.Heard(r.Clock.Mono())
 	r.take(posted)
 	r.first -= settleTerm
 }
@@ -62,13 +62,13 @@
 	})
 	t.Run("nobody follows while the others may not be listed yet", func(t *testing.T) {
 		r, _ := rosterOf("front-x~1")
-		r.Heard()
+		r.Heard(r.Clock.Mono())
 		r.Take(nil)
 		wantJudged(t, r, false)
 	})
 	t.Run("an instance that started again follows at once", func(t *testing.T) {
 		r, _ := rosterOf("front-3~9")
-		r.Heard()
+		r.Heard(r.Clock.Mono())
 		r.Take(zone(elect.PerZone))
 		if _, open := <-r.Elected(); open {
 			t.Error("it waits though the others are listed")
@@ -108,7 +108,7 @@
 			m.Heard -= outage
 			r.members[name] = m
 		}
-		r.Heard()
+		r.Heard(r.Clock.Mono())
 		wantJudged(t, r, false)
 	})
 	t.Run("an instance that leaves does not follow", func(t *testing.T) {
--- a/kernel/tail/tail.go
+++ b/kernel/tail/tail.go
@@ -42,6 +42,21 @@
 	First   ident.Offset
 	Next    ident.Offset
 	Records []Record
+	// Told is until when, by the reader's steady clock, the batch is known to have been
+	// all there was; 0 is until it was received. See Told.
+	Told clock.Millis
+}
+
+// answerTerm is how long the log's answer may be under way, beyond the time that the
+// call waits for a record: some 4 ms as measured, 200 ms when the log is slow.
+const answerTerm = 300 * clock.Millis(1)
+
+// Told returns until when an answer is known to hold that was asked for at a time and
+// received at another, the call waiting for a record so long at most. An answer that took
+// longer was held up, or its reader was: one that had stood still for 5.7 s took the
+// answer that lay in its socket for news, and denied a job that was accepted meanwhile.
+func Told(asked, received, wait clock.Millis) clock.Millis {
+	return min(received, asked+wait+answerTerm)
 }
 
 // Reader reads streams in order.
@@ -145,6 +160,7 @@
 			continue
 		}
 		pause, timeout = retryFirst, usual
+		batch.Told = Told(began, t.Clock.Mono(), wait)
 		t.Apply(batch)
 		next = after(batch, next)
 		if t.Pause != nil && next >= batch.Next {
--- a/kernel/tail/tailer_test.go
+++ b/kernel/tail/tailer_test.go
@@ -38,3 +38,28 @@
 		t.Error("no read ever came to its end")
 	}
 }
+
+// frozenLog answers while its reader stands still.
+type frozenLog struct {
+	clock *clock.Clock
+	span  clock.Millis
+}
+
+func (l *frozenLog) Read(context.Context, ident.Stream, ident.Offset, clock.Millis) (Batch, error) {
+	l.clock.Advance(l.span)
+	return Batch{First: 1, Next: 1}, nil
+}
+
+func TestTailerTellsUntilWhenAnAnswerHolds(t *testing.T) {
+	for _, c := range []struct{ span, told clock.Millis }{{span: 4, told: 4}, {span: 5700, told: 500 + answerTerm}} {
+		manual := clock.NewManual(clock.Minute)
+		ctx, stop := context.WithCancel(t.Context())
+		tailer := &Tailer{Log: &frozenLog{clock: manual, span: c.span}, Clock: manual, Wait: 500, Apply: func(b Batch) {
+			if got := b.Told - clock.Minute; got != c.told {
+				t.Errorf("an answer after %d ms holds until %d ms, want %d", c.span, got, c.told)
+			}
+			stop()
+		}}
+		tailer.Run(ctx)
+	}
+}
