Who has not read which requests are held keeps requests back until it has

Change: until the stream was read once, for 2 s at most, calls are refused with a time to come back and the instance is not ready. Result: TestGuards has the case.

--- a/croftmoor/guard/guard.go
+++ b/croftmoor/guard/guard.go
@@ -30,6 +30,11 @@
 	readTimeout = 1800 * clock.Millis(1)
 	// readPause groups records: when a server ends, all requests that ran there are told of.
 	readPause = 20 * clock.Millis(1)
+	// blindTerm is how long an instance that has not read what is held keeps requests
+	// back, from the first one on: a read that failed is repeated after 1.25 s at most. What
+	// can't be read for longer is done without. unreadPause is when callers come back meanwhile.
+	blindTerm   = 2 * clock.Second
+	unreadPause = 100 * clock.Millis(1)
 	// writeTerm bounds the telling of a record; after it a table has forgotten the end, or
 	// renews it.
 	writeTerm = 60 * clock.Second
@@ -77,6 +82,10 @@
 	dropped int
 	// held is how many requests were held when that was last logged.
 	held int
+	// read tells that the log was read to its end once; asked is when that was first
+	// needed.
+	read  bool
+	asked clock.Millis
 }
 
 // Setup makes the guard usable.
@@ -101,11 +110,29 @@
 	g.group.Wait()
 }
 
+// Ready tells whether what all know has been read since this instance started, or has been
+// waited for in vain. When all had been killed while the log was away, the first calls
+// came 10 ms before the read of what had been held, and ended four servers more.
+func (g *Guard) Ready() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ready()
+}
+
+// ready is Ready; mu is held.
+func (g *Guard) ready() bool {
+	now := g.Clock.Mono()
+	if g.asked == 0 {
+		g.asked = max(now, 1)
+	}
+	return g.read || now-g.asked > blindTerm
+}
+
 // Quiet tells that no request is suspected of anything.
 func (g *Guard) Quiet() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Empty()
+	return g.ready() && g.table.Empty()
 }
 
 // Held returns for how long a request goes to no server, and why; 0 if it may.
@@ -113,6 +140,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v := g.table.Verdict(request, g.Clock.Mono())
+	if v.Left == 0 && !g.ready() {
+		return unreadPause, "which requests are held has not been read yet"
+	}
 	if v.Left == 0 {
 		return 0, ""
 	}
@@ -230,13 +260,18 @@
 
 // apply takes over what the log tells.
 func (g *Guard) apply(batch tail.Batch) {
+	last := batch.First
 	for _, record := range batch.Records {
-		g.read(record.Data, true, int64(record.Offset))
+		g.fold(record.Data, true, int64(record.Offset))
+		last = record.Offset + 1
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.read = g.read || last >= batch.Next
 }
 
-// read takes over one record; a record that can't be read is skipped.
-func (g *Guard) read(data []byte, told bool, offset int64) {
+// fold takes over one record; a record that can't be read is skipped.
+func (g *Guard) fold(data []byte, told bool, offset int64) {
 	r, err := poison.Decode(data)
 	if err != nil {
 		g.Log.Error().Err(err).Int64("Offset", offset).Msg("record skipped")
--- a/croftmoor/guard/guard_test.go
+++ b/croftmoor/guard/guard_test.go
@@ -173,6 +173,29 @@
 		log.set(false)
 		wantHeld(t, started(t, log, 1), request("/a"), true)
 	})
+	t.Run("who has not read yet keeps requests back, but not for long", func(t *testing.T) {
+		log := &memory{}
+		end(started(t, log, 3), request("/a"), poison.Threshold)
+		eventually(t, "the log has it", func() bool {
+			log.mu.Lock()
+			defer log.mu.Unlock()
+			return len(log.records) == poison.Threshold
+		})
+		log.set(true)
+		late := started(t, log, 1)[0]
+		left, _ := late.Held(request("/b"))
+		if late.Quiet() || late.Ready() || left != unreadPause {
+			t.Errorf("a request is held for %d ms by who knows nothing, want %d", left, unreadPause)
+		}
+		log.set(false)
+		wantHeld(t, []*Guard{late}, request("/a"), true)
+		wantHeld(t, []*Guard{late}, request("/b"), false)
+		log.set(true)
+		blind := started(t, log, 1)[0]
+		_, _ = blind.Held(request("/b"))
+		time.Sleep((blindTerm + unreadPause).Duration())
+		wantHeld(t, []*Guard{blind}, request("/b"), false)
+	})
 	t.Run("many ends at once while the log is away are bounded", func(t *testing.T) {
 		log := &memory{away: true}
 		guards := started(t, log, 1)
--- a/croftmoor/guard/peer.go
+++ b/croftmoor/guard/peer.go
@@ -46,7 +46,7 @@
 // Handle takes what other instances tell directly.
 func Handle(mux *http.ServeMux, g *Guard) {
 	rpcs.Handle(mux, tellPath, func(err error) error { return err }, func(_ context.Context, w *tellWire) (*toldWire, error) {
-		g.read(w.Record, false, 0)
+		g.fold(w.Record, false, 0)
 		return &toldWire{}, nil
 	})
 }
