--- a/croftmoor/guard/guard_test.go
+++ b/croftmoor/guard/guard_test.go
@@ -173,6 +173,9 @@
 		log.set(false)
 		wantHeld(t, started(t, log, 1), request("/a"), true)
 	})
+}
+
+func TestGuardsWithoutTheLog(t *testing.T) {
 	t.Run("who has not read yet keeps requests back, but not for long", func(t *testing.T) {
 		log := &memory{}
 		end(started(t, log, 3), request("/a"), poison.Threshold)
