--- a/croftmoor/guard/guard.go
+++ b/croftmoor/guard/guard.go
@@ -103,6 +103,7 @@
 		Log: g.Reader, Stream: Stream, Clock: g.Clock, Apply: g.apply, Wait: readWait, Timeout: readTimeout,
 		Pause: func() clock.Millis { return readPause },
 	}
+	g.readAtOnce(ctx)
 	var group conc.WaitGroup
 	group.Go(func() { tailer.Run(ctx) })
 	group.Go(func() { g.Clock.Every(ctx, tidyPeriod, g.tidy) })
@@ -110,6 +111,17 @@
 	g.group.Wait()
 }
 
+// readAtOnce reads what there is without waiting for more: a read that waits is answered
+// after a second where nothing is held, and calls of an instance that has just started were refused
+// so long, 1.3% of a day with restarts.
+func (g *Guard) readAtOnce(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
+	defer cancel()
+	if batch, err := g.Reader.Read(callCtx, Stream, 0, 0); err == nil {
+		g.apply(batch)
+	}
+}
+
 // Ready tells whether what all know has been read since this instance started, or has been
 // waited for in vain. When all had been killed while the log was away, the first calls
 // came 10 ms before the read of what had been held, and ended four servers more.
--- a/croftmoor/guard/guard_test.go
+++ b/croftmoor/guard/guard_test.go
@@ -28,6 +28,12 @@
 	records [][]byte
 }
 
+func (m *memory) has(from ident.Offset) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.away || int(from) <= len(m.records)
+}
+
 func (m *memory) set(away bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -48,8 +54,12 @@
 	return 0, fault.Wrap("guard.Write", tail.Refused, ctx.Err(), "")
 }
 
-func (m *memory) Read(_ context.Context, _ ident.Stream, from ident.Offset, _ clock.Millis) (tail.Batch, error) {
+// Read waits, as the platform's log does, if there is nothing to read.
+func (m *memory) Read(_ context.Context, _ ident.Stream, from ident.Offset, wait clock.Millis) (tail.Batch, error) {
 	time.Sleep(5 * time.Millisecond)
+	for began := time.Now(); time.Since(began) < wait.Duration() && !m.has(from); {
+		time.Sleep(5 * time.Millisecond)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.away {
@@ -199,6 +209,14 @@
 		time.Sleep((blindTerm + unreadPause).Duration())
 		wantHeld(t, []*Guard{blind}, request("/b"), false)
 	})
+	t.Run("who starts where nothing is held serves at once", func(t *testing.T) {
+		g := started(t, &memory{}, 1)[0]
+		began := time.Now()
+		eventually(t, "it is ready", g.Ready)
+		if took := time.Since(began); took > readWait.Duration()/2 {
+			t.Errorf("ready after %v", took)
+		}
+	})
 	t.Run("many ends at once while the log is away are bounded", func(t *testing.T) {
 		log := &memory{away: true}
 		guards := started(t, log, 1)
