--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -169,8 +169,8 @@
 }
 
 // starts are the starts of engines that a view of the fleet lists, by the names that
-// engines keep. It is worked out once a view: with 3,000 engines it would take a follower
-// half a millisecond each time that it reads the ledger.
+// engines keep. It is worked out once a view and not each time that the ledger is
+// read, since a list may have thousands of engines; what that saves was not measured.
 type starts struct {
 	view   *fleet.View
 	listed map[string]ident.BackendName
--- a/croftmoor/guard/guard.go
+++ b/croftmoor/guard/guard.go
@@ -45,7 +45,7 @@
 	directTerm = 1 * clock.Second
 	// mostDirect bounds the instances that are told directly: each of them tells no
 	// others, and those left out learn of it from the log. It is about a fleet of the
-	// middle size, whose calls take some 20 ms of a core.
+	// middle size; what the calls cost was not measured.
 	mostDirect = 64
 	// mostPending bounds the records that wait to be written; more are dropped and
 	// counted. 512 is what 40 servers with 12 requests each lose at once.
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -269,7 +269,7 @@
 }
 
 // refuseTerm bounds the wait for a refusal, which comes within a round trip: some 6 ms
-// on the users' deployments. Whoever asks holds up work that should go on elsewhere.
+// on the users' deployments, reckoned from their latencies. Whoever asks holds up work that should go on elsewhere.
 const refuseTerm = 100 * clock.Millis(1)
 
 // Refuses tells whether nobody listens at an address any more: its server has ended.
--- a/kernel/poison/table.go
+++ b/kernel/poison/table.go
@@ -31,7 +31,7 @@
 	// later know of it.
 	renewTerm = 100 * clock.Second
 	// mostSuspects bounds the requests that are remembered, and mostEnds the ends of
-	// each: some 100 bytes an end, 6 MB at most. The oldest that are not held give way.
+	// each: some 100 bytes an end, 6 MB at most (reckoned). The oldest that are not held give way.
 	mostSuspects = 4096
 	mostEnds     = 16
 )
--- a/kernel/tail/tail.go
+++ b/kernel/tail/tail.go
@@ -48,7 +48,7 @@
 }
 
 // answerTerm is how long the log's answer may be under way, beyond the time that the
-// call waits for a record: some 4 ms as measured, 200 ms when the log is slow.
+// call waits for a record: 4 ms by what the platform says, 50 times that when the log is slow.
 const answerTerm = 300 * clock.Millis(1)
 
 // Told returns until when an answer is known to hold that was asked for at a time and
