Reads of results tell why they got nothing

The lines of a read that failed could not tell a slow log from a follower that was behind, nor one lost record from many: the follower said nothing, the instance in between only that its call was canceled, and no line carried the job's id. Now the follower tells of pages that fail, take half a second, or whose caller has left, with texts given, time and the ledger's age; the instance in between tells of each follower that gave no answer; errors name the record; refusals of reads carry the job's id; pages have a histogram by outcome. No logic is changed. TestPageThatFailsIsTold.

--- a/croftmoor/blobs/blobs.go
+++ b/croftmoor/blobs/blobs.go
@@ -82,6 +82,11 @@
 	offset ident.Offset
 }
 
+// String names the place in errors.
+func (p place) String() string {
+	return string(p.stream) + " at " + strconv.FormatInt(int64(p.offset), 10)
+}
+
 // StreamOf returns the stream of a family in which a job's blobs lie.
 func (s *Store) StreamOf(family Family, job ident.Job) ident.Stream {
 	part := ident.Hash(string(job)) % uint64(max(s.Parts, 1))
@@ -166,7 +171,7 @@
 			continue
 		}
 		if batch.First > at.offset {
-			return nil, fault.New("blobs.Get", Gone, "the log has dropped "+string(at.stream)+" up to "+strconv.FormatInt(int64(batch.First), 10))
+			return nil, fault.New("blobs.Get", Gone, "the log has dropped "+at.String()+" and all up to "+strconv.FormatInt(int64(batch.First), 10))
 		}
 		if data := s.keep(at, batch); data != nil {
 			return data, nil
@@ -175,7 +180,7 @@
 	if last == nil {
 		last = fault.New("blobs.Get", Unavailable, "not there yet")
 	}
-	return nil, fault.Wrap("blobs.Get", Unavailable, last, "cannot read "+string(at.stream))
+	return nil, fault.Wrap("blobs.Get", Unavailable, last, "cannot read "+at.String())
 }
 
 func (s *Store) lookup(at place) ([]byte, bool) {
--- a/croftmoor/intake/intake.go
+++ b/croftmoor/intake/intake.go
@@ -84,6 +84,9 @@
 	// that something is not there; the callers' protocol gives each instance 1 s to
 	// learn of it.
 	settleTerm = 600 * clock.Millis(1)
+	// slowPage is the time of a page that is worth a line: a third of what callers wait
+	// beyond the time that they allow.
+	slowPage = 500 * clock.Millis(1)
 )
 
 // Intake answers the callers of batch jobs. Set the fields before use.
@@ -92,6 +95,14 @@
 	Blobs  Blobs
 	Clock  *clock.Clock
 	Trail  Decisions
+	// Counts is told of each page; it may be nil.
+	Counts Counts
+}
+
+// Counts takes what became of pages of results.
+type Counts interface {
+	// PageRead counts a page: its outcome, how long its texts took, and how many it has.
+	PageRead(outcome string, took clock.Millis, texts int)
 }
 
 // Submit makes a job durable. When it returns nil, all of the job is kept.
@@ -191,7 +202,7 @@
 			if age := i.Ledger.Age(); len(results) == 0 && from < total && age > settleTerm {
 				return Page{}, fault.New("intake.Read", Unsure, fmt.Sprintf("job %s from %d on; the ledger was last current %d ms ago", job, from, age))
 			}
-			return i.page(ctx, from, total, results)
+			return i.tellPage(ctx, job, from, total, results)
 		}
 		select {
 		case <-ctx.Done():
@@ -230,6 +241,32 @@
 	return results, total, known
 }
 
+// tellPage returns a page, and leaves a line on one that fails or takes long: whoever
+// waits for it may have left by then.
+func (i *Intake) tellPage(ctx context.Context, job ident.Job, from, total int, results []listedResult) (Page, error) {
+	began := i.Clock.Mono()
+	page, err := i.page(ctx, from, total, results)
+	took := i.Clock.Mono() - began
+	outcome, action := "given", trail.Hand
+	switch {
+	case ctx.Err() != nil:
+		outcome, action = "caller left", trail.Refuse
+	case err != nil:
+		outcome, action = "failed", trail.Refuse
+	}
+	if i.Counts != nil {
+		i.Counts.PageRead(outcome, took, len(page.Results))
+	}
+	if action == trail.Refuse || took >= slowPage {
+		reason := fmt.Sprintf("results from %d on: %d of %d texts in %d ms, ledger %d ms old", from, len(page.Results), len(results), took, i.Ledger.Age())
+		if err != nil {
+			reason += ": " + err.Error()
+		}
+		i.note(string(job), action, "page "+outcome, reason)
+	}
+	return page, err
+}
+
 func (i *Intake) page(ctx context.Context, from, total int, results []listedResult) (Page, error) {
 	page := Page{Total: total, Next: max(from, 0)}
 	size := 0
--- a/croftmoor/intake/intake_test.go
+++ b/croftmoor/intake/intake_test.go
@@ -94,3 +94,46 @@
 		}
 	})
 }
+
+// lines keeps decisions.
+type lines struct{ all []trail.Decision }
+
+func (l *lines) Add(d trail.Decision) { l.all = append(l.all, d) }
+
+// noBlobs gives no text.
+type noBlobs struct{ err error }
+
+func (b noBlobs) PutBodies(context.Context, ident.Job, [][]byte) ([]jobs.Span, error) {
+	return nil, b.err
+}
+func (b noBlobs) Get(context.Context, jobs.Span) ([]byte, error) { return nil, b.err }
+
+func TestPageThatFailsIsTold(t *testing.T) {
+	book := jobs.NewBook()
+	book.Apply(1, jobs.Accept{Job: "j", Items: []jobs.Plan{{ID: "a"}}}, 0)
+	book.Apply(2, jobs.Claim{Job: "j", By: "me", Targets: []jobs.Target{{Index: 0}}}, 0)
+	book.Apply(3, jobs.Finish{Job: "j", By: "me", Index: 0, State: jobs.Completed, Texts: []jobs.Span{{Stream: "texts.0", First: 7, Count: 1}}}, 0)
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	cases := []struct {
+		name string
+		ctx  context.Context
+		want string
+	}{
+		{"the log gave no text", t.Context(), "page failed"},
+		{"the caller left", left, "page caller left"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			told := &lines{}
+			i := &Intake{Ledger: agedLedger{book, 40}, Blobs: noBlobs{context.Canceled}, Clock: clock.New(), Trail: told}
+			_, err := i.Read(tc.ctx, "", "j", 0, 0)
+			if fault.KindOf[Kind](err) != Unsure {
+				t.Errorf("error %v, want Unsure", err)
+			}
+			if len(told.all) != 1 || told.all[0].ID != "j" || told.all[0].Choice != tc.want {
+				t.Errorf("lines %+v, want one of job j: %s", told.all, tc.want)
+			}
+		})
+	}
+}
--- a/croftmoor/metric/metric.go
+++ b/croftmoor/metric/metric.go
@@ -31,6 +31,8 @@
 	waiting  *prometheus.GaugeVec
 	noRoom   *prometheus.CounterVec
 	saved    *prometheus.CounterVec
+	pages    *prometheus.HistogramVec
+	texts    prometheus.Counter
 }
 
 // New returns a set with all metrics registered.
@@ -77,11 +79,18 @@
 		saved: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "croftmoor_room_tries_saved_total", Help: "Further tries of calls that the budget did not allow.",
 		}, []string{"service"}),
+		pages: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "croftmoor_page_duration_seconds", Help: "Time that the texts of a page of results took, by what became of the page.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}, []string{"outcome"}),
+		texts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "croftmoor_page_results_total", Help: "Results in pages that were given.",
+		}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "croftmoor_log_lines_dropped_total", Help: "Log lines that no reader took in time.",
 		}),
 	}
-	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.windows, s.ends, s.skipped, s.dropped, s.rate, s.waiting, s.noRoom, s.saved, collectors.NewGoCollector(),
+	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.windows, s.ends, s.skipped, s.dropped, s.rate, s.waiting, s.noRoom, s.saved, s.pages, s.texts, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -155,6 +164,13 @@
 	s.saved.WithLabelValues(string(service)).Inc()
 }
 
+// PageRead counts a page of results: its outcome, how long its texts took, and how many
+// it has.
+func (s *Set) PageRead(outcome string, took clock.Millis, texts int) {
+	s.pages.WithLabelValues(outcome).Observe(took.Duration().Seconds())
+	s.texts.Add(float64(texts))
+}
+
 // Dropped counts log lines that were dropped.
 func (s *Set) Dropped(lines int) {
 	s.dropped.Add(float64(lines))
--- a/croftmoor/relay/relay.go
+++ b/croftmoor/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	"croftmoor.dev/croftmoor/intake"
@@ -13,6 +14,7 @@
 	"croftmoor.dev/kernel/elect"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/trail"
 )
 
 // Jobs answers the callers of batch jobs.
@@ -23,6 +25,11 @@
 	End(ctx context.Context, by ident.Organisation, job ident.Job) error
 }
 
+// Decisions takes a line for each decision.
+type Decisions interface {
+	Add(d trail.Decision)
+}
+
 const (
 	// tries is how many followers are asked one after the other.
 	tries = 3
@@ -43,6 +50,8 @@
 	// Followers returns the others that follow the ledger, those to ask first first.
 	Followers func(key string) []elect.Member
 	Clock     *clock.Clock
+	// Trail takes a line for each follower that gave no answer of its own.
+	Trail Decisions
 
 	client *http.Client
 }
@@ -107,6 +116,7 @@
 		if n == tries || ctx.Err() != nil {
 			break
 		}
+		began := r.Clock.Mono()
 		callCtx, cancel := context.WithTimeout(ctx, term.Duration())
 		answer, err := call(callCtx, follower.Address)
 		cancel()
@@ -118,6 +128,10 @@
 			kind = intake.Kind(told)
 		}
 		last = fault.Wrap("relay.ask", kind, err, "through "+string(follower.Name))
+		r.Trail.Add(trail.Decision{
+			ID: string(job), Action: trail.Retry, Choice: string(follower.Name),
+			Reason: fmt.Sprintf("no answer from follower %d after %d of %d ms, caller left %t: %s", n+1, r.Clock.Mono()-began, term, ctx.Err() != nil, err),
+		})
 		if kind != intake.Unsure && kind != intake.Uncertain {
 			return nil, last
 		}
--- a/croftmoor/relay/relay_test.go
+++ b/croftmoor/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/trail"
 )
 
 // answers stands in for what an instance knows of the ledger.
@@ -60,6 +61,7 @@
 	r := &Relay{
 		Local: &answers{err: fault.New("local", intake.Unsure, "")}, Knows: func() bool { return false }, Clock: clock.New(),
 		Followers: func(string) []elect.Member { return followers },
+		Trail:     &trail.Trail{Clock: clock.New()},
 	}
 	r.Setup()
 	return r
