--- /dev/null
+++ b/croftmoor/intake/page_test.go
@@ -0,0 +1,149 @@
+package intake
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sourcegraph/conc"
+
+	"croftmoor.dev/croftmoor/blobs"
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/tail"
+)
+
+// What callers saw: a job of 224 items was accepted and ended, and when its results were read
+// from the start after the end of traffic, no try got them, at any instance. On a smaller
+// deployment with jobs of some 600 items the same happened, and trainers lost reads all day.
+//
+// The order of events there: the read comes to an instance whose cache has none of the texts;
+// 0.7 s later another one is asked, which has none either; the caller leaves 1.5 s after what
+// it allows; the next try does the same elsewhere.
+
+const (
+	// patience is how long callers wait beyond the time that they allow.
+	patience = 1500 * clock.Millis(1)
+	// strangers is how many records of other jobs follow each text in its stream.
+	strangers = 2
+	// textBytes is the size of a text.
+	textBytes = 2000
+)
+
+// slowLog is a log with texts and records of others between them. It gives no more of them in
+// a read than are asked for, each after its answer time.
+type slowLog struct {
+	clock   *clock.Clock
+	answer  clock.Millis
+	records int
+	reads   atomic.Int64
+}
+
+// ReadSome returns records from offset on, about most bytes of them.
+func (l *slowLog) ReadSome(ctx context.Context, _ ident.Stream, from ident.Offset, most int, _ clock.Millis) (tail.Batch, error) {
+	l.reads.Add(1)
+	if !l.clock.Sleep(ctx, l.answer) {
+		return tail.Batch{}, ctx.Err()
+	}
+	batch := tail.Batch{First: 1, Next: ident.Offset(l.records + 1)}
+	for size := 0; from <= ident.Offset(l.records) && (size == 0 || size+textBytes <= most); from++ {
+		batch.Records = append(batch.Records, tail.Record{Offset: from, Data: bytes.Repeat([]byte{'x'}, textBytes)})
+		size += textBytes
+	}
+	return batch, nil
+}
+
+// longJobs returns a ledger with ended jobs j0, j1 and so on of so many results each, and
+// the number of records in the stream of each one's texts.
+func longJobs(count, items int) (*jobs.Book, int) {
+	book := jobs.NewBook()
+	next := ident.Offset(1)
+	apply := func(record jobs.Record) {
+		book.Apply(next, record, 0)
+		next++
+	}
+	for k := range count {
+		job := jobNumber(k)
+		accept := jobs.Accept{Job: job}
+		for n := range items {
+			accept.Items = append(accept.Items, jobs.Plan{ID: ident.Item(fmt.Sprintf("%s-%d", job, n))})
+		}
+		apply(accept)
+		for n := range items {
+			apply(jobs.Claim{Job: job, By: "me", Targets: []jobs.Target{{Index: n}}})
+			text := jobs.Span{Stream: ident.Stream(fmt.Sprintf("texts.%d", k)), First: ident.Offset(1 + n*(strangers+1)), Count: 1}
+			apply(jobs.Finish{Job: job, By: "me", Index: n, State: jobs.Completed, Texts: []jobs.Span{text}})
+		}
+		apply(jobs.End{Job: job})
+	}
+	return book, items * (strangers + 1)
+}
+
+func jobNumber(k int) ident.Job { return ident.Job(fmt.Sprintf("j%d", k)) }
+
+// instanceAt returns an instance that has none of the texts in its cache.
+func instanceAt(book *jobs.Book, log *slowLog) *Intake {
+	return &Intake{
+		Ledger: agedLedger{book, 0}, Blobs: &blobs.Store{Reader: log, CacheBytes: 4 << 20}, Clock: log.clock, Trail: noDecisions{},
+	}
+}
+
+// wantReadable reads a job from the start as callers do, and wants something from each read
+// before its caller leaves. Each read comes to the next of the instances.
+func wantReadable(t *testing.T, job ident.Job, items int, instances ...*Intake) {
+	t.Helper()
+	for next, reads := 0, 0; next < items; reads++ {
+		ctx, cancel := context.WithTimeout(t.Context(), patience.Duration())
+		page, err := instances[reads%len(instances)].Read(ctx, "", job, next, 0)
+		if err == nil {
+			// What comes when the caller has left reaches nobody.
+			err = ctx.Err()
+		}
+		cancel()
+		if err != nil || len(page.Results) == 0 || page.Next != next+len(page.Results) {
+			t.Errorf("read %d, from %d on: %d results, next %d, error %v; want some", reads, next, len(page.Results), page.Next, err)
+			return
+		}
+		next = page.Next
+	}
+}
+
+func TestLongJobIsReadable(t *testing.T) {
+	usual := 4 * clock.Millis(1)
+	cases := []struct {
+		name   string
+		items  int
+		answer clock.Millis
+	}{
+		{"as long as the job of the incident, a log at ten times its time", 224, 10 * usual},
+		{"the same, a log at fifty times its time", 224, 50 * usual},
+		{"three times as long, a log at fifty times its time", 744, 50 * usual},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			book, records := longJobs(1, tc.items)
+			log := &slowLog{clock: clock.New(), answer: tc.answer, records: records}
+			wantReadable(t, jobNumber(0), tc.items, instanceAt(book, log))
+		})
+		t.Run(tc.name+", each read at another instance", func(t *testing.T) {
+			t.Parallel()
+			book, records := longJobs(1, tc.items)
+			log := &slowLog{clock: clock.New(), answer: tc.answer, records: records}
+			wantReadable(t, jobNumber(0), tc.items, instanceAt(book, log), instanceAt(book, log), instanceAt(book, log))
+		})
+	}
+	t.Run("200 readers of 20 jobs at one instance", func(t *testing.T) {
+		const readers, count, items = 200, 20, 224
+		book, records := longJobs(count, items)
+		instance := instanceAt(book, &slowLog{clock: clock.New(), answer: 10 * usual, records: records})
+		var group conc.WaitGroup
+		for n := range readers {
+			group.Go(func() { wantReadable(t, jobNumber(n%count), items, instance) })
+		}
+		group.Wait()
+	})
+}
