Pages of results are read side by side, and given as far as they are there

Cause: a page was joined from texts that were read one after another, each with a call to the log where it was not in memory, and was given whole or not at all. So its time grew with the number of its texts and the log's answer time and had no bound, while its caller's is 1.5 s, and what was read was lost to the next try at another instance. Ruled out by the lines of reads: texts that are missing (no error named a record), followers in arrears (ledger 2 to 60 ms old). Mend: texts are read with up to four reads side by side, each for all that lie close together (128 KB at most), shared by the callers that want them; after 0.4 s a page is what is there, one text at least; a read goes on when its caller has left. A goroutine of a read that panics is told of at the stop.

--- a/croftmoor/blobs/blobs.go
+++ b/croftmoor/blobs/blobs.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync"
 
+	"github.com/sourcegraph/conc"
+
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
@@ -46,20 +48,12 @@
 	Texts Family = "texts"
 )
 
-const (
-	// readBytes is how much one read asks for: a few bodies or texts of the users'
-	// deployments, of 2 to 5 KB. All instances share what the log reads out, and
-	// whoever runs one item seldom needs its neighbours.
-	readBytes   = 16 << 10
-	readTimeout = 1500 * clock.Millis(1)
-	readTries   = 3
-)
-
 // Store keeps blobs. Set the exported fields before use. The cache is guarded
 // by mu.
 type Store struct {
 	Reader tail.Chunks
 	Writer Writer
+	Clock  *clock.Clock
 	// Parts is how many streams a family has.
 	Parts int
 	// RecordBytes and AppendBytes bound a record and an append.
@@ -69,11 +63,18 @@
 	CacheBytes int
 
 	client *http.Client
+	// slots bounds the reads of the log that are under way; group has them.
+	slots chan struct{}
+	group conc.WaitGroup
 
 	mu     sync.Mutex
 	cache  map[place][]byte
 	order  []place
 	cached int
+	// reads are those under way or waiting, by the places that they are for, and sizes the
+	// smoothed bytes of a record of each stream.
+	reads map[place]*read
+	sizes map[ident.Stream]int
 }
 
 // place is where a record lies.
@@ -141,48 +142,6 @@
 	return append(records, blob)
 }
 
-// Get reads a blob.
-func (s *Store) Get(ctx context.Context, span jobs.Span) ([]byte, error) {
-	var blob []byte
-	for i := range span.Count {
-		record, err := s.record(ctx, place{stream: span.Stream, offset: span.First + ident.Offset(i)})
-		if err != nil {
-			return nil, err
-		}
-		if span.Count == 1 {
-			return record, nil
-		}
-		blob = append(blob, record...)
-	}
-	return blob, nil
-}
-
-func (s *Store) record(ctx context.Context, at place) ([]byte, error) {
-	var last error
-	for range readTries {
-		if data, ok := s.lookup(at); ok {
-			return data, nil
-		}
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
-		batch, err := s.Reader.ReadSome(callCtx, at.stream, at.offset, readBytes, 0)
-		cancel()
-		if err != nil {
-			last = err
-			continue
-		}
-		if batch.First > at.offset {
-			return nil, fault.New("blobs.Get", Gone, "the log has dropped "+at.String()+" and all up to "+strconv.FormatInt(int64(batch.First), 10))
-		}
-		if data := s.keep(at, batch); data != nil {
-			return data, nil
-		}
-	}
-	if last == nil {
-		last = fault.New("blobs.Get", Unavailable, "not there yet")
-	}
-	return nil, fault.Wrap("blobs.Get", Unavailable, last, "cannot read "+at.String())
-}
-
 func (s *Store) lookup(at place) ([]byte, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -190,19 +149,12 @@
 	return data, ok
 }
 
-// keep puts what was read into the cache and returns the record wanted.
-func (s *Store) keep(at place, batch tail.Batch) []byte {
+// keep puts what was read into the cache.
+func (s *Store) keep(stream ident.Stream, records []tail.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cache == nil {
-		s.cache = map[place][]byte{}
-	}
-	var wanted []byte
-	for _, r := range batch.Records {
-		p := place{stream: at.stream, offset: r.Offset}
-		if p == at {
-			wanted = r.Data
-		}
+	for _, r := range records {
+		p := place{stream: stream, offset: r.Offset}
 		if _, known := s.cache[p]; known {
 			continue
 		}
@@ -215,7 +167,6 @@
 		delete(s.cache, s.order[0])
 		s.order = s.order[1:]
 	}
-	return wanted
 }
 
 // PutBodies keeps the bodies of a job's items.
--- /dev/null
+++ b/croftmoor/blobs/gather_test.go
@@ -0,0 +1,252 @@
+package blobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/sourcegraph/conc"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/tail"
+)
+
+// stream is a stream of the log that holds so many records from an offset on, each of so
+// many bytes that name its offset.
+type stream struct {
+	first, last ident.Offset
+	size        int
+	// hold keeps answers back until it is closed; nil is none. asked tells of each read.
+	hold  chan struct{}
+	asked chan ident.Offset
+	fail  error
+
+	mu    sync.Mutex
+	reads int
+}
+
+func (s *stream) record(offset ident.Offset) []byte {
+	text := fmt.Sprintf("%d.", offset)
+	return []byte(text + strings.Repeat("x", max(s.size-len(text), 0)))
+}
+
+// ReadSome returns records from offset on, as many as fit and one at least.
+func (s *stream) ReadSome(ctx context.Context, _ ident.Stream, from ident.Offset, most int, _ clock.Millis) (tail.Batch, error) {
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
+	if s.asked != nil {
+		s.asked <- from
+	}
+	if s.hold != nil {
+		select {
+		case <-s.hold:
+		case <-ctx.Done():
+			return tail.Batch{}, ctx.Err()
+		}
+	}
+	if s.fail != nil {
+		return tail.Batch{}, s.fail
+	}
+	batch := tail.Batch{First: s.first, Next: s.last + 1}
+	bytes := 0
+	for at := max(from, s.first); at <= s.last && (bytes == 0 || bytes+s.size <= most); at++ {
+		batch.Records = append(batch.Records, tail.Record{Offset: at, Data: s.record(at)})
+		bytes += s.size
+	}
+	return batch, nil
+}
+
+func storeOf(s *stream) *Store {
+	return &Store{Reader: s, Clock: clock.New(), CacheBytes: 1 << 20}
+}
+
+// textsAt returns texts of one record each.
+func textsAt(offsets ...ident.Offset) [][]jobs.Span {
+	var texts [][]jobs.Span
+	for _, offset := range offsets {
+		texts = append(texts, []jobs.Span{{Stream: "texts.0", First: offset, Count: 1}})
+	}
+	return texts
+}
+
+// wantOffsets checks that texts are those at offsets, in order.
+func wantOffsets(t *testing.T, texts []string, want ...ident.Offset) {
+	t.Helper()
+	var got []string
+	for _, text := range texts {
+		got = append(got, strings.SplitN(text, ".", 2)[0])
+	}
+	var wanted []string
+	for _, offset := range want {
+		wanted = append(wanted, fmt.Sprint(offset))
+	}
+	if !slices.Equal(got, wanted) {
+		t.Errorf("texts at %v, want %v", got, wanted)
+	}
+}
+
+const (
+	noLimit = 1 << 20
+	// soon is a term that is over at once, later one that is not over in the test.
+	soon  = 20 * clock.Millis(1)
+	later = 10 * clock.Second
+)
+
+func TestTexts(t *testing.T) {
+	t.Run("come in the order in which they are asked for", func(t *testing.T) {
+		log := &stream{first: 1, last: 50, size: 100}
+		texts, err := storeOf(log).Texts(t.Context(), textsAt(30, 2, 17), noLimit, later)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wantOffsets(t, texts, 30, 2, 17)
+	})
+	t.Run("parts are joined by line feeds, records of a part by nothing", func(t *testing.T) {
+		log := &stream{first: 1, last: 9, size: 2}
+		parts := []jobs.Span{{Stream: "texts.0", First: 1, Count: 2}, {Stream: "texts.0", First: 5, Count: 1}}
+		texts, err := storeOf(log).Texts(t.Context(), [][]jobs.Span{parts, nil}, noLimit, later)
+		if err != nil || !slices.Equal(texts, []string{"1.2.\n5.", ""}) {
+			t.Errorf("%q, error %v", texts, err)
+		}
+	})
+	t.Run("no more are read than fit", func(t *testing.T) {
+		log := &stream{first: 1, last: 4000, size: 1000}
+		store := storeOf(log)
+		offsets := make([]ident.Offset, 0, 400)
+		for n := range 400 {
+			offsets = append(offsets, ident.Offset(1+10*n))
+		}
+		texts, err := store.Texts(t.Context(), textsAt(offsets...), 20_000, later)
+		if err != nil || len(texts) < 20 || len(texts) > 60 {
+			t.Errorf("%d texts, error %v, want some 20", len(texts), err)
+		}
+	})
+	t.Run("records larger than expected are read all the same", func(t *testing.T) {
+		log := &stream{first: 1, last: 30, size: 100_000}
+		texts, err := storeOf(log).Texts(t.Context(), textsAt(1, 2, 3, 30), noLimit, later)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wantOffsets(t, texts, 1, 2, 3, 30)
+	})
+	t.Run("one that the log has dropped ends those before it, and is no text if it is first", func(t *testing.T) {
+		log := &stream{first: 5, last: 30, size: 100}
+		store := storeOf(log)
+		texts, err := store.Texts(t.Context(), textsAt(20, 2, 21), noLimit, later)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wantOffsets(t, texts, 20)
+		if _, err := store.Texts(t.Context(), textsAt(2, 20), noLimit, later); fault.KindOf[Kind](err) != Gone {
+			t.Errorf("error %v, want Gone", err)
+		}
+	})
+	t.Run("a log that fails is tried again, and then is unavailable", func(t *testing.T) {
+		log := &stream{fail: errors.New("busy")}
+		_, err := storeOf(log).Texts(t.Context(), textsAt(1), noLimit, later)
+		if fault.KindOf[Kind](err) != Unavailable || log.reads != readTries {
+			t.Errorf("error %v after %d reads, want Unavailable after %d", err, log.reads, readTries)
+		}
+	})
+}
+
+func TestTextsInTime(t *testing.T) {
+	t.Run("when the term is over, what is there is given", func(t *testing.T) {
+		log := &stream{first: 1, last: 900, size: 100}
+		store := storeOf(log)
+		if _, err := store.Texts(t.Context(), textsAt(1), noLimit, later); err != nil {
+			t.Fatal(err)
+		}
+		log.hold = make(chan struct{})
+		texts, err := store.Texts(t.Context(), textsAt(1, 800), noLimit, soon)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wantOffsets(t, texts, 1)
+		close(log.hold)
+	})
+	t.Run("the first text is waited for beyond the term", func(t *testing.T) {
+		log := &stream{first: 1, last: 9, size: 100, hold: make(chan struct{})}
+		var group conc.WaitGroup
+		group.Go(func() {
+			clock.New().Sleep(t.Context(), 3*soon)
+			close(log.hold)
+		})
+		texts, err := storeOf(log).Texts(t.Context(), textsAt(1), noLimit, soon)
+		group.Wait()
+		if err != nil {
+			t.Fatal(err)
+		}
+		wantOffsets(t, texts, 1)
+	})
+	t.Run("what comes when its caller has left is there for the next one", func(t *testing.T) {
+		log := &stream{first: 1, last: 9, size: 100, hold: make(chan struct{}), asked: make(chan ident.Offset, 9)}
+		store := storeOf(log)
+		ctx, leave := context.WithCancel(t.Context())
+		var group conc.WaitGroup
+		group.Go(func() {
+			if _, err := store.Texts(ctx, textsAt(1), noLimit, later); fault.KindOf[Kind](err) != Unavailable {
+				t.Errorf("error %v, want Unavailable", err)
+			}
+		})
+		<-log.asked
+		leave()
+		group.Wait()
+		close(log.hold)
+		store.Wait()
+		if _, err := store.Texts(t.Context(), textsAt(1), noLimit, later); err != nil || log.reads != 1 {
+			t.Errorf("error %v after %d reads, want one", err, log.reads)
+		}
+	})
+}
+
+func TestReadsAreShared(t *testing.T) {
+	log := &stream{first: 1, last: 9, size: 100, hold: make(chan struct{}), asked: make(chan ident.Offset, 9)}
+	store := storeOf(log)
+	var group conc.WaitGroup
+	for range 20 {
+		group.Go(func() {
+			if _, err := store.Texts(t.Context(), textsAt(1, 2), noLimit, later); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	<-log.asked
+	close(log.hold)
+	group.Wait()
+	if log.reads != 1 {
+		t.Errorf("%d reads for 20 callers, want one", log.reads)
+	}
+}
+
+func TestExtentFor(t *testing.T) {
+	const record = 1000
+	cases := []struct {
+		name   string
+		offset ident.Offset
+		others []ident.Offset
+		bytes  int
+		wanted []ident.Offset
+	}{
+		{"a single record", 7, nil, leastRead, []ident.Offset{7}},
+		{"with those behind it, not with those before it", 7, []ident.Offset{3, 30, 20}, 30_000, []ident.Offset{7, 20, 30}},
+		{"not across a wide gap", 1, []ident.Offset{2, 100}, leastRead, []ident.Offset{1, 2}},
+		{"not beyond the bound of a read", 1, []ident.Offset{30, 60, 90, 120, 131, 140}, mostRead, []ident.Offset{1, 30, 60, 90, 120, 131}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			got := extentFor(tc.offset, tc.others, record)
+			if got.first != tc.offset || got.bytes != tc.bytes || !slices.Equal(got.wanted, tc.wanted) {
+				t.Errorf("%+v, want %d bytes for %v", got, tc.bytes, tc.wanted)
+			}
+		})
+	}
+}
--- a/croftmoor/intake/intake.go
+++ b/croftmoor/intake/intake.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 
 	"croftmoor.dev/croftmoor/work"
 	"croftmoor.dev/kernel/access"
@@ -65,6 +64,9 @@
 type Blobs interface {
 	PutBodies(ctx context.Context, job ident.Job, blobs [][]byte) ([]jobs.Span, error)
 	Get(ctx context.Context, span jobs.Span) ([]byte, error)
+	// Texts returns texts from the first one on: as many as are there when they have most
+	// bytes, or when the term is over; without the first it waits until ctx ends.
+	Texts(ctx context.Context, texts [][]jobs.Span, most int, term clock.Millis) ([]string, error)
 }
 
 // Decisions takes a line for each decision.
@@ -84,6 +86,11 @@
 	// that something is not there; the callers' protocol gives each instance 1 s to
 	// learn of it.
 	settleTerm = 600 * clock.Millis(1)
+	// pageTerm is how long the texts of a page may take before what is there of them is
+	// given, and pageMost how long the first one may take. Callers wait 1.5 s beyond the time
+	// that they allow, and a page has to reach them, at times by way of another instance.
+	pageTerm = 400 * clock.Millis(1)
+	pageMost = 1200 * clock.Millis(1)
 	// slowPage is the time of a page that is worth a line: a third of what callers wait
 	// beyond the time that they allow.
 	slowPage = 500 * clock.Millis(1)
@@ -269,42 +276,32 @@
 
 func (i *Intake) page(ctx context.Context, from, total int, results []listedResult) (Page, error) {
 	page := Page{Total: total, Next: max(from, 0)}
-	size := 0
+	if len(results) == 0 {
+		return page, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, pageMost.Duration())
+	defer cancel()
+	wanted := make([][]jobs.Span, 0, len(results))
 	for _, r := range results {
-		text := ""
-		if len(r.Texts) > 0 {
-			data, err := readText(ctx, i.Blobs, r.Texts)
-			if err != nil && len(page.Results) > 0 {
-				break
-			}
-			if err != nil {
-				return Page{}, fault.Wrap("intake.Read", Unsure, err, "the text of item "+string(r.id))
-			}
-			text = data
-		}
+		wanted = append(wanted, r.Texts)
+	}
+	texts, err := i.Blobs.Texts(ctx, wanted, mostListed, pageTerm)
+	if err != nil {
+		return Page{}, fault.Wrap("intake.Read", Unsure, err, "the text of item "+string(results[0].id))
+	}
+	size := 0
+	for n, text := range texts {
 		if len(page.Results) > 0 && size+len(text) > mostListed {
 			break
 		}
 		size += len(text)
+		r := results[n]
 		page.Results = append(page.Results, Listed{ID: r.id, State: r.State, Text: text, Versions: r.Versions, Score: r.Score})
 		page.Next++
 	}
 	return page, nil
 }
 
-// readText joins the parts of a text.
-func readText(ctx context.Context, blobs Blobs, spans []jobs.Span) (string, error) {
-	parts := make([]string, 0, len(spans))
-	for _, span := range spans {
-		data, err := blobs.Get(ctx, span)
-		if err != nil {
-			return "", err
-		}
-		parts = append(parts, string(data))
-	}
-	return strings.Join(parts, "\n"), nil
-}
-
 // missing tells an unknown job from one that this instance may not know yet.
 func (i *Intake) missing(op string, job ident.Job) error {
 	if i.Ledger.Age() > settleTerm {
--- a/croftmoor/intake/intake_test.go
+++ b/croftmoor/intake/intake_test.go
@@ -107,6 +107,9 @@
 	return nil, b.err
 }
 func (b noBlobs) Get(context.Context, jobs.Span) ([]byte, error) { return nil, b.err }
+func (b noBlobs) Texts(context.Context, [][]jobs.Span, int, clock.Millis) ([]string, error) {
+	return nil, b.err
+}
 
 func TestPageThatFailsIsTold(t *testing.T) {
 	book := jobs.NewBook()
--- a/croftmoor/intake/page_test.go
+++ b/croftmoor/intake/page_test.go
@@ -17,12 +17,22 @@
 )
 
 // What callers saw: a job of 224 items was accepted and ended, and when its results were read
-// from the start after the end of traffic, no try got them, at any instance. On a smaller
-// deployment with jobs of some 600 items the same happened, and trainers lost reads all day.
+// from the start after the end of traffic, no try got them, at any instance. With larger jobs
+// the same happened on a smaller deployment, and trainers lost reads all day.
 //
-// The order of events there: the read comes to an instance whose cache has none of the texts;
-// 0.7 s later another one is asked, which has none either; the caller leaves 1.5 s after what
-// it allows; the next try does the same elsewhere.
+// The order of events: the read comes to an instance that does not have the texts in memory;
+// 0.7 s later another one is asked beside it, which has none either; the caller leaves 1.5 s
+// after what it allows; the next try does the same elsewhere.
+//
+// The cause: a page was put together from texts that were read one after another, each with a
+// call to the log, and was given whole or not at all; its time grew with its size and the log's
+// answer time and had no bound, while its caller's is fixed; and what was read was lost to the
+// next try.
+//
+// The evidence: lines at the followers of pages whose callers had left ("96 of 167 texts in
+// 700 ms, ledger 14 ms old") on both deployments; none of them said that a text was missing or
+// that it was behind. This test read 108 of 224 texts by the time the caller left, 21 with a log
+// at fifty times its time.
 
 const (
 	// patience is how long callers wait beyond the time that they allow.
@@ -87,7 +97,7 @@
 // instanceAt returns an instance that has none of the texts in its cache.
 func instanceAt(book *jobs.Book, log *slowLog) *Intake {
 	return &Intake{
-		Ledger: agedLedger{book, 0}, Blobs: &blobs.Store{Reader: log, CacheBytes: 4 << 20}, Clock: log.clock, Trail: noDecisions{},
+		Ledger: agedLedger{book, 0}, Blobs: &blobs.Store{Reader: log, Clock: log.clock, CacheBytes: 4 << 20}, Clock: log.clock, Trail: noDecisions{},
 	}
 }
 
