A late follower is waited for beside the next one

Now the late one goes on while the next is asked; all together have 1.3 s of the 1.5 s that callers wait. An end of a job is asked as before. TestLateFollower.

--- a/croftmoor/relay/relay.go
+++ b/croftmoor/relay/relay.go
@@ -7,6 +7,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc"
 
 	"croftmoor.dev/croftmoor/intake"
 	"croftmoor.dev/croftmoor/rpcs"
@@ -33,14 +36,24 @@
 const (
 	// tries is how many followers are asked one after the other.
 	tries = 3
-	// answerTerm is how long a follower may take beyond the time for which an answer
-	// may be held; a read of texts from the log takes some 10 ms, three times that in
-	// a slow spell. Callers wait 1.5 s beyond what they allow.
-	answerTerm = 700 * clock.Millis(1)
-	// endTerm bounds the end of a job, which is written to the log.
+	// nextTerm is how long a follower may take beyond the time for which an answer may be
+	// held, before the next one is asked beside it; a page of results takes some 10 ms, and
+	// some 0.5 s while the log is slow.
+	nextTerm = 700 * clock.Millis(1)
+	// answerTerm is how long all of them may take. Callers wait 1.5 s beyond what they allow,
+	// and a page is long.
+	answerTerm = 1300 * clock.Millis(1)
+	// endTerm bounds the end of a job at one follower, which is written to the log.
 	endTerm = 3 * clock.Second
 )
 
+// terms bound the asking of followers.
+type terms struct {
+	// next is how long one is waited for before the next one is asked, too.
+	next clock.Millis
+	all  clock.Millis
+}
+
 // Relay passes calls on to a follower. Set the fields before use.
 type Relay struct {
 	// Local answers where this instance knows the ledger itself, and takes jobs.
@@ -72,7 +85,7 @@
 		return r.Local.Read(ctx, by, job, from, wait)
 	}
 	until := r.Clock.Mono() + wait
-	answer, err := ask(ctx, r, job, wait+answerTerm, intake.Unsure, func(ctx context.Context, to ident.Address) (*pageWire, error) {
+	answer, err := ask(ctx, r, job, terms{next: wait + nextTerm, all: wait + answerTerm}, intake.Unsure, func(ctx context.Context, to ident.Address) (*pageWire, error) {
 		left := max(until-r.Clock.Mono(), 0)
 		return rpcs.Call[readWire, pageWire](ctx, r.client, to, readPath, &readWire{Organisation: string(by), Job: string(job), From: from, WaitMillis: int64(left)})
 	})
@@ -87,7 +100,7 @@
 	if r.Knows() {
 		return r.Local.Body(ctx, by, job, id)
 	}
-	answer, err := ask(ctx, r, job, answerTerm, intake.Unsure, func(ctx context.Context, to ident.Address) (*bodyWire, error) {
+	answer, err := ask(ctx, r, job, terms{next: nextTerm, all: answerTerm}, intake.Unsure, func(ctx context.Context, to ident.Address) (*bodyWire, error) {
 		return rpcs.Call[itemWire, bodyWire](ctx, r.client, to, bodyPath, &itemWire{Organisation: string(by), Job: string(job), Item: string(id)})
 	})
 	if err != nil {
@@ -101,40 +114,76 @@
 	if r.Knows() {
 		return r.Local.End(ctx, by, job)
 	}
-	_, err := ask(ctx, r, job, endTerm, intake.Uncertain, func(ctx context.Context, to ident.Address) (*emptyWire, error) {
+	_, err := ask(ctx, r, job, terms{next: endTerm, all: tries * endTerm}, intake.Uncertain, func(ctx context.Context, to ident.Address) (*emptyWire, error) {
 		return rpcs.Call[jobWire, emptyWire](ctx, r.client, to, endPath, &jobWire{Organisation: string(by), Job: string(job)})
 	})
 	return err
 }
 
+// reply is what a follower answered, or that it gave no answer.
+type reply[A any] struct {
+	from   elect.Member
+	answer *A
+	err    error
+}
+
 // ask asks followers until one gives an answer of its own. A follower that can't be
 // sure is an answer only if no other is left; unsure is the kind of an error when
 // no follower gave one.
-func ask[A any](ctx context.Context, r *Relay, job ident.Job, term clock.Millis, unsure intake.Kind, call func(context.Context, ident.Address) (*A, error)) (*A, error) {
+//
+// One that is late is waited for beside the next: it has read more of what is asked for
+// than one that begins. When it was given up, each of them began anew until the caller
+// had left.
+func ask[A any](ctx context.Context, r *Relay, job ident.Job, t terms, unsure intake.Kind, call func(context.Context, ident.Address) (*A, error)) (*A, error) {
+	left := r.Followers(string(job))
+	left = left[:min(len(left), tries)]
+	replies := make(chan reply[A], len(left))
+	began := r.Clock.Mono()
+	var group conc.WaitGroup
+	defer group.Wait()
+	callCtx, cancel := context.WithTimeout(ctx, t.all.Duration())
+	defer cancel()
 	var last error = fault.New("relay.ask", intake.Unsure, "no instance is known that follows the ledger")
-	for n, follower := range r.Followers(string(job)) {
-		if n == tries || ctx.Err() != nil {
-			break
-		}
-		began := r.Clock.Mono()
-		callCtx, cancel := context.WithTimeout(ctx, term.Duration())
-		answer, err := call(callCtx, follower.Address)
-		cancel()
-		if err == nil {
-			return answer, nil
-		}
-		kind := unsure
-		if told := rpcs.KindOf(err); told != "" {
-			kind = intake.Kind(told)
+	var late <-chan time.Time
+	for waiting := 0; ; {
+		if late == nil && len(left) > 0 && callCtx.Err() == nil {
+			follower := left[0]
+			left, late = left[1:], r.Clock.After(t.next)
+			waiting++
+			group.Go(func() {
+				answer, err := call(callCtx, follower.Address)
+				replies <- reply[A]{from: follower, answer: answer, err: err}
+			})
 		}
-		last = fault.Wrap("relay.ask", kind, err, "through "+string(follower.Name))
-		r.Trail.Add(trail.Decision{
-			ID: string(job), Action: trail.Retry, Choice: string(follower.Name),
-			Reason: fmt.Sprintf("no answer from follower %d after %d of %d ms, caller left %t: %s", n+1, r.Clock.Mono()-began, term, ctx.Err() != nil, err),
-		})
-		if kind != intake.Unsure && kind != intake.Uncertain {
+		if waiting == 0 {
 			return nil, last
 		}
+		select {
+		case <-late:
+			late = nil
+		case got := <-replies:
+			if got.err == nil {
+				return got.answer, nil
+			}
+			waiting, late = waiting-1, nil
+			kind := kindOf(got.err, unsure)
+			last = fault.Wrap("relay.ask", kind, got.err, "through "+string(got.from.Name))
+			r.note(job, got.from, fmt.Sprintf("no answer after %d of %d ms, caller left %t: %s", r.Clock.Mono()-began, t.all, ctx.Err() != nil, got.err))
+			if kind != intake.Unsure && kind != intake.Uncertain {
+				return nil, last
+			}
+		}
+	}
+}
+
+// kindOf returns the kind that a follower gave to an error, or unsure if it gave none.
+func kindOf(err error, unsure intake.Kind) intake.Kind {
+	if told := rpcs.KindOf(err); told != "" {
+		return intake.Kind(told)
 	}
-	return nil, last
+	return unsure
+}
+
+func (r *Relay) note(job ident.Job, follower elect.Member, reason string) {
+	r.Trail.Add(trail.Decision{ID: string(job), Action: trail.Retry, Choice: string(follower.Name), Reason: reason})
 }
--- a/croftmoor/relay/relay_test.go
+++ b/croftmoor/relay/relay_test.go
@@ -25,12 +25,15 @@
 	ends int
 	// by is the organisation of the last caller.
 	by ident.Organisation
+	// takes is how long a read takes.
+	takes clock.Millis
 }
 
 func (a *answers) Submit(context.Context, intake.Submission) error { return a.err }
 
-func (a *answers) Read(_ context.Context, by ident.Organisation, _ ident.Job, _ int, _ clock.Millis) (intake.Page, error) {
+func (a *answers) Read(ctx context.Context, by ident.Organisation, _ ident.Job, _ int, _ clock.Millis) (intake.Page, error) {
 	a.by = by
+	clock.New().Sleep(ctx, a.takes)
 	return a.page, a.err
 }
 
@@ -141,3 +144,37 @@
 		}
 	})
 }
+
+func TestLateFollower(t *testing.T) {
+	page := intake.Page{Total: 3, Next: 2, Results: []intake.Listed{{ID: "a"}}}
+	other := intake.Page{Total: 3, Next: 1, Results: []intake.Listed{{ID: "b"}}}
+	cases := []struct {
+		name          string
+		first, second clock.Millis
+		want          ident.Item
+	}{
+		{"one that is late is still waited for while the next reads", nextTerm + 200, answerTerm, "a"},
+		{"the next one answers for one that is silent", answerTerm, 0, "b"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			r := relayTo(follower(t, &answers{page: page, takes: tc.first}), follower(t, &answers{page: other, takes: tc.second}))
+			got, err := r.Read(t.Context(), "", "j", 0, 0)
+			if err != nil || len(got.Results) != 1 || got.Results[0].ID != tc.want {
+				t.Errorf("%+v, error %v, want %s", got, err, tc.want)
+			}
+		})
+	}
+	t.Run("nobody waits beyond the time that a caller has", func(t *testing.T) {
+		t.Parallel()
+		slow := func() elect.Member { return follower(t, &answers{page: page, takes: 3 * answerTerm}) }
+		r := relayTo(slow(), slow(), slow())
+		began := r.Clock.Mono()
+		_, err := r.Read(t.Context(), "", "j", 0, 0)
+		wantKind(t, err, intake.Unsure)
+		if took := r.Clock.Mono() - began; took > answerTerm+100 {
+			t.Errorf("refused after %d ms, want %d", took, answerTerm)
+		}
+	})
+}
