A large topic is loaded page by page

The list of servers, the roster and the operator's topic came all or not at all within one time of 1.8 s, however many pages of 500 keys they have, so a start while the store was slow had no servers for as long as it stayed slow. Now Newest is one page, also through another instance; each page has that time for itself, and one that fails is asked for again while those before it stay. A silent call is given up after 1.8 s as before. The stream is followed from the first page's end as before, which is why kept pages miss nothing; the entries are now told to hold until the first page's answer, not the last one's. The procedure between instances has a new name, since one of before would take the first page for the whole.

--- a/croftmoor/detour/detour.go
+++ b/croftmoor/detour/detour.go
@@ -270,24 +270,17 @@
 	return s.ReadSome(ctx, stream, from, readBytes, wait)
 }
 
-// Newest returns the newest record of each key.
-func (s *Store) Newest(ctx context.Context, stream ident.Stream) ([]tail.Entry, ident.Offset, error) {
-	found, err := reach(ctx, s, func() (newest, error) {
-		entries, next, err := s.Direct.Newest(ctx, stream)
-		return newest{entries: entries, next: next}, err
-	}, func(address ident.Address) (newest, error) {
-		message := streamWire{Stream: string(stream)}
-		answer, err := rpcs.Call[streamWire, newestWire](ctx, s.client, address, newestPath, &message)
+// Newest returns a page of the newest records of a keyed stream. Each page may come
+// either way.
+func (s *Store) Newest(ctx context.Context, stream ident.Stream, after string) (tail.Page, error) {
+	return reach(ctx, s, func() (tail.Page, error) {
+		return s.Direct.Newest(ctx, stream, after)
+	}, func(address ident.Address) (tail.Page, error) {
+		message := newestWire{Stream: string(stream), After: after}
+		answer, err := rpcs.Call[newestWire, pageWire](ctx, s.client, address, newestPath, &message)
 		if err != nil {
-			return newest{}, fromConnect("detour.Newest", tail.Unavailable, err)
+			return tail.Page{}, fromConnect("detour.Newest", tail.Unavailable, err)
 		}
-		return newestFromWire(answer), nil
+		return pageFromWire(answer), nil
 	})
-	return found.entries, found.next, err
-}
-
-// newest is the answer to Newest.
-type newest struct {
-	entries []tail.Entry
-	next    ident.Offset
 }
--- a/croftmoor/detour/detour_test.go
+++ b/croftmoor/detour/detour_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -33,9 +34,9 @@
 	return tail.Batch{First: 1, Next: 9, Records: []tail.Record{{Offset: 7, Data: []byte("x")}, {Offset: 8, Data: []byte("y")}}}, d.err
 }
 
-func (d *fakeDirect) Newest(context.Context, ident.Stream) ([]tail.Entry, ident.Offset, error) {
+func (d *fakeDirect) Newest(_ context.Context, _ ident.Stream, after string) (tail.Page, error) {
 	d.calls.Add(1)
-	return []tail.Entry{{Key: "k", Value: []byte("v"), Offset: 3}}, 4, d.err
+	return tail.Page{Entries: []tail.Entry{{Key: after + "k", Value: []byte("v"), Offset: 3}}, Next: 4, More: true}, d.err
 }
 
 // serving answers the calls of other instances from direct.
@@ -80,9 +81,10 @@
 		if err != nil || batch.Next != 9 || len(batch.Records) != 2 || batch.Records[1].Offset != 8 {
 			t.Errorf("batch %+v, error %v", batch, err)
 		}
-		entries, next, err := s.Newest(t.Context(), "k.0")
-		if err != nil || next != 4 || len(entries) != 1 || entries[0].Key != "k" {
-			t.Errorf("entries %+v, error %v", entries, err)
+		page, err := s.Newest(t.Context(), "k.0", "j")
+		want := tail.Page{Entries: []tail.Entry{{Key: "jk", Value: []byte("v"), Offset: 3}}, Next: 4, More: true}
+		if err != nil || !reflect.DeepEqual(page, want) {
+			t.Errorf("page %+v, error %v, want %+v", page, err, want)
 		}
 	})
 }
--- a/croftmoor/detour/wire.go
+++ b/croftmoor/detour/wire.go
@@ -15,7 +15,8 @@
 const (
 	appendPath = "/croftmoor.Detour/Append"
 	readPath   = "/croftmoor.Detour/Read"
-	newestPath = "/croftmoor.Detour/Newest"
+	// newestPath's name tells it from one that gives all pages at once.
+	newestPath = "/croftmoor.Detour/NewestPage"
 )
 
 type appendWire struct {
@@ -45,13 +46,15 @@
 	Records [][]byte
 }
 
-type streamWire struct {
+type newestWire struct {
 	Stream string
+	After  string
 }
 
-type newestWire struct {
+type pageWire struct {
 	Entries []entryWire
 	Next    int64
+	More    bool
 }
 
 type entryWire struct {
@@ -83,12 +86,20 @@
 	return b
 }
 
-func newestFromWire(w *newestWire) newest {
-	found := newest{next: ident.Offset(w.Next)}
+func pageToWire(p tail.Page) *pageWire {
+	w := &pageWire{Next: int64(p.Next), More: p.More}
+	for _, e := range p.Entries {
+		w.Entries = append(w.Entries, entryWire{Key: e.Key, Value: e.Value, Offset: int64(e.Offset)})
+	}
+	return w
+}
+
+func pageFromWire(w *pageWire) tail.Page {
+	p := tail.Page{Next: ident.Offset(w.Next), More: w.More}
 	for _, e := range w.Entries {
-		found.entries = append(found.entries, tail.Entry{Key: e.Key, Value: e.Value, Offset: ident.Offset(e.Offset)})
+		p.Entries = append(p.Entries, tail.Entry{Key: e.Key, Value: e.Value, Offset: ident.Offset(e.Offset)})
 	}
-	return found
+	return p
 }
 
 // Handle answers the calls of other instances; it goes the direct way only.
@@ -102,13 +113,9 @@
 		batch, err := direct.ReadSome(ctx, ident.Stream(w.Stream), ident.Offset(w.From), w.Most, clock.Millis(w.WaitMillis))
 		return batchToWire(batch), err
 	})
-	rpcs.Handle(mux, newestPath, toConnect, func(ctx context.Context, w *streamWire) (*newestWire, error) {
-		entries, next, err := direct.Newest(ctx, ident.Stream(w.Stream))
-		answer := &newestWire{Next: int64(next)}
-		for _, e := range entries {
-			answer.Entries = append(answer.Entries, entryWire{Key: e.Key, Value: e.Value, Offset: int64(e.Offset)})
-		}
-		return answer, err
+	rpcs.Handle(mux, newestPath, toConnect, func(ctx context.Context, w *newestWire) (*pageWire, error) {
+		page, err := direct.Newest(ctx, ident.Stream(w.Stream), w.After)
+		return pageToWire(page), err
 	})
 }
 
--- a/kernel/tail/tail.go
+++ b/kernel/tail/tail.go
@@ -72,11 +72,23 @@
 	Offset ident.Offset
 }
 
+// Page is a part of the newest records of a keyed stream.
+type Page struct {
+	// Entries are in the order of their keys.
+	Entries []Entry
+	// Next is the offset that the next record of the stream will get.
+	Next ident.Offset
+	// More tells that there may be entries behind the last one.
+	More bool
+}
+
 // Keyed reads streams that keep the newest record of each key.
 type Keyed interface {
-	// Newest returns the newest record of each key, and the offset from which to
-	// follow the stream.
-	Newest(ctx context.Context, stream ident.Stream) ([]Entry, ident.Offset, error)
+	// Newest returns the newest records of the keys behind a key, "" for the first
+	// ones. Pages are no snapshot: what changes meanwhile comes again from the first
+	// page's Next on. One call is one page, so that a caller can give each its own
+	// time and keep those that came.
+	Newest(ctx context.Context, stream ident.Stream, after string) (Page, error)
 }
 
 // Chunks reads parts of streams.
