--- a/croftmoor/relay/relay.go
+++ b/croftmoor/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -34,8 +35,10 @@
 }
 
 const (
-	// tries is how many followers are asked one after the other.
-	tries = 3
+	// tries is how many followers are asked at most, nearTries of them before one of
+	// another availability zone: all of a zone may have started at once.
+	tries     = 4
+	nearTries = 2
 	// nextTerm is how long a follower may take beyond the time for which an answer may be
 	// held, before the next one is asked beside it; a page of results takes some 10 ms, and
 	// some 0.5 s while the log is slow.
@@ -135,15 +138,17 @@
 // than one that begins. When it was given up, each of them began anew until the caller
 // had left.
 func ask[A any](ctx context.Context, r *Relay, job ident.Job, t terms, unsure intake.Kind, call func(context.Context, ident.Address) (*A, error)) (*A, error) {
-	left := r.Followers(string(job))
-	left = left[:min(len(left), tries)]
+	left := candidates(r.Followers(string(job)))
+	if len(left) == 0 {
+		return nil, fault.New("relay.ask", intake.Unsure, "no instance is known that follows the ledger")
+	}
 	replies := make(chan reply[A], len(left))
 	began := r.Clock.Mono()
 	var group conc.WaitGroup
 	defer group.Wait()
 	callCtx, cancel := context.WithTimeout(ctx, t.all.Duration())
 	defer cancel()
-	var last error = fault.New("relay.ask", intake.Unsure, "no instance is known that follows the ledger")
+	var last error = fault.New("relay.ask", unsure, fmt.Sprintf("none of %d instances that follow the ledger has answered", len(left)))
 	var late <-chan time.Time
 	for waiting := 0; ; {
 		if late == nil && len(left) > 0 && callCtx.Err() == nil {
@@ -159,6 +164,8 @@
 			return nil, last
 		}
 		select {
+		case <-callCtx.Done():
+			return nil, last
 		case <-late:
 			late = nil
 		case got := <-replies:
@@ -176,6 +183,16 @@
 	}
 }
 
+// candidates returns the followers to ask, first first: those of the own zone, with one of
+// another zone among them.
+func candidates(followers []elect.Member) []elect.Member {
+	far := slices.IndexFunc(followers, func(m elect.Member) bool { return m.Zone != followers[0].Zone })
+	if far > nearTries {
+		followers = slices.Insert(slices.Delete(slices.Clone(followers), far, far+1), nearTries, followers[far])
+	}
+	return followers[:min(len(followers), tries)]
+}
+
 // kindOf returns the kind that a follower gave to an error, or unsure if it gave none.
 func kindOf(err error, unsure intake.Kind) intake.Kind {
 	if told := rpcs.KindOf(err); told != "" {
--- a/croftmoor/relay/relay_test.go
+++ b/croftmoor/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
@@ -178,3 +179,34 @@
 		}
 	})
 }
+
+func TestCandidates(t *testing.T) {
+	zones := func(list ...ident.Zone) []elect.Member {
+		var members []elect.Member
+		for n, zone := range list {
+			members = append(members, elect.Member{Name: ident.InstanceName(fmt.Sprint(n)), Zone: zone})
+		}
+		return members
+	}
+	cases := []struct {
+		name      string
+		followers []elect.Member
+		want      string
+	}{
+		{"nobody", nil, ""},
+		{"one of another zone is among those of the own", zones("a", "a", "a", "a", "b", "c"), "0 1 4 2"},
+		{"a zone with few followers", zones("a", "b", "b", "c", "c"), "0 1 2 3"},
+		{"a single zone", zones("a", "a", "a", "a", "a"), "0 1 2 3"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var names []string
+			for _, m := range candidates(tc.followers) {
+				names = append(names, string(m.Name))
+			}
+			if got := strings.Join(names, " "); got != tc.want {
+				t.Errorf("asked %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
