A job may take longer to be kept the larger it is

A job of 24 MB was never accepted by a log that takes 8 MB a second (TestLargeJobIsTaken, red before). Now there is 1 s more for each 4 MB. Shown by the test alone; the users' jobs are of 1 MB and less.

--- a/croftmoor/intake/intake.go
+++ b/croftmoor/intake/intake.go
@@ -79,8 +79,10 @@
 	// allows 1 MB.
 	mostListed = 900 << 10
 	// submitTerm is how long the log may take to acknowledge a job before the
-	// caller is told that the outcome is uncertain.
+	// caller is told that the outcome is uncertain, beside the time for its bodies at
+	// bodiesRate bytes a second: a log that is fifty times as slow as usual takes twice that.
 	submitTerm = 2500 * clock.Millis(1)
+	bodiesRate = 4 << 20
 	endTerm    = 2500 * clock.Millis(1)
 	// settleTerm is the age of the ledger beyond which this instance does not say
 	// that something is not there; the callers' protocol gives each instance 1 s to
@@ -122,7 +124,7 @@
 		i.note(string(s.Job), trail.Hand, "known", "submitted again")
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, submitTerm.Duration())
+	ctx, cancel := context.WithTimeout(ctx, termOf(s).Duration())
 	defer cancel()
 	accept, err := i.keepBodies(ctx, s)
 	if err != nil {
@@ -142,6 +144,16 @@
 	return nil
 }
 
+// termOf returns how long a job may take to be kept. A time without regard for its size is
+// too short for the largest at each try, and what was written is written anew.
+func termOf(s Submission) clock.Millis {
+	bytes := 0
+	for _, item := range s.Items {
+		bytes += len(item.Body)
+	}
+	return submitTerm + clock.Millis(bytes)*clock.Second/bodiesRate
+}
+
 // keepBodies keeps the items and returns the acceptance that refers to them.
 func (i *Intake) keepBodies(ctx context.Context, s Submission) (jobs.Accept, error) {
 	accept := jobs.Accept{
