A silent log is asked for a body for a second before replicas are

The same cause elsewhere: an item's body came from an instance that had read it ahead only when all tries at the log had run out of their time, 4.5 s and more, of the 7.5 s in which a step is due. TestBodyOfASilentLog: 3 s, the whole time that it had, before; 1 s now.

--- a/croftmoor/batch/alone.go
+++ b/croftmoor/batch/alone.go
@@ -194,11 +194,17 @@
 	return spans
 }
 
+// bodyTerm is how long the log is asked for a body before replicas are: one that takes
+// fifty times its usual 4 ms comes within it, one that is silent keeps no item longer.
+const bodyTerm = 1 * clock.Second
+
 // body returns what is kept of an item: from the log, or while that does not answer
 // from an instance that has read it ahead.
 func (r *Runner) body(ctx context.Context, item *jobs.Item) ([]byte, error) {
 	if !r.Ledger.Away() {
-		data, err := r.Blobs.Get(ctx, item.Body)
+		first, cancel := context.WithTimeout(ctx, bodyTerm.Duration())
+		data, err := r.Blobs.Get(first, item.Body)
+		cancel()
 		if err == nil {
 			return data, nil
 		}
--- a/croftmoor/batch/away_test.go
+++ b/croftmoor/batch/away_test.go
@@ -108,3 +108,32 @@
 		}
 	}
 }
+
+// silentBlobs never answers from the log.
+type silentBlobs struct{ itemBlobs }
+
+func (b *silentBlobs) Get(ctx context.Context, _ jobs.Span) ([]byte, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// While the log takes calls and says nothing, an item's body comes from an instance that has
+// read it ahead, and not only when all tries at the log have run out of their time.
+func TestBodyOfASilentLog(t *testing.T) {
+	r := crowd(4, 4, 1)
+	r.Blobs = &silentBlobs{}
+	var item jobs.Item
+	r.Ledger.View(func(b *jobs.Book) {
+		item = b.Jobs["job-0"].Items[0]
+		for name, member := range b.Members {
+			member.Address = ident.Address(name)
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), (3 * bodyTerm).Duration())
+	defer cancel()
+	began := r.Clock.Mono()
+	_, err := r.body(ctx, &item)
+	if took := r.Clock.Mono() - began; err != nil || took > bodyTerm+clock.Second/2 {
+		t.Errorf("error %v after %d ms, want the body after %d", err, took, bodyTerm)
+	}
+}
