--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 # 1796258065843: all were killed while the store was away, and served calls before they had
 # read which requests are held.
 # 3: callers press, as in every third seed.
+# 2: a long job is read while the log is late, as in every third seed.
 SOAK := --seed 1 --seed 2 --seed 3 --seed 1796258065843 --seconds 8
 soak:
 	@mkdir -p bin
