Reads that hang give their room to others, and ends that may be done are not denied

A read gives its room back after half a second. * reads ahead were marked as awaited, which undid their order. * a read that began beside the stop panicked (the group was waited for). * a first text longer than a page that lies in several records was given as no text at all, without an error. * a pause after a failed try went on beyond the caller's term (753 ms for 400). * an end of a job which the first follower had perhaps done was said not to have run (503) when the next one could not tell; an instance that was asked and has not answered now stands above those that can't. Each has a test: TestSilentStreamKeepsNoOtherOut, TestNothingBeginsAfterTheStop, TestFirstTextIsGivenWhateverItsSize, TestPauseEndsWithTheTerm, TestEndThatMayHaveBeenDone.

--- a/croftmoor/blobs/blobs.go
+++ b/croftmoor/blobs/blobs.go
@@ -77,8 +77,10 @@
 	window window
 	// sizes are the smoothed bytes of a record of each stream.
 	sizes map[ident.Stream]int
-	base  context.Context
-	stop  context.CancelFunc
+	// base ends with cancel; after that no read begins.
+	base    context.Context
+	cancel  context.CancelFunc
+	stopped bool
 }
 
 // place is where a record lies.
@@ -153,14 +155,16 @@
 	return data, ok
 }
 
-// lookupAll fills in the records that are in the cache, and returns the places of those
-// that are missing; if bounded, only of those that lie within the next bytes.
-func (s *Store) lookupAll(wanted []place, records []found, bytes int, bounded bool) []place {
+// fillIn takes over the records that are in the cache, and returns the places of those that
+// are missing among the first least ones, and of the further ones within the next bytes;
+// negative bytes are no bound.
+func (s *Store) fillIn(wanted []place, records []found, least, bytes int) []place {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var missing []place
+	bounded := bytes >= 0
 	for n, p := range wanted {
-		if bounded && bytes <= 0 {
+		if bounded && bytes <= 0 && n >= least {
 			break
 		}
 		if !records[n].there {
--- a/croftmoor/blobs/gather.go
+++ b/croftmoor/blobs/gather.go
@@ -58,8 +58,11 @@
 		count, _ := slices.BinarySearch(ends, g.first+1)
 		return count
 	}
+	if len(ends) > 0 {
+		g.least = ends[0]
+	}
 	err := g.run(ctx, func() bool {
-		return g.bytes >= most || (ready() > 0 && s.Clock.Mono() >= until)
+		return ready() > 0 && (g.bytes >= most || s.Clock.Mono() >= until)
 	})
 	if err != nil && ready() == 0 {
 		return nil, err
@@ -90,8 +93,9 @@
 type gathering struct {
 	store  *Store
 	wanted []place
-	// most is how many bytes are wanted at most; 0 is all.
+	// most is how many bytes are wanted at most, beside the first least places; 0 is all.
 	most  int
+	least int
 	tries int
 	// over ends a wait, once; it may be nil.
 	over <-chan time.Time
@@ -144,7 +148,11 @@
 // missing returns the places that the caller lacks of those that it can use.
 func (g *gathering) missing() []place {
 	g.takeEnded()
-	missing := g.store.lookupAll(g.wanted[g.first:], g.found[g.first:], g.most-g.bytes, g.most > 0)
+	bytes := -1
+	if g.most > 0 {
+		bytes = max(g.most-g.bytes, 0)
+	}
+	missing := g.store.fillIn(g.wanted[g.first:], g.found[g.first:], g.least-g.first, bytes)
 	for g.first < len(g.wanted) && g.found[g.first].there {
 		g.bytes += len(g.found[g.first].data)
 		g.first++
@@ -189,7 +197,7 @@
 		room = max(room, 1)
 	}
 	open := slices.DeleteFunc(slices.Clone(missing), func(p place) bool { return covered[p] })
-	begun := g.store.begin(open, room)
+	begun := g.store.join(open, room, next == nil)
 	g.reads = append(g.reads, begun...)
 	if next == nil && len(begun) > 0 {
 		next = begun[0]
@@ -215,10 +223,17 @@
 	return fault.Wrap("blobs.gather", Unavailable, r.err, "cannot read "+wanted.String())
 }
 
-// rest pauses after a try that failed, so that a log which refuses is not asked at once.
+// rest pauses after a try that failed, so that a log which refuses is not asked at once, and
+// no longer than the caller's term.
 func (g *gathering) rest(ctx context.Context) {
-	if g.failed > 0 {
-		g.store.Clock.Sleep(ctx, min(tryPause<<(g.failed-1), mostTryPause))
+	if g.failed == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-g.over:
+		g.over = nil
+	case <-g.store.Clock.After(min(tryPause<<(g.failed-1), mostTryPause)):
 	}
 }
 
--- a/croftmoor/blobs/gather_test.go
+++ b/croftmoor/blobs/gather_test.go
@@ -291,3 +291,87 @@
 		t.Errorf("error %v after %d ms, want Unavailable after a second and more", err, took)
 	}
 }
+
+func TestFirstTextIsGivenWhateverItsSize(t *testing.T) {
+	log := &stream{first: 1, last: 9, size: 1000}
+	store := storeOf(log)
+	long := [][]jobs.Span{{{Stream: "texts.0", First: 1, Count: 4}}, {{Stream: "texts.0", First: 5, Count: 1}}}
+	for _, name := range []string{"from the log", "from memory"} {
+		t.Run(name, func(t *testing.T) {
+			const most = 2500
+			texts, err := store.Texts(t.Context(), long, most, later)
+			if err != nil || len(texts) == 0 || len(texts[0]) != 4*log.size {
+				t.Errorf("%d texts, error %v, want the first one", len(texts), err)
+			}
+		})
+	}
+}
+
+func TestSilentStreamKeepsNoOtherOut(t *testing.T) {
+	silent := &stream{hold: make(chan struct{})}
+	sound := &stream{first: 1, last: 99, size: 100}
+	store := &Store{Reader: twoStreams{silent: silent, sound: sound}, Clock: clock.New(), CacheBytes: 1 << 20}
+	ctx, cancel := context.WithTimeout(t.Context(), (3 * clock.Second).Duration())
+	defer cancel()
+	var group conc.WaitGroup
+	for n := range 8 {
+		group.Go(func() {
+			_, _ = store.Texts(ctx, [][]jobs.Span{{{Stream: "silent.0", First: ident.Offset(1 + 100*n), Count: 1}}}, noLimit, soon)
+		})
+	}
+	store.Clock.Sleep(ctx, 100)
+	for n := range 5 {
+		began := store.Clock.Mono()
+		_, err := store.Get(ctx, jobs.Span{Stream: "texts.0", First: ident.Offset(1 + n), Count: 1})
+		if took := store.Clock.Mono() - began; err != nil || took > clock.Second {
+			t.Errorf("error %v after %d ms, want the blob within a second", err, took)
+		}
+	}
+	cancel()
+	close(silent.hold)
+	group.Wait()
+}
+
+// twoStreams is a log of which one stream is silent.
+type twoStreams struct{ silent, sound *stream }
+
+func (l twoStreams) ReadSome(ctx context.Context, name ident.Stream, from ident.Offset, most int, wait clock.Millis) (tail.Batch, error) {
+	if name == "silent.0" {
+		return l.silent.ReadSome(ctx, name, from, most, wait)
+	}
+	return l.sound.ReadSome(ctx, name, from, most, wait)
+}
+
+func TestNothingBeginsAfterTheStop(t *testing.T) {
+	log := &stream{first: 1, last: 99, size: 100}
+	store := storeOf(log)
+	var group conc.WaitGroup
+	for n := range 50 {
+		group.Go(func() {
+			_, _ = store.Get(t.Context(), jobs.Span{Stream: "texts.0", First: ident.Offset(1 + n), Count: 1})
+		})
+	}
+	store.Stop()
+	group.Wait()
+	log.mu.Lock()
+	reads := log.reads
+	log.mu.Unlock()
+	if _, err := store.Get(t.Context(), jobs.Span{Stream: "other.0", First: 1, Count: 1}); fault.KindOf[Kind](err) != Unavailable || log.reads != reads {
+		t.Errorf("error %v, %d reads more, want Unavailable and none", err, log.reads-reads)
+	}
+}
+
+func TestPauseEndsWithTheTerm(t *testing.T) {
+	log := &stream{first: 1, last: 900, size: 100}
+	store := storeOf(log)
+	if _, err := store.Texts(t.Context(), textsAt(1), noLimit, later); err != nil {
+		t.Fatal(err)
+	}
+	log.fail = errors.New("busy")
+	const term = 200 * clock.Millis(1)
+	began := store.Clock.Mono()
+	texts, err := store.Texts(t.Context(), textsAt(1, 800), noLimit, term)
+	if took := store.Clock.Mono() - began; err != nil || len(texts) != 1 || took > term+100 {
+		t.Errorf("%d texts after %d ms, error %v, want one after %d", len(texts), took, err, term)
+	}
+}
--- a/croftmoor/blobs/read.go
+++ b/croftmoor/blobs/read.go
@@ -1,6 +1,7 @@
 package blobs
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync/atomic"
@@ -26,8 +27,10 @@
 	stream ident.Stream
 	// waiting counts the callers that wait for it.
 	waiting atomic.Int64
-	// urgent tells that a caller has nothing to give before it; guarded by the store's mu.
-	urgent bool
+	// awaited tells that a caller has nothing to give before it, and held that its bytes
+	// count against the window; both are guarded by the store's mu.
+	awaited bool
+	held    bool
 	// done is closed when the rest is set.
 	done    chan struct{}
 	records []tail.Record
@@ -51,35 +54,38 @@
 
 // record returns a record of an ended read.
 func (r *read) record(offset ident.Offset) ([]byte, bool) {
-	if len(r.records) == 0 {
-		return nil, false
-	}
-	n := int(offset - r.records[0].Offset)
-	if n < 0 || n >= len(r.records) {
+	n, found := slices.BinarySearchFunc(r.records, offset, func(record tail.Record, wanted ident.Offset) int {
+		return cmp.Compare(record.Offset, wanted)
+	})
+	if !found {
 		return nil, false
 	}
 	return r.records[n].Data, true
 }
 
-// Stop gives up the reads under way and waits for them. A panic of one is thrown here.
+// Stop gives up the reads under way and waits for them; none begins any more. A panic of one
+// is thrown here.
 func (s *Store) Stop() {
 	s.mu.Lock()
 	s.prepare()
-	s.stop()
+	s.stopped = true
+	s.cancel()
+	s.pump()
 	s.mu.Unlock()
 	s.group.Wait()
 }
 
-// begin returns reads for missing places, as many as most in the order of the places: those
+// join returns reads for missing places, as many as most in the order of the places: those
 // that are under way for others, and new ones. It stops at a place that has come meanwhile.
-// The caller is counted as waiting for each.
-func (s *Store) begin(missing []place, most int) []*read {
+// The caller is counted as waiting for each; awaited tells that it has nothing to give
+// before the first.
+func (s *Store) join(missing []place, most int, awaited bool) []*read {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.prepare()
-	var begun []*read
+	var joined []*read
 	for _, p := range missing {
-		if _, came := s.cache[p]; came || len(begun) >= most {
+		if _, came := s.cache[p]; came || len(joined) >= most {
 			break
 		}
 		r, known := s.reads[p]
@@ -87,23 +93,23 @@
 			r = s.newRead(p, missing)
 			s.queue = append(s.queue, r)
 		}
-		if !slices.Contains(begun, r) {
+		if !slices.Contains(joined, r) {
 			r.waiting.Add(1)
-			begun = append(begun, r)
+			joined = append(joined, r)
 		}
 	}
-	if len(begun) > 0 && begun[0].isFor(missing[0]) {
-		begun[0].urgent = true
+	if awaited && len(joined) > 0 {
+		joined[0].awaited = true
 	}
 	s.pump()
-	return begun
+	return joined
 }
 
 // hasten marks a read that a caller has waited for, and has now nothing to give before it.
 func (s *Store) hasten(r *read) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.urgent = true
+	r.awaited = true
 }
 
 // newRead returns a read for a place, and for those of the missing ones around it that nobody
@@ -116,7 +122,7 @@
 		}
 	}
 	r := &read{
-		extent: extentFor(first.offset, offsets, s.size(first.stream), s.window.read()),
+		extent: extentFor(first.offset, offsets, s.size(first.stream), s.window.mostPerRead()),
 		stream: first.stream, done: make(chan struct{}),
 	}
 	for _, offset := range r.wanted {
@@ -129,18 +135,20 @@
 // to give go first. Reads for which nobody waits any more are dropped. mu is held.
 func (s *Store) pump() {
 	s.queue = slices.DeleteFunc(s.queue, func(r *read) bool {
-		if r.waiting.Load() > 0 {
+		if !s.stopped && r.waiting.Load() > 0 {
 			return false
 		}
-		s.end(r)
+		r.err = fault.New("blobs.read", Unavailable, "given up before its turn")
+		s.settle(r)
 		return true
 	})
 	for len(s.queue) > 0 {
-		next := max(slices.IndexFunc(s.queue, func(r *read) bool { return r.urgent }), 0)
+		next := max(slices.IndexFunc(s.queue, func(r *read) bool { return r.awaited }), 0)
 		r := s.queue[next]
 		if !s.window.take(r.bytes) {
 			return
 		}
+		r.held = true
 		s.queue = slices.Delete(s.queue, next, next+1)
 		s.group.Go(func() { s.do(r) })
 	}
@@ -150,12 +158,15 @@
 func (s *Store) do(r *read) {
 	began := s.Clock.Mono()
 	r.err = fault.New("blobs.read", Unavailable, "the read broke off")
+	late := s.Clock.AfterFunc(slowRead, func() { s.release(r) })
 	defer func() {
+		late.Stop()
+		s.release(r)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.window.ended(r.bytes, s.Clock.Mono()-began, r.err == nil)
+		s.window.learn(r.bytes, s.Clock.Mono()-began, r.err == nil)
 		s.keep(r)
-		s.end(r)
+		s.settle(r)
 		s.pump()
 	}()
 	ctx, cancel := context.WithTimeout(s.base, readTimeout.Duration())
@@ -164,8 +175,21 @@
 	r.records, r.oldest, r.err = batch.Records, batch.First, err
 }
 
-// end lets others read the places of a read anew; mu is held.
-func (s *Store) end(r *read) {
+// release gives a read's room to others, once. One that is slow does so before its end: reads
+// that hang would keep out all others, also those of streams that answer.
+func (s *Store) release(r *read) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !r.held {
+		return
+	}
+	r.held = false
+	s.window.give(r.bytes)
+	s.pump()
+}
+
+// settle ends a read: others may read its places anew. mu is held.
+func (s *Store) settle(r *read) {
 	for _, offset := range r.wanted {
 		delete(s.reads, place{stream: r.stream, offset: offset})
 	}
@@ -181,7 +205,7 @@
 	s.reads = map[place]*read{}
 	s.sizes = map[ident.Stream]int{}
 	s.window = newWindow()
-	s.base, s.stop = context.WithCancel(context.Background())
+	s.base, s.cancel = context.WithCancel(context.Background())
 }
 
 // learn smooths the size of a stream's records; mu is held.
--- a/croftmoor/blobs/window.go
+++ b/croftmoor/blobs/window.go
@@ -9,7 +9,8 @@
 	firstWindow = 2 * leastWindow
 	mostWindow  = 4 << 20
 	// quickRead is the time of a read of a log that has room, also when it takes 60 times
-	// its usual 4 ms, and slowRead that of one that has to share what there is.
+	// its usual 4 ms, and slowRead that of one that has to share what there is. A log
+	// that is slower than quickRead by itself is taken for one without room.
 	quickRead = 300 * clock.Millis(1)
 	slowRead  = 500 * clock.Millis(1)
 	// windowReads is how many reads the window has room for at least.
@@ -27,8 +28,8 @@
 // newWindow returns the window to begin with.
 func newWindow() window { return window{bytes: firstWindow} }
 
-// read returns how much one read may ask for.
-func (w *window) read() int { return min(max(w.bytes/windowReads, leastRead), mostRead) }
+// mostPerRead returns how much one read may ask for.
+func (w *window) mostPerRead() int { return min(max(w.bytes/windowReads, leastRead), mostRead) }
 
 // take begins a read if there is room for it.
 func (w *window) take(bytes int) bool {
@@ -39,9 +40,11 @@
 	return true
 }
 
-// ended ends a read.
-func (w *window) ended(bytes int, took clock.Millis, ok bool) {
-	w.used -= bytes
+// give ends a read's claim to room.
+func (w *window) give(bytes int) { w.used -= bytes }
+
+// learn adapts the window to a read that has ended.
+func (w *window) learn(bytes int, took clock.Millis, ok bool) {
 	switch {
 	case !ok || took >= slowRead:
 		w.bytes = max(w.bytes/2, leastWindow)
--- a/croftmoor/blobs/window_test.go
+++ b/croftmoor/blobs/window_test.go
@@ -30,7 +30,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			w := newWindow()
 			w.take(leastRead)
-			w.ended(leastRead, tc.took, tc.ok)
+			w.give(leastRead)
+			w.learn(leastRead, tc.took, tc.ok)
 			wantWindow(t, w, tc.want)
 		})
 	}
@@ -38,12 +39,14 @@
 		w := newWindow()
 		for range 1000 {
 			w.take(mostRead)
-			w.ended(mostRead, 1, true)
+			w.give(mostRead)
+			w.learn(mostRead, 1, true)
 		}
 		wantWindow(t, w, mostWindow)
 		for range 1000 {
 			w.take(leastRead)
-			w.ended(leastRead, readTimeout, false)
+			w.give(leastRead)
+			w.learn(leastRead, readTimeout, false)
 		}
 		wantWindow(t, w, leastWindow)
 	})
--- a/croftmoor/relay/relay.go
+++ b/croftmoor/relay/relay.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -53,8 +54,8 @@
 // terms bound the asking of followers.
 type terms struct {
 	// next is how long one is waited for before the next one is asked, too.
-	next clock.Millis
-	all  clock.Millis
+	next  clock.Millis
+	whole clock.Millis
 }
 
 // Relay passes calls on to a follower. Set the fields before use.
@@ -88,7 +89,7 @@
 		return r.Local.Read(ctx, by, job, from, wait)
 	}
 	until := r.Clock.Mono() + wait
-	answer, err := ask(ctx, r, job, terms{next: wait + nextTerm, all: wait + answerTerm}, intake.Unsure, func(ctx context.Context, to ident.Address) (*pageWire, error) {
+	answer, err := ask(ctx, r, job, terms{next: wait + nextTerm, whole: wait + answerTerm}, intake.Unsure, func(ctx context.Context, to ident.Address) (*pageWire, error) {
 		left := max(until-r.Clock.Mono(), 0)
 		return rpcs.Call[readWire, pageWire](ctx, r.client, to, readPath, &readWire{Organisation: string(by), Job: string(job), From: from, WaitMillis: int64(left)})
 	})
@@ -103,7 +104,7 @@
 	if r.Knows() {
 		return r.Local.Body(ctx, by, job, id)
 	}
-	answer, err := ask(ctx, r, job, terms{next: nextTerm, all: answerTerm}, intake.Unsure, func(ctx context.Context, to ident.Address) (*bodyWire, error) {
+	answer, err := ask(ctx, r, job, terms{next: nextTerm, whole: answerTerm}, intake.Unsure, func(ctx context.Context, to ident.Address) (*bodyWire, error) {
 		return rpcs.Call[itemWire, bodyWire](ctx, r.client, to, bodyPath, &itemWire{Organisation: string(by), Job: string(job), Item: string(id)})
 	})
 	if err != nil {
@@ -117,7 +118,7 @@
 	if r.Knows() {
 		return r.Local.End(ctx, by, job)
 	}
-	_, err := ask(ctx, r, job, terms{next: endTerm, all: tries * endTerm}, intake.Uncertain, func(ctx context.Context, to ident.Address) (*emptyWire, error) {
+	_, err := ask(ctx, r, job, terms{next: endTerm, whole: tries * endTerm}, intake.Uncertain, func(ctx context.Context, to ident.Address) (*emptyWire, error) {
 		return rpcs.Call[jobWire, emptyWire](ctx, r.client, to, endPath, &jobWire{Organisation: string(by), Job: string(job)})
 	})
 	return err
@@ -132,7 +133,8 @@
 
 // ask asks followers until one gives an answer of its own. A follower that can't be
 // sure is an answer only if no other is left; unsure is the kind of an error when
-// no follower gave one.
+// a follower gave none, and stands whatever the others say: it may have done what it was
+// asked.
 //
 // One that is late is waited for beside the next: it has read more of what is asked for
 // than one that begins. When it was given up, each of them began anew until the caller
@@ -146,9 +148,14 @@
 	began := r.Clock.Mono()
 	var group conc.WaitGroup
 	defer group.Wait()
-	callCtx, cancel := context.WithTimeout(ctx, t.all.Duration())
+	callCtx, cancel := context.WithTimeout(ctx, t.whole.Duration())
 	defer cancel()
-	var last error = fault.New("relay.ask", unsure, fmt.Sprintf("none of %d instances that follow the ledger has answered", len(left)))
+	// last is what was heard last; doubt stands above it: what a follower may have done was
+	// perhaps done.
+	var last, doubt error
+	silent := func() error {
+		return fault.New("relay.ask", unsure, "an instance that follows the ledger has not answered in time")
+	}
 	var late <-chan time.Time
 	for waiting := 0; ; {
 		if late == nil && len(left) > 0 && callCtx.Err() == nil {
@@ -161,11 +168,11 @@
 			})
 		}
 		if waiting == 0 {
-			return nil, last
+			return nil, cmp.Or(doubt, last, silent())
 		}
 		select {
 		case <-callCtx.Done():
-			return nil, last
+			return nil, cmp.Or(doubt, silent())
 		case <-late:
 			late = nil
 		case got := <-replies:
@@ -175,8 +182,12 @@
 			waiting, late = waiting-1, nil
 			kind := kindOf(got.err, unsure)
 			last = fault.Wrap("relay.ask", kind, got.err, "through "+string(got.from.Name))
-			r.note(job, got.from, fmt.Sprintf("no answer after %d of %d ms, caller left %t: %s", r.Clock.Mono()-began, t.all, ctx.Err() != nil, got.err))
-			if kind != intake.Unsure && kind != intake.Uncertain {
+			r.note(job, got.from, fmt.Sprintf("no answer after %d of %d ms, caller left %t: %s", r.Clock.Mono()-began, t.whole, ctx.Err() != nil, got.err))
+			switch kind {
+			case intake.Uncertain:
+				doubt = last
+			case intake.Unsure:
+			default:
 				return nil, last
 			}
 		}
--- a/croftmoor/relay/relay_test.go
+++ b/croftmoor/relay/relay_test.go
@@ -43,9 +43,10 @@
 	return []byte("body"), a.err
 }
 
-func (a *answers) End(_ context.Context, by ident.Organisation, _ ident.Job) error {
+func (a *answers) End(ctx context.Context, by ident.Organisation, _ ident.Job) error {
 	a.by = by
 	a.ends++
+	clock.New().Sleep(ctx, a.takes)
 	return a.err
 }
 
@@ -210,3 +211,28 @@
 		})
 	}
 }
+
+// An end that a follower may have done is not said to be undone because another can't tell.
+func TestEndThatMayHaveBeenDone(t *testing.T) {
+	unsure := fault.New("f", intake.Unsure, "in arrears")
+	uncertain := fault.New("f", intake.Uncertain, "no word from the log")
+	nobody := elect.Member{Name: "gone", Address: "127.0.0.1:1"}
+	cases := []struct {
+		name      string
+		followers []elect.Member
+		want      intake.Kind
+	}{
+		{"the first one's answer is lost", []elect.Member{nobody, follower(t, &answers{err: unsure})}, intake.Uncertain},
+		{"the first one can't say whether it was done", []elect.Member{follower(t, &answers{err: uncertain}), follower(t, &answers{err: unsure})}, intake.Uncertain},
+		{"the first one is silent", []elect.Member{follower(t, &answers{takes: 20 * clock.Second}), follower(t, &answers{err: unsure})}, intake.Uncertain},
+		{"none of them has done it", []elect.Member{follower(t, &answers{err: unsure}), follower(t, &answers{err: unsure})}, intake.Unsure},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(t.Context(), (endTerm + clock.Second).Duration())
+			defer cancel()
+			wantKind(t, relayTo(tc.followers...).End(ctx, "", "j"), tc.want)
+		})
+	}
+}
