Calls that are given up tell how many bytes of them are unacknowledged

Cause: log and metrics could not tell the hypotheses apart; a given-up call showed only how its read ended ("EOF"). No logic changes: connections are closed as before.

--- a/croftmoor/metric/metric.go
+++ b/croftmoor/metric/metric.go
@@ -100,6 +100,11 @@
 	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
+// Counter registers a counter that is read when the metrics are scraped.
+func (s *Set) Counter(name, help string, read func() float64) {
+	s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
+}
+
 // Refused counts a refusal.
 func (s *Set) Refused(kind string) {
 	s.refused.WithLabelValues(kind).Inc()
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -16,6 +16,7 @@
 	"syscall"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
@@ -101,6 +102,8 @@
 	idle      map[ident.Address][]*link
 	monoClock *clock.Clock
 	dialed    int64
+	// unackedCalls counts abandoned exchanges whose requests were not fully acknowledged.
+	unackedCalls int64
 }
 
 // Dialed returns the number of connections opened so far.
@@ -110,6 +113,14 @@
 	return c.dialed
 }
 
+// UnackedCalls returns how many exchanges were abandoned so far while the peer had not
+// acknowledged all bytes of the request.
+func (c *Client) UnackedCalls() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unackedCalls
+}
+
 // HasIdle reports whether an idle connection to address is kept that has not expired.
 func (c *Client) HasIdle(address ident.Address) bool {
 	c.mu.Lock()
@@ -130,8 +141,48 @@
 // idle connection expires; it is 0 while the connection is in use.
 type link struct {
 	net.Conn
+	client    *Client
 	reader    *bufio.Reader
 	idleUntil clock.Millis
+	// abandoning guards unacked, which is how many bytes of the request the peer had not
+	// acknowledged when the exchange was abandoned.
+	abandoning sync.Once
+	unacked    int
+}
+
+// abandon closes the connection of an exchange that has no complete response.
+func (l *link) abandon() {
+	l.abandoning.Do(func() {
+		l.unacked = unackedBytes(l.Conn)
+		_ = l.Close()
+		if l.unacked > 0 {
+			l.client.countUnackedCall()
+		}
+	})
+}
+
+func (c *Client) countUnackedCall() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unackedCalls++
+}
+
+// unackedBytes returns how many bytes written to conn its peer has not acknowledged; 0 if that
+// is not known.
+func unackedBytes(conn net.Conn) int {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unacked := 0
+	if raw.Control(func(fd uintptr) { unacked, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) != nil || err != nil {
+		return 0
+	}
+	return unacked
 }
 
 func (c *Client) dial(ctx context.Context, address ident.Address) (*link, error) {
@@ -147,7 +198,7 @@
 	c.mu.Lock()
 	c.dialed++
 	c.mu.Unlock()
-	return &link{Conn: conn, reader: bufio.NewReader(conn)}, nil
+	return &link{Conn: conn, client: c, reader: bufio.NewReader(conn)}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT, in milliseconds, so that the kernel closes a
@@ -319,19 +370,17 @@
 func (c *Client) exchange(ctx context.Context, call *Call, l *link) (*Answer, error) {
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	stop := context.AfterFunc(ctx, l.abandon)
 	defer stop()
 	if err := send(call, l); err != nil {
-		_ = l.Close()
-		return nil, err
+		return nil, lostError(call, l, err)
 	}
 	if err := response.ReadLimitBody(l.reader, maxAnswerBytes); err != nil {
-		_ = l.Close()
-		return nil, lostError(call, err)
+		return nil, lostError(call, l, err)
 	}
 	answer := &Answer{Status: response.StatusCode(), Headers: headers(&response.Header), Body: append([]byte(nil), response.Body()...)}
 	if call.Accept != nil && !call.Accept(answer) {
-		_ = l.Close()
+		l.abandon()
 		return nil, fault.New("httpc.Do", Lost, string(call.Address)+" sent the answer of another call")
 	}
 	if call.FreshConn || !stop() {
@@ -361,14 +410,18 @@
 	if err == nil {
 		err = writer.Flush()
 	}
-	if err != nil {
-		return lostError(call, err)
-	}
-	return nil
+	return err
 }
 
-func lostError(call *Call, err error) error {
-	return fault.Wrap("httpc.Do", Lost, err, "no whole answer from "+string(call.Address)+" to "+call.Method+" "+call.Path)
+// lostError abandons the exchange that failed with err and returns its error, which tells how
+// many bytes of the request the peer has not acknowledged.
+func lostError(call *Call, l *link, err error) error {
+	l.abandon()
+	text := "no whole answer from " + string(call.Address) + " to " + call.Method + " " + call.Path
+	if l.unacked > 0 {
+		text += ", " + strconv.Itoa(l.unacked) + " bytes of it unacknowledged"
+	}
+	return fault.Wrap("httpc.Do", Lost, err, text)
 }
 
 func headers(head *fasthttp.ResponseHeader) []Header {
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -54,15 +54,15 @@
 }
 
 func (c *Client) open(ctx context.Context, call *Call, l *link) (*Stream, error) {
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	stop := context.AfterFunc(ctx, l.abandon)
 	stream := &Stream{client: c, call: call, link: l, stop: stop}
 	if err := send(call, l); err != nil {
-		stream.Close()
-		return nil, err
+		stop()
+		return nil, lostError(call, l, err)
 	}
 	if err := stream.head.Read(l.reader); err != nil {
-		stream.Close()
-		return nil, lostError(call, err)
+		stop()
+		return nil, lostError(call, l, err)
 	}
 	stream.Status = stream.head.StatusCode()
 	stream.Headers = headers(&stream.head)
@@ -140,5 +140,5 @@
 		return
 	}
 	s.stop()
-	_ = s.link.Close()
+	s.link.abandon()
 }
