A failing test: a server gets all of a call that was given up

Callers saw: an item reached a server up to 5.4 s after the end of its job was acknowledged. Test: a server that takes the first bytes of a call, does not read while the call is given up and then reads on.

--- a/kernel/httpc/abandon_test.go
+++ b/kernel/httpc/abandon_test.go
@@ -25,8 +25,9 @@
 
 // stalledServer accepts one connection, sends answer, and does not read until resume is closed.
 type stalledServer struct {
-	address ident.Address
-	resume  chan struct{}
+	address  ident.Address
+	resume   chan struct{}
+	received chan []byte
 }
 
 func newStalledServer(t *testing.T, answer string) *stalledServer {
@@ -40,7 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &stalledServer{address: ident.Address(listener.Addr().String()), resume: make(chan struct{})}
+	s := &stalledServer{address: ident.Address(listener.Addr().String()), resume: make(chan struct{}), received: make(chan []byte, 1)}
 	var group conc.WaitGroup
 	t.Cleanup(func() {
 		_ = listener.Close()
@@ -54,14 +55,87 @@
 		defer func() { _ = conn.Close() }()
 		_, _ = io.WriteString(conn, answer)
 		<-s.resume
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		request, _ := io.ReadAll(conn)
+		s.received <- request
 	})
 	return s
 }
 
+// receivedBody lets the server read on and returns what it gets of the request's body.
+func (s *stalledServer) receivedBody() []byte {
+	close(s.resume)
+	_, body, _ := bytes.Cut(<-s.received, []byte("\r\n\r\n"))
+	return body
+}
+
 func stalledCall(s *stalledServer) *Call {
 	return &Call{Address: s.address, Method: "POST", Path: "/", Body: bytes.Repeat([]byte("x"), stalledBody)}
 }
 
+// Guards against calls that reach a server after they were abandoned, when it or the network
+// stalls for a while.
+func TestAbandonedCallIsNotDelivered(t *testing.T) {
+	const streamHead = head + "Transfer-Encoding: chunked\r\n\r\n"
+	cases := []struct {
+		name   string
+		answer string
+		call   func(context.Context, *Client, *Call)
+	}{
+		{"no answer within the call's time", "", func(ctx context.Context, client *Client, call *Call) {
+			_, _ = client.Do(ctx, call)
+		}},
+		{"no answer on a connection of its own", "", func(ctx context.Context, client *Client, call *Call) {
+			call.FreshConn = true
+			_, _ = client.Do(ctx, call)
+		}},
+		{"the answer of another call", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", func(ctx context.Context, client *Client, call *Call) {
+			call.Accept = func(*Answer) bool { return false }
+			_, _ = client.Do(ctx, call)
+		}},
+		{"no head of a stream within the call's time", "", func(ctx context.Context, client *Client, call *Call) {
+			_, _ = client.Open(ctx, call)
+		}},
+		{"a stream that is closed before its end", streamHead, func(ctx context.Context, client *Client, call *Call) {
+			if stream, err := client.Open(ctx, call); err == nil {
+				stream.Close()
+			}
+		}},
+		{"a stream whose context ends", streamHead, func(ctx context.Context, client *Client, call *Call) {
+			if stream, err := client.Open(ctx, call); err == nil {
+				_, _ = io.ReadAll(stream.Body)
+				stream.Close()
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := newStalledServer(t, c.answer)
+			ctx, cancel := context.WithTimeout(t.Context(), giveUpAfter)
+			defer cancel()
+			c.call(ctx, &Client{}, stalledCall(server))
+			if got := len(server.receivedBody()); got >= stalledBody {
+				t.Errorf("the server got all %d bytes of a call that was abandoned", got)
+			}
+		})
+	}
+}
+
+// Guards against cutting off the rest of a body that a server reads after it has answered.
+func TestAnsweredCallIsDeliveredWhole(t *testing.T) {
+	server := newStalledServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	call := stalledCall(server)
+	call.FreshConn = true
+	if _, err := (&Client{}).Do(ctx, call); err != nil {
+		t.Fatal(err)
+	}
+	if got := len(server.receivedBody()); got != stalledBody {
+		t.Errorf("the server got %d bytes of the body, want %d", got, stalledBody)
+	}
+}
+
 func TestUnackedCallIsReported(t *testing.T) {
 	server := newStalledServer(t, "")
 	ctx, cancel := context.WithTimeout(t.Context(), giveUpAfter)
