Calls that are given up are no longer delivered: their connections are reset

Callers saw: an item reached a server up to 5.4 s after the end of its job was acknowledged. Cause: a call that was given up was closed in the ordinary way. The kernel keeps what the peer has not acknowledged and sends it again, up to many seconds after the call's end was told (a zone cut, a server that does not read). Class: work that is declared over while it is still on its way. Change: connections are opened with SO_LINGER 0, so that each close resets them and the kernel discards what is unacknowledged; that also holds if the process ends (TestCallOfEndedProcessIsNotDelivered failed before: 131,072 bytes). Only after a complete answer are they closed in the ordinary way, as a server may answer before it has read the whole request. The connection moves to a file of its own. Why it works: whether bytes still travel no longer depends on which path gave a call up.

--- a/kernel/httpc/abandon_test.go
+++ b/kernel/httpc/abandon_test.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
@@ -69,8 +72,8 @@
 	return body
 }
 
-func stalledCall(s *stalledServer) *Call {
-	return &Call{Address: s.address, Method: "POST", Path: "/", Body: bytes.Repeat([]byte("x"), stalledBody)}
+func stalledCall(server ident.Address) *Call {
+	return &Call{Address: server, Method: "POST", Path: "/", Body: bytes.Repeat([]byte("x"), stalledBody)}
 }
 
 // Guards against calls that reach a server after they were abandoned, when it or the network
@@ -113,7 +116,7 @@
 			server := newStalledServer(t, c.answer)
 			ctx, cancel := context.WithTimeout(t.Context(), giveUpAfter)
 			defer cancel()
-			c.call(ctx, &Client{}, stalledCall(server))
+			c.call(ctx, &Client{}, stalledCall(server.address))
 			if got := len(server.receivedBody()); got >= stalledBody {
 				t.Errorf("the server got all %d bytes of a call that was abandoned", got)
 			}
@@ -121,12 +124,37 @@
 	}
 }
 
+// stalledAddressEnv gives a process of TestCallOfEndedProcessIsNotDelivered the server's address.
+const stalledAddressEnv = "HTTPC_STALLED_ADDRESS"
+
+func TestMain(m *testing.M) {
+	if address := os.Getenv(stalledAddressEnv); address != "" {
+		time.AfterFunc(giveUpAfter, func() { os.Exit(0) })
+		_, err := (&Client{}).Do(context.Background(), stalledCall(ident.Address(address)))
+		fmt.Println("the call ended before its process:", err)
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+func TestCallOfEndedProcessIsNotDelivered(t *testing.T) {
+	server := newStalledServer(t, "")
+	sender := exec.CommandContext(t.Context(), os.Args[0])
+	sender.Env = append(os.Environ(), stalledAddressEnv+"="+string(server.address))
+	if output, err := sender.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	if got := len(server.receivedBody()); got == 0 || got >= stalledBody {
+		t.Errorf("the server got %d bytes of the call of an ended process, want some of %d", got, stalledBody)
+	}
+}
+
 // Guards against cutting off the rest of a body that a server reads after it has answered.
 func TestAnsweredCallIsDeliveredWhole(t *testing.T) {
 	server := newStalledServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	call := stalledCall(server)
+	call := stalledCall(server.address)
 	call.FreshConn = true
 	if _, err := (&Client{}).Do(ctx, call); err != nil {
 		t.Fatal(err)
@@ -141,7 +169,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), giveUpAfter)
 	defer cancel()
 	client := &Client{}
-	_, err := client.Do(ctx, stalledCall(server))
+	_, err := client.Do(ctx, stalledCall(server.address))
 	close(server.resume)
 	if err == nil || !strings.Contains(err.Error(), "bytes of it unacknowledged") {
 		t.Errorf("error %v, want the number of unacknowledged bytes", err)
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -8,7 +8,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,7 +15,6 @@
 	"syscall"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
@@ -88,9 +86,6 @@
 	// the client closes the connection before the server does.
 	defaultIdleTimeout = 4 * clock.Second
 	idleTimeoutMargin  = 500 * clock.Millis(1)
-	// unackedTimeout is how long sent data may stay unacknowledged before the kernel closes
-	// the connection.
-	unackedTimeout = 4 * clock.Second
 )
 
 // Client sends calls and keeps idle connections for reuse. The zero value is ready to use; set
@@ -137,86 +132,6 @@
 	return c.monoClock.Mono()
 }
 
-// link is one connection with its read buffer. idleUntil is the monotonic time at which an
-// idle connection expires; it is 0 while the connection is in use.
-type link struct {
-	net.Conn
-	client    *Client
-	reader    *bufio.Reader
-	idleUntil clock.Millis
-	// abandoning guards unacked, which is how many bytes of the request the peer had not
-	// acknowledged when the exchange was abandoned.
-	abandoning sync.Once
-	unacked    int
-}
-
-// abandon closes the connection of an exchange that has no complete response.
-func (l *link) abandon() {
-	l.abandoning.Do(func() {
-		l.unacked = unackedBytes(l.Conn)
-		_ = l.Close()
-		if l.unacked > 0 {
-			l.client.countUnackedCall()
-		}
-	})
-}
-
-func (c *Client) countUnackedCall() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.unackedCalls++
-}
-
-// unackedBytes returns how many bytes written to conn its peer has not acknowledged; 0 if that
-// is not known.
-func unackedBytes(conn net.Conn) int {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	unacked := 0
-	if raw.Control(func(fd uintptr) { unacked, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) != nil || err != nil {
-		return 0
-	}
-	return unacked
-}
-
-func (c *Client) dial(ctx context.Context, address ident.Address) (*link, error) {
-	timeout := c.DialTimeout
-	if timeout == 0 {
-		timeout = DefaultDialTimeout
-	}
-	dialer := net.Dialer{Timeout: timeout.Duration(), Control: setUserTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", string(address))
-	if err != nil {
-		return nil, fault.Wrap("httpc.dial", NotSent, err, "cannot connect to "+string(address))
-	}
-	c.mu.Lock()
-	c.dialed++
-	c.mu.Unlock()
-	return &link{Conn: conn, client: c, reader: bufio.NewReader(conn)}, nil
-}
-
-// setUserTimeout sets TCP_USER_TIMEOUT, in milliseconds, so that the kernel closes a
-// connection whose peer stops acknowledging data.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var sockErr error
-	err := raw.Control(func(fd uintptr) {
-		sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout))
-	})
-	if err != nil {
-		return err
-	}
-	return sockErr
-}
-
-// tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which package syscall lacks.
-const tcpUserTimeout = 18
-
 // acquire returns an idle connection, or dials if there is none or call.FreshConn is set.
 // reused reports whether the connection was idle.
 func (c *Client) acquire(ctx context.Context, call *Call) (l *link, reused bool, err error) {
@@ -247,7 +162,7 @@
 			l.idleUntil = 0
 			return l
 		}
-		_ = l.Close()
+		l.finish()
 	}
 }
 
@@ -262,7 +177,7 @@
 	}
 	c.closeExpired(address)
 	if l.reader.Buffered() > 0 || idleFor <= 0 || len(c.idle[address]) >= maxIdlePerAddress {
-		_ = l.Close()
+		l.finish()
 		return
 	}
 	l.idleUntil = c.now() + idleFor
@@ -276,7 +191,7 @@
 		if now < l.idleUntil {
 			return false
 		}
-		_ = l.Close()
+		l.finish()
 		return true
 	})
 }
@@ -343,7 +258,7 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	_ = l.Close()
+	l.finish()
 	return false
 }
 
@@ -362,7 +277,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, l := range c.idle[address] {
-		_ = l.Close()
+		l.finish()
 	}
 	delete(c.idle, address)
 }
@@ -386,7 +301,7 @@
 	if call.FreshConn || !stop() {
 		// The connection of a retried call is not kept either: with a server that drops every
 		// second response, each call would be sent twice.
-		_ = l.Close()
+		l.finish()
 	} else {
 		c.putIdle(call.Address, l, idleTimeout(&response.Header))
 	}
@@ -413,17 +328,6 @@
 	return err
 }
 
-// lostError abandons the exchange that failed with err and returns its error, which tells how
-// many bytes of the request the peer has not acknowledged.
-func lostError(call *Call, l *link, err error) error {
-	l.abandon()
-	text := "no whole answer from " + string(call.Address) + " to " + call.Method + " " + call.Path
-	if l.unacked > 0 {
-		text += ", " + strconv.Itoa(l.unacked) + " bytes of it unacknowledged"
-	}
-	return fault.Wrap("httpc.Do", Lost, err, text)
-}
-
 func headers(head *fasthttp.ResponseHeader) []Header {
 	var list []Header
 	for name, value := range head.All() {
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -132,13 +132,18 @@
 	s.complete = true
 }
 
-// Close ends the call. It keeps the connection for reuse if the body was read to its end, and
-// closes it otherwise.
+// Close ends the call. If the body was read to its end, it keeps the connection for reuse or
+// closes it; otherwise it resets the connection.
 func (s *Stream) Close() {
-	if s.complete && !s.call.FreshConn && s.reusable() && s.stop() {
+	if !s.complete {
+		s.stop()
+		s.link.abandon()
+		return
+	}
+	if !s.call.FreshConn && s.reusable() && s.stop() {
 		s.client.putIdle(s.call.Address, s.link, idleTimeout(&s.head))
 		return
 	}
 	s.stop()
-	s.link.abandon()
+	s.link.finish()
 }
