A call that was given up before it is sent no longer goes out on an idle connection

Callers would see: a server runs a call, or an item, whose caller had left or whose job had ended before it was sent; the instance itself takes it for lost (504) instead of not sent. Cause: an idle connection was taken without a look at the call's context. Its end closes the connection from another goroutine, which comes too late for the write. A dial did look. Test: TestCancelledCallIsNotSent failed before, 3 of 3 runs: "2 calls reached the server, want 1", kind Lost for NotSent, for whole answers and streams. Change: the context is asked before a connection is taken.

--- a/kernel/httpc/abandon_test.go
+++ b/kernel/httpc/abandon_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
 )
 
@@ -178,3 +179,41 @@
 		t.Errorf("%d unacknowledged calls counted, want 1", n)
 	}
 }
+
+// Guards against sending a call on an idle connection after its caller has given it up.
+func TestCancelledCallIsNotSent(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	calls := []struct {
+		name string
+		call func(context.Context, *Client, *Call) error
+	}{
+		{"whole answer", func(ctx context.Context, client *Client, call *Call) error {
+			_, err := client.Do(ctx, call)
+			return err
+		}},
+		{"stream", func(ctx context.Context, client *Client, call *Call) error {
+			_, err := client.Open(ctx, call)
+			return err
+		}},
+	}
+	for _, c := range calls {
+		t.Run(c.name, func(t *testing.T) {
+			address, served := serveCounted(t, answer, answer)
+			client, call := &Client{}, &Call{Address: address, Method: "GET", Path: "/"}
+			defer client.CloseIdle(address)
+			if _, err := client.Do(t.Context(), call); err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			err := c.call(ctx, client, call)
+			if kind := fault.KindOf[Kind](err); kind != NotSent {
+				t.Errorf("error %v of kind %q, want %q", err, kind, NotSent)
+			}
+			time.Sleep(50 * time.Millisecond)
+			if n := served.Load(); n != 1 {
+				t.Errorf("%d calls reached the server, want 1", n)
+			}
+		})
+	}
+}
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -133,8 +133,11 @@
 }
 
 // acquire returns an idle connection, or dials if there is none or call.FreshConn is set.
-// reused reports whether the connection was idle.
+// reused reports whether the connection was idle. A call whose ctx has ended gets none.
 func (c *Client) acquire(ctx context.Context, call *Call) (l *link, reused bool, err error) {
+	if ctx.Err() != nil {
+		return nil, false, fault.Wrap("httpc.acquire", NotSent, ctx.Err(), "the call to "+string(call.Address)+" ended before it was sent")
+	}
 	if !call.FreshConn {
 		if l = c.takeIdle(call.Address); l != nil {
 			return l, true, nil
