Calls between instances are no longer delivered after their connection has closed

Callers would see: a call that an instance gave up (an end of a job, an append for another instance) takes effect at the peer seconds after its outcome was told. Cause: a connection that no longer answers its pings, or whose process ends, was closed in the ordinary way, and the kernel goes on delivering what was unacknowledged. Test: a process that ends while its call waits; the instance that reads on afterwards got 49,363 bytes, the whole call, before; now only what its kernel had taken. Change: these connections are opened with httpc.ResetOnClose as well. While a connection lives, a call that is given up is followed by its RST_STREAM frame, as before.

--- a/croftmoor/rpcs/rpcs.go
+++ b/croftmoor/rpcs/rpcs.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/httpc"
 	"croftmoor.dev/kernel/ident"
 )
 
@@ -58,7 +59,7 @@
 
 // NewClient returns an HTTP client for calls to other instances.
 func NewClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
+	dialer := &net.Dialer{Timeout: dialTimeout.Duration(), Control: httpc.ResetOnClose}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: idleTimeout.Duration(),
 		Protocols: CleartextHTTP2(), HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter.Duration(), PingTimeout: pingTimeout.Duration()},
