Reward calls end with their job

Callers would see: the reward call of an item whose job has ended is still under way, or waits for room and is sent, for up to 8 s; in a zone cut it reaches its server after the bound. Cause: scoring runs under a context that neither the end of the job nor another result cancels; only the next call was preceded by a look at the state. Test: TestRewardCallOfUnwantedResultIsCancelled failed without the call of stopUnwantedScoring for an ended job and for a result listed by another ("the reward call goes on"); a replaced claim leaves the call alone, since the first result counts. Change: each look at the state stops the scoring of results that can't be listed any more.

--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -60,7 +60,7 @@
 		r.reportAnswered(item)
 	}
 	own.generated.Store(true)
-	r.complete(ctx, item, prog, meter)
+	r.complete(ctx, item, prog, meter, own)
 }
 
 // load reads the item, and takes over its saved text into prog if the job accepts the
@@ -244,18 +244,22 @@
 }
 
 // complete scores and saves a complete text at the same time, then lists the result. It
-// continues if the claim is replaced meanwhile, since the first result counts.
-func (r *Runner) complete(ctx context.Context, item work.Item, prog *progress, meter *meter) {
+// continues if the claim is replaced meanwhile, since the first result counts. syncRuns stops
+// the scoring once the result can't be listed any more.
+func (r *Runner) complete(ctx context.Context, item work.Item, prog *progress, meter *meter, own *run) {
 	c := prog.claim
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout.Duration())
 	defer cancel()
+	scoreCtx, stopScoring := context.WithCancel(ctx)
+	defer stopScoring()
+	own.stopScoring.Store(&stopScoring)
 	var saved jobs.Partial
 	var score string
 	var saveErr, scoreErr error
 	began := r.Clock.Mono()
 	var tasks conc.WaitGroup
 	tasks.Go(func() { saved, saveErr = prog.saveAll(ctx) })
-	tasks.Go(func() { score, scoreErr = r.score(ctx, c, item) })
+	tasks.Go(func() { score, scoreErr = r.score(scoreCtx, c, item) })
 	tasks.Wait()
 	if fault.KindOf[RewardKind](scoreErr) == RewardFailed {
 		r.finish(ctx, c, jobs.Finish{Outcome: jobs.Terminated}, scoreErr.Error())
@@ -311,13 +315,15 @@
 // wanted reports whether an item can still be listed, by the state read last.
 func (r *Runner) wanted(key jobs.ItemKey) bool {
 	wanted := false
-	r.Ledger.View(func(state *jobs.State) {
-		job := state.Jobs[key.Job]
-		wanted = job != nil && !job.Ended && !job.Items[key.Index].Done
-	})
+	r.Ledger.View(func(state *jobs.State) { wanted = canBeListed(state, key) })
 	return wanted
 }
 
+func canBeListed(state *jobs.State, key jobs.ItemKey) bool {
+	job := state.Jobs[key.Job]
+	return job != nil && !job.Ended && !job.Items[key.Index].Done
+}
+
 // finish appends the result of an item and waits until it is read back.
 func (r *Runner) finish(ctx context.Context, c claimed, f jobs.Finish, reason string) {
 	f.Job, f.By, f.Index = c.key.Job, r.Self, c.key.Index
--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -38,6 +38,8 @@
 	cancel context.CancelFunc
 	// generated is set once the text is complete and only scoring and saving are left.
 	generated atomic.Bool
+	// stopScoring cancels the scoring of a complete text; nil before that begins.
+	stopScoring atomic.Pointer[context.CancelFunc]
 }
 
 // Runner claims items for engines and runs those of the engines that this instance acts
@@ -138,7 +140,8 @@
 }
 
 // syncRuns starts the items that this instance has claimed, and cancels the runs whose
-// claim is gone or whose engine has restarted.
+// claim is gone or whose engine has restarted, and the scoring of texts that can't be listed
+// any more.
 func (r *Runner) syncRuns(ctx context.Context) {
 	assigned := map[jobs.ItemKey]claimed{}
 	open := map[ident.Job]bool{}
@@ -151,6 +154,7 @@
 			}
 		}
 		r.collect(state, assigned)
+		r.stopUnwantedScoring(state)
 	})
 	r.schedulePrefetch(ctx, open)
 	starts := r.listedStarts()
@@ -170,6 +174,16 @@
 	}
 }
 
+// stopUnwantedScoring cancels the reward calls of items whose job has ended or whose result is
+// listed. The caller holds mu.
+func (r *Runner) stopUnwantedScoring(state *jobs.State) {
+	for key, run := range r.runs {
+		if stop := run.stopScoring.Load(); stop != nil && !canBeListed(state, key) {
+			(*stop)()
+		}
+	}
+}
+
 // engineStarts maps an engine's ListName, which a restart keeps, to the name of the start
 // that a view of the fleet lists. It is computed once per view, which may have thousands
 // of engines.
