--- a/croftmoor/front/live.go
+++ b/croftmoor/front/live.go
@@ -124,10 +124,10 @@
 	}
 	request := gener.Request{
 		ID: h.id, Service: service, Adapter: ident.Trainer(w.Adapter), Prompt: w.Prompt, Seed: w.Seed,
-		Most: ident.Tokens(w.MaxTokens), Priority: gener.LivePriority,
+		MaxTokens: ident.Tokens(w.MaxTokens), Priority: gener.LivePriority,
 	}
-	if request.Most == 0 {
-		request.Most = defaultTokens
+	if request.MaxTokens == 0 {
+		request.MaxTokens = defaultTokens
 	}
 	if w.Stream {
 		return f.completeStream(c, h, request)
--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -41,7 +41,7 @@
 	Adapter  ident.Trainer
 	Prompt   string
 	Seed     string
-	Most     ident.Tokens
+	MaxTokens     ident.Tokens
 	Priority int
 	// Least is the least version of the adapter's weights that engines should
 	// be believed to run.
@@ -224,7 +224,7 @@
 func (r *run) read(ctx context.Context, cancel context.CancelFunc, server *pool.Server) (bool, error) {
 	events, err := r.Engine.Complete(ctx, server.Address(), engine.Completion{
 		ID: r.request.ID, Adapter: r.request.Adapter, Prompt: r.request.Prompt, Seed: r.request.Seed,
-		MaxTokens: r.request.Most, Priority: r.request.Priority, From: r.answer.Tokens,
+		MaxTokens: r.request.MaxTokens, Priority: r.request.Priority, From: r.answer.Tokens,
 	})
 	if err != nil {
 		return false, err
--- a/croftmoor/gener/gener_test.go
+++ b/croftmoor/gener/gener_test.go
@@ -72,7 +72,7 @@
 	p.Refresh()
 	g := &Generator{Pool: p, Engine: s, Clock: clk, Trail: &trail.Trail{Log: zerolog.Nop(), Clock: clk}}
 	service := conf.Service{Name: "m", Kind: conf.Model, Slots: 4, Policy: route.RoundRobin}
-	return g.Generate(context.Background(), Request{ID: "x", Service: service, Prompt: "p", Most: 100})
+	return g.Generate(context.Background(), Request{ID: "x", Service: service, Prompt: "p", MaxTokens: 100})
 }
 
 func assertWhole(t *testing.T, s *scripted, text string, spans int) {
