--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -36,16 +36,16 @@
 
 // Request asks for an answer.
 type Request struct {
-	ID       ident.RequestID
-	Service  conf.Service
-	Adapter  ident.Trainer
-	Prompt   string
-	Seed     string
-	MaxTokens     ident.Tokens
-	Priority int
-	// Least is the least version of the adapter's weights that engines should
+	ID        ident.RequestID
+	Service   conf.Service
+	Adapter   ident.Trainer
+	Prompt    string
+	Seed      string
+	MaxTokens ident.Tokens
+	Priority  int
+	// MinVersion is the least version of the adapter's weights that engines should
 	// be believed to run.
-	Least ident.Version
+	MinVersion ident.Version
 	// First is a server that was picked already; it may be nil.
 	First *pool.Server
 	// Part is called with each run of tokens; false gives the request up.
@@ -156,7 +156,7 @@
 	}
 	query := pool.Query{
 		ID: r.request.ID, Service: r.request.Service, Family: guess.Family(r.request.Prompt),
-		Exclude: r.tried, Trainer: r.request.Adapter, MinVersion: r.request.Least, Live: r.live(),
+		Exclude: r.tried, Trainer: r.request.Adapter, MinVersion: r.request.MinVersion, Live: r.live(),
 	}
 	server, runnerUp, reason := r.Pool.Pick(query)
 	if server == nil && len(r.tried) > 0 {
