--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -46,8 +46,8 @@
 	// MinVersion is the least version of the adapter's weights that engines should
 	// be believed to run.
 	MinVersion ident.Version
-	// First is a server that was picked already; it may be nil.
-	First *pool.Server
+	// FirstServer is a server that was picked already; it may be nil.
+	FirstServer *pool.Server
 	// Part is called with each run of tokens; false gives the request up.
 	Part func(Part) bool
 	// Move is asked after each part whether the rest is better made elsewhere,
@@ -151,8 +151,8 @@
 		r.Pool.Acquire(next, r.live())
 		return next, true
 	}
-	if try == 0 && r.request.First != nil {
-		return r.request.First, true
+	if try == 0 && r.request.FirstServer != nil {
+		return r.request.FirstServer, true
 	}
 	query := pool.Query{
 		ID: r.request.ID, Service: r.request.Service, Family: guess.Family(r.request.Prompt),
