--- a/croftmoor/front/live.go
+++ b/croftmoor/front/live.go
@@ -204,7 +204,7 @@
 			return false
 		}
 	}
-	request.Part = func(p gener.Part) bool { return push(streamed{part: p}) }
+	request.OnPart = func(p gener.Part) bool { return push(streamed{part: p}) }
 	f.group.Go(func() {
 		defer close(parts)
 		answer, err := f.Gen.Generate(ctx, request)
--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -48,8 +48,8 @@
 	MinVersion ident.Version
 	// FirstServer is a server that was picked already; it may be nil.
 	FirstServer *pool.Server
-	// Part is called with each run of tokens; false gives the request up.
-	Part func(Part) bool
+	// OnPart is called with each run of tokens; false gives the request up.
+	OnPart func(Part) bool
 	// Move is asked after each part whether the rest is better made elsewhere,
 	// and if so, where; it may be nil.
 	Move func(Standing) *pool.Server
@@ -284,7 +284,7 @@
 		r.Mismatch(pool.ObservedVersion{Service: server.Service, Server: server.Name, Trainer: r.request.Adapter, Version: event.Version})
 	}
 	part := Part{Text: event.Text, Tokens: event.Tokens, Version: event.Version, Backend: server.Name}
-	if r.request.Part != nil && !r.request.Part(part) {
+	if r.request.OnPart != nil && !r.request.OnPart(part) {
 		return false, fault.New("gener.take", Unwanted, "given up by the receiver")
 	}
 	return false, r.considerMove(server)
