--- a/croftmoor/feed/try.go
+++ b/croftmoor/feed/try.go
@@ -76,7 +76,7 @@
 	answer, err := f.Gen.Generate(ctx, gener.Request{
 		ID: ident.RequestID(a.id()), Service: a.service, Adapter: a.parent.trainer, Prompt: a.attempt.Prompt,
 		Seed: fmt.Sprintf("%d.%d", spec.Step, a.attempt.Slot), MaxTokens: spec.MaxTokens,
-		Priority: a.priority, MinVersion: a.minVersion, FirstServer: a.server, OnPart: a.recordProgress, Move: a.moveTarget,
+		Priority: a.priority, MinVersion: a.minVersion, FirstServer: a.server, OnPart: a.recordProgress, MoveTarget: a.moveTarget,
 	})
 	if err != nil {
 		return nil, err
--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -50,9 +50,9 @@
 	FirstServer *pool.Server
 	// OnPart is called with each run of tokens; false gives the request up.
 	OnPart func(Part) bool
-	// Move is asked after each part whether the rest is better made elsewhere,
+	// MoveTarget is asked after each part whether the rest is better made elsewhere,
 	// and if so, where; it may be nil.
-	Move func(Standing) *pool.Server
+	MoveTarget func(Standing) *pool.Server
 }
 
 // Standing is how far an answer is.
@@ -122,8 +122,8 @@
 // Generate returns the whole answer, or a refusal.
 func (g *Generator) Generate(ctx context.Context, request Request) (Answer, error) {
 	r := &run{Generator: g, request: request}
-	if r.live() && request.Move == nil {
-		r.request.Move = r.moveLive
+	if r.live() && request.MoveTarget == nil {
+		r.request.MoveTarget = r.moveLive
 	}
 	var last error
 	for try := range maxTries + r.maxMoves() {
@@ -215,7 +215,7 @@
 
 // maxMoves is how many tries may be moves; they are on top of the failures.
 func (r *run) maxMoves() int {
-	if r.request.Move == nil {
+	if r.request.MoveTarget == nil {
 		return 0
 	}
 	return maxTries
@@ -306,10 +306,10 @@
 	server.RecordSpeed(got, span, r.request.Service.Slots)
 	r.since, r.base = now, r.answer.Tokens
 	standing := Standing{Server: server, Tokens: r.answer.Tokens, Rate: float64(got) / span.Duration().Seconds(), Moves: r.moves}
-	if r.request.Move == nil {
+	if r.request.MoveTarget == nil {
 		return nil
 	}
-	next := r.request.Move(standing)
+	next := r.request.MoveTarget(standing)
 	if next == nil {
 		return nil
 	}
