--- a/croftmoor/feed/try.go
+++ b/croftmoor/feed/try.go
@@ -102,7 +102,7 @@
 // moveTarget returns the server on which the rest of the sample is expected to finish
 // sooner, or nil. Samples move only while no slot of the step is missing. Lengths are
 // long-tailed, so an answer that is longer than estimated is taken to be half done.
-func (a *sampleAttempt) moveTarget(standing gener.Standing) *pool.Server {
+func (a *sampleAttempt) moveTarget(standing gener.Progress) *pool.Server {
 	ts := a.parent
 	ts.mu.Lock()
 	lastOfStep := a.step.tracker.Missing() == 0
--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -52,11 +52,11 @@
 	OnPart func(Part) bool
 	// MoveTarget is asked after each part whether the rest is better made elsewhere,
 	// and if so, where; it may be nil.
-	MoveTarget func(Standing) *pool.Server
+	MoveTarget func(Progress) *pool.Server
 }
 
-// Standing is how far an answer is.
-type Standing struct {
+// Progress is how far an answer is.
+type Progress struct {
 	Server *pool.Server
 	Tokens ident.Tokens
 	// Rate is the tokens a second that this server gave lately; 0 if not known.
@@ -201,7 +201,7 @@
 
 // moveLive moves a live answer, once, that gets less than half of the rate that
 // it would get elsewhere: its engine has become slow, and it has a deadline.
-func (r *run) moveLive(s Standing) *pool.Server {
+func (r *run) moveLive(s Progress) *pool.Server {
 	server, rate := r.Pool.Fastest(pool.Query{Service: r.request.Service, Live: true}, s.Server)
 	if s.Moves > 0 || server == nil || 2*s.Rate >= rate {
 		return nil
@@ -305,7 +305,7 @@
 	got := r.answer.Tokens - r.base
 	server.RecordSpeed(got, span, r.request.Service.Slots)
 	r.since, r.base = now, r.answer.Tokens
-	standing := Standing{Server: server, Tokens: r.answer.Tokens, Rate: float64(got) / span.Duration().Seconds(), Moves: r.moves}
+	standing := Progress{Server: server, Tokens: r.answer.Tokens, Rate: float64(got) / span.Duration().Seconds(), Moves: r.moves}
 	if r.request.MoveTarget == nil {
 		return nil
 	}
