--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -85,9 +85,9 @@
 	Engine engine.Protocol
 	Clock  *clock.Clock
 	Trail  *trail.Trail
-	// Mismatch is told when a stream names an older version than the server's
+	// OnVersionMismatch is told when a stream names an older version than the server's
 	// load report; it must not block, and may be nil.
-	Mismatch func(pool.ObservedVersion)
+	OnVersionMismatch func(pool.ObservedVersion)
 }
 
 const (
@@ -280,8 +280,8 @@
 	r.text.WriteString(event.Text)
 	r.answer.Tokens += event.Tokens
 	r.answer.Spans = addSpan(r.answer.Spans, event)
-	if server.RecordVersion(r.request.Adapter, event.Version, r.Clock.Mono()) && r.Mismatch != nil {
-		r.Mismatch(pool.ObservedVersion{Service: server.Service, Server: server.Name, Trainer: r.request.Adapter, Version: event.Version})
+	if server.RecordVersion(r.request.Adapter, event.Version, r.Clock.Mono()) && r.OnVersionMismatch != nil {
+		r.OnVersionMismatch(pool.ObservedVersion{Service: server.Service, Server: server.Name, Trainer: r.request.Adapter, Version: event.Version})
 	}
 	part := Part{Text: event.Text, Tokens: event.Tokens, Version: event.Version, Backend: server.Name}
 	if r.request.OnPart != nil && !r.request.OnPart(part) {
--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -257,7 +257,7 @@
 	i.guard = &guard.Guard{Self: i.self, Clock: i.clock, Log: i.log, Reader: i.tail, Writer: &logWriter{log: i.tail, clock: i.clock}, Peers: i.otherPeers}
 	i.guard.Setup()
 	i.calls = &calls.Caller{Self: i.self, Pool: i.pool, Claimer: i.home, Clock: i.clock, Trail: decisions, Guard: i.guard}
-	gen := &gener.Generator{Pool: i.pool, Engine: protocol, Clock: i.clock, Trail: decisions, Mismatch: i.tellKeeper}
+	gen := &gener.Generator{Pool: i.pool, Engine: protocol, Clock: i.clock, Trail: decisions, OnVersionMismatch: i.tellKeeper}
 	i.feed = &feed.Feed{
 		Self: i.self, Reader: i.reader, Health: i.health, Caller: i.client, Pool: i.pool, Gen: gen,
 		Calls: i.calls, Clock: i.clock, Trail: decisions,
