--- a/croftmoor/engine/engine.go
+++ b/croftmoor/engine/engine.go
@@ -36,8 +36,8 @@
 	Seed      string
 	MaxTokens ident.Tokens
 	Priority  int
-	// From is how many tokens of the answer the receiver already has.
-	From ident.Tokens
+	// ResumeFrom is how many tokens of the answer the receiver already has.
+	ResumeFrom ident.Tokens
 }
 
 // Event is a part of an answer.
--- a/croftmoor/engine/sse.go
+++ b/croftmoor/engine/sse.go
@@ -193,7 +193,7 @@
 func completionToWire(c Completion) completionWire {
 	return completionWire{
 		ID: string(c.ID), Adapter: string(c.Adapter), Prompt: c.Prompt, Seed: c.Seed,
-		MaxTokens: int32(c.MaxTokens), Priority: c.Priority, ResumeFrom: int32(c.From),
+		MaxTokens: int32(c.MaxTokens), Priority: c.Priority, ResumeFrom: int32(c.ResumeFrom),
 	}
 }
 
--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -224,7 +224,7 @@
 func (r *run) read(ctx context.Context, cancel context.CancelFunc, server *pool.Server) (bool, error) {
 	events, err := r.Engine.Complete(ctx, server.Address(), engine.Completion{
 		ID: r.request.ID, Adapter: r.request.Adapter, Prompt: r.request.Prompt, Seed: r.request.Seed,
-		MaxTokens: r.request.MaxTokens, Priority: r.request.Priority, From: r.answer.Tokens,
+		MaxTokens: r.request.MaxTokens, Priority: r.request.Priority, ResumeFrom: r.answer.Tokens,
 	})
 	if err != nil {
 		return false, err
--- a/croftmoor/gener/gener_test.go
+++ b/croftmoor/gener/gener_test.go
@@ -26,7 +26,7 @@
 }
 
 func (s *scripted) Complete(_ context.Context, _ ident.Address, c engine.Completion) (engine.Events, error) {
-	s.froms = append(s.froms, c.From)
+	s.froms = append(s.froms, c.ResumeFrom)
 	if len(s.scripts) == 0 {
 		return nil, fault.New("test", engine.NotRun, "takes no work")
 	}
