--- a/croftmoor/engine/engine.go
+++ b/croftmoor/engine/engine.go
@@ -72,9 +72,9 @@
 	pool.Reporter
 	Complete(ctx context.Context, address ident.Address, c Completion) (Events, error)
 	Obey(ctx context.Context, address ident.Address, order Order) error
-	// Carry takes the state of a request that runs at from over to another
+	// TransferState takes the state of a request that runs at from over to another
 	// engine, so that the rest of its answer needs no prefill there.
-	Carry(ctx context.Context, from, to ident.Address, id ident.RequestID) error
+	TransferState(ctx context.Context, from, to ident.Address, id ident.RequestID) error
 }
 
 // Protocols holds the protocols by the name that settings use.
--- a/croftmoor/engine/sse.go
+++ b/croftmoor/engine/sse.go
@@ -169,8 +169,8 @@
 	}
 }
 
-// Carry passes the engine's own form of the state on as it is.
-func (p *sse) Carry(ctx context.Context, from, to ident.Address, id ident.RequestID) error {
+// TransferState passes the engine's own form of the state on as it is.
+func (p *sse) TransferState(ctx context.Context, from, to ident.Address, id ident.RequestID) error {
 	out := &httpc.Call{Address: from, Method: http.MethodGet, Path: "/kv?ID=" + url.QueryEscape(string(id))}
 	state, err := p.client.Do(ctx, out)
 	if err == nil && state.Status != http.StatusOK {
--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -256,7 +256,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, carryTerm.Duration())
 	defer cancel()
-	_ = r.Engine.Carry(ctx, from.Address(), r.next.Address(), r.request.ID)
+	_ = r.Engine.TransferState(ctx, from.Address(), r.next.Address(), r.request.ID)
 }
 
 // take checks one event against what is there and adds what is new of it.
--- a/croftmoor/gener/gener_test.go
+++ b/croftmoor/gener/gener_test.go
@@ -37,7 +37,7 @@
 
 func (*scripted) Load(context.Context, ident.Address) (pool.Report, error) { return pool.Report{}, nil }
 func (*scripted) Obey(context.Context, ident.Address, engine.Order) error  { return nil }
-func (s *scripted) Carry(context.Context, ident.Address, ident.Address, ident.RequestID) error {
+func (s *scripted) TransferState(context.Context, ident.Address, ident.Address, ident.RequestID) error {
 	s.carried++
 	return nil
 }
