--- a/croftmoor/engine/engine.go
+++ b/croftmoor/engine/engine.go
@@ -71,7 +71,7 @@
 type Protocol interface {
 	pool.Reporter
 	Complete(ctx context.Context, address ident.Address, c Completion) (Events, error)
-	Obey(ctx context.Context, address ident.Address, order Order) error
+	Execute(ctx context.Context, address ident.Address, order Order) error
 	// TransferState takes the state of a request that runs at from over to another
 	// engine, so that the rest of its answer needs no prefill there.
 	TransferState(ctx context.Context, from, to ident.Address, id ident.RequestID) error
--- a/croftmoor/engine/sse.go
+++ b/croftmoor/engine/sse.go
@@ -148,8 +148,8 @@
 	return reportFromWire(w), nil
 }
 
-// Obey sends an order and waits until the engine has carried it out.
-func (p *sse) Obey(ctx context.Context, address ident.Address, order Order) error {
+// Execute sends an order and waits until the engine has carried it out.
+func (p *sse) Execute(ctx context.Context, address ident.Address, order Order) error {
 	body, err := json.Marshal(orderWire{Fence: int64(order.Fence), Adapter: string(order.Adapter), Version: int64(order.Version)})
 	if err != nil {
 		return fault.Wrap("engine.Obey", NotRun, err, "unencodable order")
--- a/croftmoor/gener/gener_test.go
+++ b/croftmoor/gener/gener_test.go
@@ -35,8 +35,8 @@
 	return &events{left: script}, nil
 }
 
-func (*scripted) Load(context.Context, ident.Address) (pool.Report, error) { return pool.Report{}, nil }
-func (*scripted) Obey(context.Context, ident.Address, engine.Order) error  { return nil }
+func (*scripted) Load(context.Context, ident.Address) (pool.Report, error)   { return pool.Report{}, nil }
+func (*scripted) Execute(context.Context, ident.Address, engine.Order) error { return nil }
 func (s *scripted) TransferState(context.Context, ident.Address, ident.Address, ident.RequestID) error {
 	s.carried++
 	return nil
--- a/croftmoor/keeper/keeper.go
+++ b/croftmoor/keeper/keeper.go
@@ -162,7 +162,7 @@
 		ID: id, Action: trail.Order, Choice: string(server.Name),
 		Reason: fmt.Sprintf("version %d, fence %d, now %d", order.Version, order.Fence, server.Version(order.Adapter)),
 	})
-	if err := k.Engine.Obey(ctx, server.Address(), order); err != nil {
+	if err := k.Engine.Execute(ctx, server.Address(), order); err != nil {
 		k.Trail.Add(trail.Decision{ID: id, Action: trail.Hold, Choice: string(server.Name), Reason: err.Error()})
 	}
 }
