--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -92,41 +92,41 @@
 
 const (
 	maxTries = 6
-	// stallTerm is how long a started answer may be silent.
-	stallTerm = 8 * clock.Second
-	tryPause  = 20 * clock.Millis(1)
-	// carryTerm bounds the carrying of an engine's state.
-	carryTerm = 300 * clock.Millis(1)
-	// rateSpan is the least span over which a rate is taken.
-	rateSpan  = 150 * clock.Millis(1)
-	retryTerm = 500 * clock.Millis(1)
+	// stallTimeout is how long a started answer may be silent.
+	stallTimeout = 8 * clock.Second
+	retryDelay   = 20 * clock.Millis(1)
+	// transferTimeout bounds the carrying of an engine's state.
+	transferTimeout = 300 * clock.Millis(1)
+	// minRateWindow is the least span over which a rate is taken.
+	minRateWindow = 150 * clock.Millis(1)
+	retryAfter    = 500 * clock.Millis(1)
 )
 
-// run is one request on its way.
-type run struct {
+// generation is one request on its way.
+type generation struct {
 	*Generator
-	request Request
-	text    strings.Builder
-	answer  Answer
-	tried   []ident.BackendName
-	started bool
-	moves   int
-	// next is where a move leads.
-	next *pool.Server
-	// since and base are when the server's first part came and how many tokens
+	request  Request
+	text     strings.Builder
+	answer   Answer
+	tried    []ident.BackendName
+	accepted bool
+	moves    int
+	// moveTarget is where a move leads.
+	moveTarget *pool.Server
+	// rateSince and base are when the server's first part came and how many tokens
 	// there were then.
-	since clock.Millis
-	base  ident.Tokens
+	rateSince clock.Millis
+	rateBase  ident.Tokens
 }
 
 // Generate returns the whole answer, or a refusal.
 func (g *Generator) Generate(ctx context.Context, request Request) (Answer, error) {
-	r := &run{Generator: g, request: request}
-	if r.live() && request.MoveTarget == nil {
-		r.request.MoveTarget = r.moveLive
+	r := &generation{Generator: g, request: request}
+	if r.isLive() && request.MoveTarget == nil {
+		r.request.MoveTarget = r.liveMoveTarget
 	}
 	var last error
-	for try := range maxTries + r.maxMoves() {
+	for try := range maxTries + r.extraTries() {
 		server, ok := r.pick(try)
 		if !ok {
 			break
@@ -140,15 +140,15 @@
 		if ctx.Err() != nil || fault.KindOf[Kind](err) == Unwanted {
 			break
 		}
-		r.Clock.Sleep(ctx, tryPause)
+		r.Clock.Sleep(ctx, retryDelay)
 	}
 	return Answer{}, r.refusal(ctx, last)
 }
 
-func (r *run) pick(try int) (*pool.Server, bool) {
-	if next := r.next; next != nil {
-		r.next = nil
-		r.Pool.Acquire(next, r.live())
+func (r *generation) pick(try int) (*pool.Server, bool) {
+	if next := r.moveTarget; next != nil {
+		r.moveTarget = nil
+		r.Pool.Acquire(next, r.isLive())
 		return next, true
 	}
 	if try == 0 && r.request.FirstServer != nil {
@@ -156,7 +156,7 @@
 	}
 	query := pool.Query{
 		ID: r.request.ID, Service: r.request.Service, Family: guess.Family(r.request.Prompt),
-		Exclude: r.tried, Trainer: r.request.Adapter, MinVersion: r.request.MinVersion, Live: r.live(),
+		Exclude: r.tried, Trainer: r.request.Adapter, MinVersion: r.request.MinVersion, Live: r.isLive(),
 	}
 	server, runnerUp, reason := r.Pool.Pick(query)
 	if server == nil && len(r.tried) > 0 {
@@ -177,15 +177,15 @@
 }
 
 // attempt reads the answer, or the rest of it, from one server.
-func (r *run) attempt(ctx context.Context, server *pool.Server) (done bool, err error) {
-	began := r.Clock.Mono()
+func (r *generation) attempt(ctx context.Context, server *pool.Server) (done bool, err error) {
+	start := r.Clock.Mono()
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	done, err = r.read(readCtx, cancel, server)
+	done, err = r.readStream(readCtx, cancel, server)
 	now := r.Clock.Mono()
-	server.Release(r.Clock, r.live(), now-began, done)
-	givenUp := ctx.Err() != nil || fault.KindOf[Kind](err) != ""
-	if !done && !givenUp {
+	server.Release(r.Clock, r.isLive(), now-start, done)
+	abandoned := ctx.Err() != nil || fault.KindOf[Kind](err) != ""
+	if !done && !abandoned {
 		r.tried = append(r.tried, server.Name)
 		if server.Breaker.RecordFailure(now) {
 			r.Trail.Add(trail.Decision{ID: string(r.request.ID), Action: trail.Hold, Choice: string(server.Name), Reason: "ejected after failures"})
@@ -194,34 +194,34 @@
 	return done, err
 }
 
-// live tells a live request from a rollout.
-func (r *run) live() bool {
+// isLive tells a isLive request from a rollout.
+func (r *generation) isLive() bool {
 	return r.request.Priority == LivePriority
 }
 
-// moveLive moves a live answer, once, that gets less than half of the rate that
+// liveMoveTarget moves a live answer, once, that gets less than half of the rate that
 // it would get elsewhere: its engine has become slow, and it has a deadline.
-func (r *run) moveLive(s Progress) *pool.Server {
-	server, rate := r.Pool.Fastest(pool.Query{Service: r.request.Service, Live: true}, s.Server)
-	if s.Moves > 0 || server == nil || 2*s.Rate >= rate {
+func (r *generation) liveMoveTarget(progress Progress) *pool.Server {
+	server, rate := r.Pool.Fastest(pool.Query{Service: r.request.Service, Live: true}, progress.Server)
+	if progress.Moves > 0 || server == nil || 2*progress.Rate >= rate {
 		return nil
 	}
 	r.Trail.Add(trail.Decision{
-		ID: string(r.request.ID), Action: trail.Retry, Choice: string(server.Name), RunnerUp: string(s.Server.Name),
+		ID: string(r.request.ID), Action: trail.Retry, Choice: string(server.Name), RunnerUp: string(progress.Server.Name),
 		Reason: "less than half of the rate elsewhere",
 	})
 	return server
 }
 
-// maxMoves is how many tries may be moves; they are on top of the failures.
-func (r *run) maxMoves() int {
+// extraTries is how many tries may be moves; they are on top of the failures.
+func (r *generation) extraTries() int {
 	if r.request.MoveTarget == nil {
 		return 0
 	}
 	return maxTries
 }
 
-func (r *run) read(ctx context.Context, cancel context.CancelFunc, server *pool.Server) (bool, error) {
+func (r *generation) readStream(ctx context.Context, cancel context.CancelFunc, server *pool.Server) (bool, error) {
 	events, err := r.Engine.Complete(ctx, server.Address(), engine.Completion{
 		ID: r.request.ID, Adapter: r.request.Adapter, Prompt: r.request.Prompt, Seed: r.request.Seed,
 		MaxTokens: r.request.MaxTokens, Priority: r.request.Priority, ResumeFrom: r.answer.Tokens,
@@ -230,51 +230,51 @@
 		return false, err
 	}
 	defer events.Close()
-	r.started = true
-	r.since = 0
-	stall := r.Clock.AfterFunc(stallTerm, cancel)
+	r.accepted = true
+	r.rateSince = 0
+	stall := r.Clock.AfterFunc(stallTimeout, cancel)
 	defer stall.Stop()
 	for {
 		event, err := events.Next()
 		if err != nil {
 			return false, err
 		}
-		stall.Reset(stallTerm.Duration())
-		if done, err := r.take(event, server); done || err != nil {
-			r.carry(ctx, server)
+		stall.Reset(stallTimeout.Duration())
+		if done, err := r.applyEvent(event, server); done || err != nil {
+			r.transferState(ctx, server)
 			return done, err
 		}
 	}
 }
 
-// carry takes the engine's state over to where a move leads, while the stream
+// transferState takes the engine's state over to where a move leads, while the stream
 // that it belongs to is still open. If that fails, the next engine needs a
 // prefill, which is all.
-func (r *run) carry(ctx context.Context, from *pool.Server) {
-	if r.next == nil {
+func (r *generation) transferState(ctx context.Context, from *pool.Server) {
+	if r.moveTarget == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, carryTerm.Duration())
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout.Duration())
 	defer cancel()
-	_ = r.Engine.TransferState(ctx, from.Address(), r.next.Address(), r.request.ID)
+	_ = r.Engine.TransferState(ctx, from.Address(), r.moveTarget.Address(), r.request.ID)
 }
 
-// take checks one event against what is there and adds what is new of it.
-func (r *run) take(event engine.Event, server *pool.Server) (bool, error) {
+// applyEvent checks one event against what is there and adds what is new of it.
+func (r *generation) applyEvent(event engine.Event, server *pool.Server) (bool, error) {
 	if event.ID != r.request.ID {
 		return false, fault.New("gener.take", engine.Broken, "an answer to "+string(event.ID)+" came in place of "+string(r.request.ID))
 	}
-	have := r.answer.Tokens
+	received := r.answer.Tokens
 	if event.Done {
-		if event.Total != have {
+		if event.Total != received {
 			return false, fault.New("gener.take", engine.Broken, "the end mark does not fit the tokens that came")
 		}
 		return true, nil
 	}
-	if event.Index+event.Tokens <= have {
+	if event.Index+event.Tokens <= received {
 		return false, nil
 	}
-	if event.Index != have {
+	if event.Index != received {
 		return false, fault.New("gener.take", engine.Broken, "tokens are missing or doubled at the seam")
 	}
 	r.text.WriteString(event.Text)
@@ -292,29 +292,29 @@
 
 // considerMove notes the server's speed and asks the receiver whether the rest
 // is better made elsewhere.
-func (r *run) considerMove(server *pool.Server) error {
+func (r *generation) considerMove(server *pool.Server) error {
 	now := r.Clock.Mono()
-	if r.since == 0 {
-		r.since, r.base = now, r.answer.Tokens
+	if r.rateSince == 0 {
+		r.rateSince, r.rateBase = now, r.answer.Tokens
 		return nil
 	}
-	span := now - r.since
-	if span < rateSpan {
+	elapsed := now - r.rateSince
+	if elapsed < minRateWindow {
 		return nil
 	}
-	got := r.answer.Tokens - r.base
-	server.RecordSpeed(got, span, r.request.Service.Slots)
-	r.since, r.base = now, r.answer.Tokens
-	standing := Progress{Server: server, Tokens: r.answer.Tokens, Rate: float64(got) / span.Duration().Seconds(), Moves: r.moves}
+	tokens := r.answer.Tokens - r.rateBase
+	server.RecordSpeed(tokens, elapsed, r.request.Service.Slots)
+	r.rateSince, r.rateBase = now, r.answer.Tokens
+	progress := Progress{Server: server, Tokens: r.answer.Tokens, Rate: float64(tokens) / elapsed.Duration().Seconds(), Moves: r.moves}
 	if r.request.MoveTarget == nil {
 		return nil
 	}
-	next := r.request.MoveTarget(standing)
-	if next == nil {
+	target := r.request.MoveTarget(progress)
+	if target == nil {
 		return nil
 	}
 	r.moves++
-	r.next = next
+	r.moveTarget = target
 	r.tried = append(r.tried, server.Name)
 	return fault.New("gener.considerMove", Moved, "the rest is expected sooner elsewhere")
 }
@@ -330,14 +330,14 @@
 
 // refusal says how the request ended. Generation may always be repeated; but
 // "not run" is only said if no engine was handed the request.
-func (r *run) refusal(ctx context.Context, last error) error {
-	if !r.started && (last == nil || fault.KindOf[engine.Kind](last) == engine.NotRun) {
-		return refuse.After("gener.Generate", refuse.NotRun, "no engine of service "+string(r.request.Service.Name)+" took the request", retryTerm)
+func (r *generation) refusal(ctx context.Context, last error) error {
+	if !r.accepted && (last == nil || fault.KindOf[engine.Kind](last) == engine.NotRun) {
+		return refuse.After("gener.Generate", refuse.NotRun, "no engine of service "+string(r.request.Service.Name)+" took the request", retryAfter)
 	}
 	if ctx.Err() != nil {
 		return refuse.New("gener.Generate", refuse.Late, "the answer was not whole at the deadline", "ask again with a later deadline")
 	}
-	refusal := refuse.After("gener.Generate", refuse.OutcomeUnknown, "the engines broke off the answer", retryTerm)
+	refusal := refuse.After("gener.Generate", refuse.OutcomeUnknown, "the engines broke off the answer", retryAfter)
 	refusal.Err = last
 	return refusal
 }
--- a/croftmoor/gener/gener_test.go
+++ b/croftmoor/gener/gener_test.go
@@ -18,42 +18,44 @@
 	"croftmoor.dev/kernel/trail"
 )
 
-// scripted answers each completion with the next of its scripts.
-type scripted struct {
-	scripts [][]engine.Event
-	froms   []ident.Tokens
-	carried int
+// scriptedEngine answers each completion with the next of its scripts.
+type scriptedEngine struct {
+	scripts     [][]engine.Event
+	resumeFroms []ident.Tokens
+	transfers   int
 }
 
-func (s *scripted) Complete(_ context.Context, _ ident.Address, c engine.Completion) (engine.Events, error) {
-	s.froms = append(s.froms, c.ResumeFrom)
+func (s *scriptedEngine) Complete(_ context.Context, _ ident.Address, c engine.Completion) (engine.Events, error) {
+	s.resumeFroms = append(s.resumeFroms, c.ResumeFrom)
 	if len(s.scripts) == 0 {
 		return nil, fault.New("test", engine.NotRun, "takes no work")
 	}
 	script := s.scripts[0]
 	s.scripts = s.scripts[1:]
-	return &events{left: script}, nil
+	return &scriptedEvents{remaining: script}, nil
 }
 
-func (*scripted) Load(context.Context, ident.Address) (pool.Report, error)   { return pool.Report{}, nil }
-func (*scripted) Execute(context.Context, ident.Address, engine.Order) error { return nil }
-func (s *scripted) TransferState(context.Context, ident.Address, ident.Address, ident.RequestID) error {
-	s.carried++
+func (*scriptedEngine) Load(context.Context, ident.Address) (pool.Report, error) {
+	return pool.Report{}, nil
+}
+func (*scriptedEngine) Execute(context.Context, ident.Address, engine.Order) error { return nil }
+func (s *scriptedEngine) TransferState(context.Context, ident.Address, ident.Address, ident.RequestID) error {
+	s.transfers++
 	return nil
 }
 
-type events struct{ left []engine.Event }
+type scriptedEvents struct{ remaining []engine.Event }
 
-func (e *events) Next() (engine.Event, error) {
-	if len(e.left) == 0 {
+func (e *scriptedEvents) Next() (engine.Event, error) {
+	if len(e.remaining) == 0 {
 		return engine.Event{}, fault.New("test", engine.Broken, "cut")
 	}
-	next := e.left[0]
-	e.left = e.left[1:]
+	next := e.remaining[0]
+	e.remaining = e.remaining[1:]
 	return next, nil
 }
 
-func (*events) Close() {}
+func (*scriptedEvents) Close() {}
 
 func part(index, tokens ident.Tokens, version ident.Version, text string) engine.Event {
 	return engine.Event{ID: "x", Index: index, Tokens: tokens, Version: version, Text: text}
@@ -61,7 +63,7 @@
 
 func end(total ident.Tokens) engine.Event { return engine.Event{ID: "x", Done: true, Total: total} }
 
-func generate(t *testing.T, s *scripted) (Answer, error) {
+func generate(t *testing.T, s *scriptedEngine) (Answer, error) {
 	t.Helper()
 	clk := clock.New()
 	table := &fleet.Table{Clock: clk}
@@ -75,7 +77,7 @@
 	return g.Generate(context.Background(), Request{ID: "x", Service: service, Prompt: "p", MaxTokens: 100})
 }
 
-func assertWhole(t *testing.T, s *scripted, text string, spans int) {
+func assertAnswer(t *testing.T, s *scriptedEngine, text string, spans int) {
 	t.Helper()
 	answer, err := generate(t, s)
 	if err != nil || answer.Text != text || len(answer.Spans) != spans {
@@ -85,35 +87,35 @@
 
 func TestGenerate(t *testing.T) {
 	t.Run("whole", func(t *testing.T) {
-		assertWhole(t, &scripted{scripts: [][]engine.Event{{part(0, 2, 1, "ab"), part(2, 1, 1, "c"), end(3)}}}, "abc", 1)
+		assertAnswer(t, &scriptedEngine{scripts: [][]engine.Event{{part(0, 2, 1, "ab"), part(2, 1, 1, "c"), end(3)}}}, "abc", 1)
 	})
 	t.Run("cut off and resumed, with another version", func(t *testing.T) {
-		s := &scripted{scripts: [][]engine.Event{{part(0, 2, 1, "ab")}, {part(2, 1, 2, "c"), end(3)}}}
-		assertWhole(t, s, "abc", 2)
-		if s.froms[1] != 2 {
-			t.Fatalf("resumed from %d", s.froms[1])
+		s := &scriptedEngine{scripts: [][]engine.Event{{part(0, 2, 1, "ab")}, {part(2, 1, 2, "c"), end(3)}}}
+		assertAnswer(t, s, "abc", 2)
+		if s.resumeFroms[1] != 2 {
+			t.Fatalf("resumed from %d", s.resumeFroms[1])
 		}
 	})
 	t.Run("tokens that are there already are passed over", func(t *testing.T) {
-		assertWhole(t, &scripted{scripts: [][]engine.Event{{part(0, 2, 1, "ab")}, {part(0, 2, 1, "ab"), part(2, 1, 1, "c"), end(3)}}}, "abc", 1)
+		assertAnswer(t, &scriptedEngine{scripts: [][]engine.Event{{part(0, 2, 1, "ab")}, {part(0, 2, 1, "ab"), part(2, 1, 1, "c"), end(3)}}}, "abc", 1)
 	})
 	t.Run("a gap is never bridged", func(t *testing.T) {
-		assertWhole(t, &scripted{scripts: [][]engine.Event{{part(0, 1, 1, "a"), part(2, 1, 1, "c"), end(3)}, {part(1, 2, 1, "bc"), end(3)}}}, "abc", 1)
+		assertAnswer(t, &scriptedEngine{scripts: [][]engine.Event{{part(0, 1, 1, "a"), part(2, 1, 1, "c"), end(3)}, {part(1, 2, 1, "bc"), end(3)}}}, "abc", 1)
 	})
 	t.Run("another request's answer is not taken", func(t *testing.T) {
-		crossed := engine.Event{ID: "y", Tokens: 1, Text: "z"}
-		assertWhole(t, &scripted{scripts: [][]engine.Event{{crossed, end(1)}, {part(0, 1, 1, "a"), end(1)}}}, "a", 1)
+		foreign := engine.Event{ID: "y", Tokens: 1, Text: "z"}
+		assertAnswer(t, &scriptedEngine{scripts: [][]engine.Event{{foreign, end(1)}, {part(0, 1, 1, "a"), end(1)}}}, "a", 1)
 	})
 	t.Run("an end mark that does not fit is no end", func(t *testing.T) {
-		assertWhole(t, &scripted{scripts: [][]engine.Event{{part(0, 1, 1, "a"), end(5)}, {part(1, 1, 1, "b"), end(2)}}}, "ab", 1)
+		assertAnswer(t, &scriptedEngine{scripts: [][]engine.Event{{part(0, 1, 1, "a"), end(5)}, {part(1, 1, 1, "b"), end(2)}}}, "ab", 1)
 	})
 	t.Run("no engine takes it: not run", func(t *testing.T) {
-		if _, err := generate(t, &scripted{}); refuse.Of(err).Kind != refuse.NotRun {
+		if _, err := generate(t, &scriptedEngine{}); refuse.Of(err).Kind != refuse.NotRun {
 			t.Fatal(err)
 		}
 	})
 	t.Run("begun and never ended: not said to be not run", func(t *testing.T) {
-		_, err := generate(t, &scripted{scripts: [][]engine.Event{{part(0, 1, 1, "a")}}})
+		_, err := generate(t, &scriptedEngine{scripts: [][]engine.Event{{part(0, 1, 1, "a")}}})
 		if refuse.Of(err).Kind != refuse.OutcomeUnknown {
 			t.Fatal(err)
 		}
