gener: comments and messages in plain technical English

Comments state what is generated, retried and moved, and which errors follow. Messages of fault and refuse changed; none is matched by a test or by docs/OPERATIONS.md.

--- a/croftmoor/gener/gener.go
+++ b/croftmoor/gener/gener.go
@@ -1,6 +1,6 @@
-// Package gener gets whole generated answers from model engines. An answer
-// that breaks off is resumed on another engine from the tokens that are there;
-// every part is checked to belong to the request and to join without a gap.
+// Package gener generates answers with model engines. If a stream fails, the
+// answer is resumed on another engine after the last token received. Each event
+// must carry the request's ID and continue the answer without a gap.
 package gener
 
 import (
@@ -24,17 +24,17 @@
 
 // Kinds of errors.
 const (
-	// Unwanted means that the receiver gave the request up.
+	// Unwanted means that OnPart canceled the request.
 	Unwanted Kind = "Unwanted"
-	// Moved means that the rest is to be made on another engine.
+	// Moved means that the rest of the answer is generated on another engine.
 	Moved Kind = "Moved"
 )
 
-// LivePriority is the priority of live requests at the engines, above all
-// priorities of rollouts.
+// LivePriority is the engine priority of live requests. It is higher than every
+// rollout priority.
 const LivePriority = 10
 
-// Request asks for an answer.
+// Request is a generation request.
 type Request struct {
 	ID        ident.RequestID
 	Service   conf.Service
@@ -43,28 +43,31 @@
 	Seed      string
 	MaxTokens ident.Tokens
 	Priority  int
-	// MinVersion is the least version of the adapter's weights that engines should
-	// be believed to run.
+	// MinVersion is the lowest adapter version that an engine must have, by its
+	// last known state, to be picked.
 	MinVersion ident.Version
-	// FirstServer is a server that was picked already; it may be nil.
+	// FirstServer is the server of the first try, already acquired from the pool.
+	// If it is nil, the pool picks one.
 	FirstServer *pool.Server
-	// OnPart is called with each run of tokens; false gives the request up.
+	// OnPart is called with each part of the answer, in order. If it returns
+	// false, the request is canceled. It may be nil.
 	OnPart func(Part) bool
-	// MoveTarget is asked after each part whether the rest is better made elsewhere,
-	// and if so, where; it may be nil.
+	// MoveTarget is called after each rate measurement. It returns the server that
+	// should generate the rest of the answer, or nil to stay. It may be nil.
 	MoveTarget func(Progress) *pool.Server
 }
 
-// Progress is how far an answer is.
+// Progress describes an answer that is being generated.
 type Progress struct {
 	Server *pool.Server
 	Tokens ident.Tokens
-	// Rate is the tokens a second that this server gave lately; 0 if not known.
-	Rate  float64
+	// Rate is the last measured rate of Server, in tokens per second.
+	Rate float64
+	// Moves counts how often the answer has moved to another server.
 	Moves int
 }
 
-// Part is a run of tokens of one version.
+// Part is a sequence of tokens generated with one adapter version.
 type Part struct {
 	Text    string
 	Tokens  ident.Tokens
@@ -72,54 +75,57 @@
 	Backend ident.BackendName
 }
 
-// Answer is a whole answer.
+// Answer is a complete answer. Spans lists the adapter versions that generated
+// it, in token order.
 type Answer struct {
 	Text   string
 	Tokens ident.Tokens
 	Spans  []steps.Span
 }
 
-// Generator gets answers. Set the fields before use.
+// Generator generates answers. Set the fields before use.
 type Generator struct {
 	Pool   *pool.Pool
 	Engine engine.Protocol
 	Clock  *clock.Clock
 	Trail  *trail.Trail
-	// OnVersionMismatch is told when a stream names an older version than the server's
-	// load report; it must not block, and may be nil.
+	// OnVersionMismatch is called when a stream reports an older version than the
+	// server's load report. It must not block, and may be nil.
 	OnVersionMismatch func(pool.ObservedVersion)
 }
 
 const (
 	maxTries = 6
-	// stallTimeout is how long a started answer may be silent.
+	// stallTimeout is the longest time between two events of a stream.
 	stallTimeout = 8 * clock.Second
 	retryDelay   = 20 * clock.Millis(1)
-	// transferTimeout bounds the carrying of an engine's state.
+	// transferTimeout limits the transfer of a request's engine state.
 	transferTimeout = 300 * clock.Millis(1)
-	// minRateWindow is the least span over which a rate is taken.
+	// minRateWindow is the shortest time over which a token rate is measured.
 	minRateWindow = 150 * clock.Millis(1)
 	retryAfter    = 500 * clock.Millis(1)
 )
 
-// generation is one request on its way.
+// generation is the state of one Generate call.
 type generation struct {
 	*Generator
-	request  Request
-	text     strings.Builder
-	answer   Answer
-	tried    []ident.BackendName
+	request Request
+	text    strings.Builder
+	answer  Answer
+	// tried lists the servers that failed or were moved away from.
+	tried []ident.BackendName
+	// accepted is true once an engine has opened a stream for the request.
 	accepted bool
 	moves    int
-	// moveTarget is where a move leads.
+	// moveTarget is the server of the next try after a move, else nil.
 	moveTarget *pool.Server
-	// rateSince and base are when the server's first part came and how many tokens
-	// there were then.
+	// rateSince and rateBase are the time and the token count at the start of the
+	// current rate window; rateSince is 0 before a stream's first part.
 	rateSince clock.Millis
 	rateBase  ident.Tokens
 }
 
-// Generate returns the whole answer, or a refusal.
+// Generate returns the complete answer, or a *refuse.Error.
 func (g *Generator) Generate(ctx context.Context, request Request) (Answer, error) {
 	r := &generation{Generator: g, request: request}
 	if r.isLive() && request.MoveTarget == nil {
@@ -145,6 +151,9 @@
 	return Answer{}, r.refusal(ctx, last)
 }
 
+// pick acquires the server of the next try: a move's target, the request's first
+// server, or the pool's choice. Servers already tried are used only if no other
+// is available.
 func (r *generation) pick(try int) (*pool.Server, bool) {
 	if next := r.moveTarget; next != nil {
 		r.moveTarget = nil
@@ -176,7 +185,8 @@
 	return server, true
 }
 
-// attempt reads the answer, or the rest of it, from one server.
+// attempt streams the rest of the answer from one server, then releases the
+// server and records a failure unless the request was canceled or moved.
 func (r *generation) attempt(ctx context.Context, server *pool.Server) (done bool, err error) {
 	start := r.Clock.Mono()
 	readCtx, cancel := context.WithCancel(ctx)
@@ -194,13 +204,14 @@
 	return done, err
 }
 
-// isLive tells a isLive request from a rollout.
+// isLive reports whether the request is live rather than a rollout.
 func (r *generation) isLive() bool {
 	return r.request.Priority == LivePriority
 }
 
-// liveMoveTarget moves a live answer, once, that gets less than half of the rate that
-// it would get elsewhere: its engine has become slow, and it has a deadline.
+// liveMoveTarget moves a live answer, at most once, if its rate is below half of
+// the fastest other server's: a live request has a deadline, and its engine has
+// become slow.
 func (r *generation) liveMoveTarget(progress Progress) *pool.Server {
 	server, rate := r.Pool.Fastest(pool.Query{Service: r.request.Service, Live: true}, progress.Server)
 	if progress.Moves > 0 || server == nil || 2*progress.Rate >= rate {
@@ -213,7 +224,8 @@
 	return server
 }
 
-// extraTries is how many tries may be moves; they are on top of the failures.
+// extraTries returns the number of tries allowed for moves, in addition to
+// maxTries for failures.
 func (r *generation) extraTries() int {
 	if r.request.MoveTarget == nil {
 		return 0
@@ -221,6 +233,8 @@
 	return maxTries
 }
 
+// readStream reads one stream until the answer is complete, the stream fails or
+// the answer moves. cancel cancels ctx and is called when the stream stalls.
 func (r *generation) readStream(ctx context.Context, cancel context.CancelFunc, server *pool.Server) (bool, error) {
 	events, err := r.Engine.Complete(ctx, server.Address(), engine.Completion{
 		ID: r.request.ID, Adapter: r.request.Adapter, Prompt: r.request.Prompt, Seed: r.request.Seed,
@@ -247,9 +261,9 @@
 	}
 }
 
-// transferState takes the engine's state over to where a move leads, while the stream
-// that it belongs to is still open. If that fails, the next engine needs a
-// prefill, which is all.
+// transferState copies the request's engine state to the move's target. The
+// stream must still be open, since the engine drops the state when it closes. A
+// failure is ignored: the target then runs a prefill.
 func (r *generation) transferState(ctx context.Context, from *pool.Server) {
 	if r.moveTarget == nil {
 		return
@@ -259,15 +273,16 @@
 	_ = r.Engine.TransferState(ctx, from.Address(), r.moveTarget.Address(), r.request.ID)
 }
 
-// applyEvent checks one event against what is there and adds what is new of it.
+// applyEvent validates an event and appends its tokens to the answer. Events that
+// were already received are skipped. It returns true after a valid end event.
 func (r *generation) applyEvent(event engine.Event, server *pool.Server) (bool, error) {
 	if event.ID != r.request.ID {
-		return false, fault.New("gener.take", engine.Broken, "an answer to "+string(event.ID)+" came in place of "+string(r.request.ID))
+		return false, fault.New("gener.applyEvent", engine.Broken, "received an event of request "+string(event.ID)+" on the stream of request "+string(r.request.ID))
 	}
 	received := r.answer.Tokens
 	if event.Done {
 		if event.Total != received {
-			return false, fault.New("gener.take", engine.Broken, "the end mark does not fit the tokens that came")
+			return false, fault.New("gener.applyEvent", engine.Broken, "the end event's total differs from the number of tokens received")
 		}
 		return true, nil
 	}
@@ -275,7 +290,7 @@
 		return false, nil
 	}
 	if event.Index != received {
-		return false, fault.New("gener.take", engine.Broken, "tokens are missing or doubled at the seam")
+		return false, fault.New("gener.applyEvent", engine.Broken, "the event's index differs from the number of tokens received")
 	}
 	r.text.WriteString(event.Text)
 	r.answer.Tokens += event.Tokens
@@ -285,13 +300,13 @@
 	}
 	part := Part{Text: event.Text, Tokens: event.Tokens, Version: event.Version, Backend: server.Name}
 	if r.request.OnPart != nil && !r.request.OnPart(part) {
-		return false, fault.New("gener.take", Unwanted, "given up by the receiver")
+		return false, fault.New("gener.applyEvent", Unwanted, "canceled by the receiver")
 	}
 	return false, r.considerMove(server)
 }
 
-// considerMove notes the server's speed and asks the receiver whether the rest
-// is better made elsewhere.
+// considerMove measures the server's token rate once per rate window and calls
+// the request's MoveTarget. It returns a Moved error if the answer moves.
 func (r *generation) considerMove(server *pool.Server) error {
 	now := r.Clock.Mono()
 	if r.rateSince == 0 {
@@ -316,10 +331,11 @@
 	r.moves++
 	r.moveTarget = target
 	r.tried = append(r.tried, server.Name)
-	return fault.New("gener.considerMove", Moved, "the rest is expected sooner elsewhere")
+	return fault.New("gener.considerMove", Moved, "the answer moves to a faster server")
 }
 
-// addSpan joins an event's tokens to the spans so far.
+// addSpan adds an event's tokens to the last span, or to a new one if the version
+// has changed.
 func addSpan(spans []steps.Span, event engine.Event) []steps.Span {
 	if n := len(spans); n > 0 && spans[n-1].Version == event.Version {
 		spans[n-1].Tokens += event.Tokens
@@ -328,22 +344,22 @@
 	return append(spans, steps.Span{Version: event.Version, Tokens: event.Tokens})
 }
 
-// refusal says how the request ended. Generation may always be repeated; but
-// "not run" is only said if no engine was handed the request.
+// refusal returns the error of a failed Generate call: NotRun if no engine opened
+// a stream and the last try, if any, failed with engine.NotRun.
 func (r *generation) refusal(ctx context.Context, last error) error {
 	if !r.accepted && (last == nil || fault.KindOf[engine.Kind](last) == engine.NotRun) {
-		return refuse.After("gener.Generate", refuse.NotRun, "no engine of service "+string(r.request.Service.Name)+" took the request", retryAfter)
+		return refuse.After("gener.Generate", refuse.NotRun, "no engine of service "+string(r.request.Service.Name)+" accepted the request", retryAfter)
 	}
 	if ctx.Err() != nil {
-		return refuse.New("gener.Generate", refuse.Late, "the answer was not whole at the deadline", "ask again with a later deadline")
+		return refuse.New("gener.Generate", refuse.Late, "the answer was incomplete at the deadline", "retry with a later deadline")
 	}
-	refusal := refuse.After("gener.Generate", refuse.OutcomeUnknown, "the engines broke off the answer", retryAfter)
+	refusal := refuse.After("gener.Generate", refuse.OutcomeUnknown, "the engines' streams failed before the answer was complete", retryAfter)
 	refusal.Err = last
 	return refusal
 }
 
-// AddPart joins a part to the spans so far, for receivers that watch an
-// answer grow.
+// AddPart adds a part's tokens to spans, for OnPart callbacks that track the
+// versions of an answer.
 func AddPart(spans []steps.Span, part Part) []steps.Span {
 	return addSpan(spans, engine.Event{Version: part.Version, Tokens: part.Tokens})
 }
--- a/croftmoor/gener/gener_test.go
+++ b/croftmoor/gener/gener_test.go
@@ -18,7 +18,8 @@
 	"croftmoor.dev/kernel/trail"
 )
 
-// scriptedEngine answers each completion with the next of its scripts.
+// scriptedEngine answers each completion with the next script and fails with
+// NotRun when none is left.
 type scriptedEngine struct {
 	scripts     [][]engine.Event
 	resumeFroms []ident.Tokens
@@ -28,7 +29,7 @@
 func (s *scriptedEngine) Complete(_ context.Context, _ ident.Address, c engine.Completion) (engine.Events, error) {
 	s.resumeFroms = append(s.resumeFroms, c.ResumeFrom)
 	if len(s.scripts) == 0 {
-		return nil, fault.New("test", engine.NotRun, "takes no work")
+		return nil, fault.New("test", engine.NotRun, "engine refuses work")
 	}
 	script := s.scripts[0]
 	s.scripts = s.scripts[1:]
@@ -48,7 +49,7 @@
 
 func (e *scriptedEvents) Next() (engine.Event, error) {
 	if len(e.remaining) == 0 {
-		return engine.Event{}, fault.New("test", engine.Broken, "cut")
+		return engine.Event{}, fault.New("test", engine.Broken, "stream closed before the end event")
 	}
 	next := e.remaining[0]
 	e.remaining = e.remaining[1:]
@@ -86,35 +87,35 @@
 }
 
 func TestGenerate(t *testing.T) {
-	t.Run("whole", func(t *testing.T) {
+	t.Run("complete answer from one engine", func(t *testing.T) {
 		assertAnswer(t, &scriptedEngine{scripts: [][]engine.Event{{part(0, 2, 1, "ab"), part(2, 1, 1, "c"), end(3)}}}, "abc", 1)
 	})
-	t.Run("cut off and resumed, with another version", func(t *testing.T) {
+	t.Run("resumed on another engine with another version", func(t *testing.T) {
 		s := &scriptedEngine{scripts: [][]engine.Event{{part(0, 2, 1, "ab")}, {part(2, 1, 2, "c"), end(3)}}}
 		assertAnswer(t, s, "abc", 2)
 		if s.resumeFroms[1] != 2 {
 			t.Fatalf("resumed from %d", s.resumeFroms[1])
 		}
 	})
-	t.Run("tokens that are there already are passed over", func(t *testing.T) {
+	t.Run("tokens already received are skipped", func(t *testing.T) {
 		assertAnswer(t, &scriptedEngine{scripts: [][]engine.Event{{part(0, 2, 1, "ab")}, {part(0, 2, 1, "ab"), part(2, 1, 1, "c"), end(3)}}}, "abc", 1)
 	})
-	t.Run("a gap is never bridged", func(t *testing.T) {
+	t.Run("a gap in the token indexes fails the stream", func(t *testing.T) {
 		assertAnswer(t, &scriptedEngine{scripts: [][]engine.Event{{part(0, 1, 1, "a"), part(2, 1, 1, "c"), end(3)}, {part(1, 2, 1, "bc"), end(3)}}}, "abc", 1)
 	})
-	t.Run("another request's answer is not taken", func(t *testing.T) {
+	t.Run("an event of another request fails the stream", func(t *testing.T) {
 		foreign := engine.Event{ID: "y", Tokens: 1, Text: "z"}
 		assertAnswer(t, &scriptedEngine{scripts: [][]engine.Event{{foreign, end(1)}, {part(0, 1, 1, "a"), end(1)}}}, "a", 1)
 	})
-	t.Run("an end mark that does not fit is no end", func(t *testing.T) {
+	t.Run("an end event with a wrong total fails the stream", func(t *testing.T) {
 		assertAnswer(t, &scriptedEngine{scripts: [][]engine.Event{{part(0, 1, 1, "a"), end(5)}, {part(1, 1, 1, "b"), end(2)}}}, "ab", 1)
 	})
-	t.Run("no engine takes it: not run", func(t *testing.T) {
+	t.Run("no engine accepts the request: NotRun", func(t *testing.T) {
 		if _, err := generate(t, &scriptedEngine{}); refuse.Of(err).Kind != refuse.NotRun {
 			t.Fatal(err)
 		}
 	})
-	t.Run("begun and never ended: not said to be not run", func(t *testing.T) {
+	t.Run("started but not completed: OutcomeUnknown", func(t *testing.T) {
 		_, err := generate(t, &scriptedEngine{scripts: [][]engine.Event{{part(0, 1, 1, "a")}}})
 		if refuse.Of(err).Kind != refuse.OutcomeUnknown {
 			t.Fatal(err)
