--- a/croftmoor/engine/sse.go
+++ b/croftmoor/engine/sse.go
@@ -70,7 +70,7 @@
 	NotRunHeader = "Croft-Not-Run"
 
 	dataPrefix = "data: "
-	endMark    = "[DONE]"
+	endMarker  = "[DONE]"
 )
 
 // Complete starts a completion.
@@ -115,7 +115,7 @@
 		}
 		data, ok := strings.CutPrefix(strings.TrimSpace(line), strings.TrimSpace(dataPrefix))
 		data = strings.TrimSpace(data)
-		if !ok || data == "" || data == endMark {
+		if !ok || data == "" || data == endMarker {
 			continue
 		}
 		var w eventWire
@@ -171,18 +171,18 @@
 
 // TransferState passes the engine's own form of the state on as it is.
 func (p *sse) TransferState(ctx context.Context, from, to ident.Address, id ident.RequestID) error {
-	out := &httpc.Call{Address: from, Method: http.MethodGet, Path: "/kv?ID=" + url.QueryEscape(string(id))}
-	state, err := p.client.Do(ctx, out)
+	exportCall := &httpc.Call{Address: from, Method: http.MethodGet, Path: "/kv?ID=" + url.QueryEscape(string(id))}
+	state, err := p.client.Do(ctx, exportCall)
 	if err == nil && state.Status != http.StatusOK {
-		err = httpc.StatusError(out, state)
+		err = httpc.StatusError(exportCall, state)
 	}
 	if err != nil {
 		return fault.Wrap("engine.Carry", Broken, err, "the state could not be exported")
 	}
-	in := &httpc.Call{Address: to, Method: http.MethodPost, Path: "/kv", Body: state.Body}
-	taken, err := p.client.Do(ctx, in)
-	if err == nil && taken.Status != http.StatusOK {
-		err = httpc.StatusError(in, taken)
+	importCall := &httpc.Call{Address: to, Method: http.MethodPost, Path: "/kv", Body: state.Body}
+	imported, err := p.client.Do(ctx, importCall)
+	if err == nil && imported.Status != http.StatusOK {
+		err = httpc.StatusError(importCall, imported)
 	}
 	if err != nil {
 		return fault.Wrap("engine.Carry", Broken, err, "the state could not be imported")
