engine: comments and messages in plain technical English

Comments state the protocol's contract and what each event field holds; fault operations follow the method names Execute and TransferState.

--- a/croftmoor/engine/engine.go
+++ b/croftmoor/engine/engine.go
@@ -1,5 +1,5 @@
-// Package engine is the boundary to model engines: what croftmoor asks of one,
-// and the protocols that carry it.
+// Package engine defines the protocol between croftmoor and model engines, and
+// implements it over HTTP with server-sent events.
 package engine
 
 import (
@@ -16,19 +16,20 @@
 
 // Kinds of errors.
 const (
-	// NotRun means that the engine certainly did not start the work.
+	// NotRun means that the engine has certainly not started the request.
 	NotRun Kind = "NotRun"
-	// Broken means that the stream ended before its end mark, or is not the
-	// answer to this request.
+	// Broken means that a call failed and the engine may have executed it, or that
+	// a stream is invalid or ended before its Done event.
 	Broken Kind = "Broken"
-	// OldFence means that the engine has obeyed a newer fencing number.
+	// OldFence means that the engine has executed an order with a higher fencing
+	// token.
 	OldFence Kind = "OldFence"
 )
 
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-// Completion asks for generated text.
+// Completion is a completion request.
 type Completion struct {
 	ID        ident.RequestID
 	Adapter   ident.Trainer
@@ -36,46 +37,56 @@
 	Seed      string
 	MaxTokens ident.Tokens
 	Priority  int
-	// ResumeFrom is how many tokens of the answer the receiver already has.
+	// ResumeFrom is the number of leading tokens of the answer that the receiver
+	// already has. The engine streams the tokens after them.
 	ResumeFrom ident.Tokens
 }
 
-// Event is a part of an answer.
+// Event is one event of a completion stream.
 type Event struct {
-	ID      ident.RequestID
-	Index   ident.Tokens
-	Tokens  ident.Tokens
+	ID ident.RequestID
+	// Index is the position of the event's first token in the answer.
+	Index ident.Tokens
+	// Tokens is the number of tokens in Text.
+	Tokens ident.Tokens
+	// Version is the adapter version that generated the tokens.
 	Version ident.Version
 	Text    string
-	// Done marks the end; Total is then the length of the whole answer.
+	// Done marks the last event, which carries no tokens. Total is then the length
+	// of the answer, including the tokens before ResumeFrom.
 	Done  bool
 	Total ident.Tokens
 }
 
-// Events is an answer as it comes.
+// Events is a completion stream.
 type Events interface {
-	// Next returns the next part.
+	// Next returns the next event. A stream that ends without a Done event fails
+	// with Broken.
 	Next() (Event, error)
-	// Close ends the answer; the engine stops working on it.
+	// Close closes the stream. The engine then cancels the request.
 	Close()
 }
 
-// Order asks an engine to run a version of an adapter.
+// Order tells an engine to load a version of an adapter. An engine that checks
+// fencing tokens refuses a Fence lower than one that it has already executed.
 type Order struct {
 	Fence   ident.Fence
 	Adapter ident.Trainer
 	Version ident.Version
 }
 
-// Protocol speaks to engines.
+// Protocol is a client of model engines.
 type Protocol interface {
 	pool.Reporter
+	// Complete starts a completion. It fails with NotRun if the engine has
+	// certainly not started it.
 	Complete(ctx context.Context, address ident.Address, c Completion) (Events, error)
+	// Execute sends an order and waits until the engine has executed it.
 	Execute(ctx context.Context, address ident.Address, order Order) error
-	// TransferState takes the state of a request that runs at from over to another
-	// engine, so that the rest of its answer needs no prefill there.
+	// TransferState copies the KV cache of a request that runs at from to the
+	// engine at to, which can then continue the answer without a prefill.
 	TransferState(ctx context.Context, from, to ident.Address, id ident.RequestID) error
 }
 
-// Protocols holds the protocols by the name that settings use.
+// Protocols is the registry of protocols, by their names in the settings.
 var Protocols plug.Registry[Protocol]
--- a/croftmoor/engine/sse.go
+++ b/croftmoor/engine/sse.go
@@ -18,8 +18,8 @@
 	Protocols.Register("Sse", func() Protocol { return &sse{} })
 }
 
-// sse speaks HTTP with JSON requests and answers in server-sent events, in the
-// usual form of model servers.
+// sse is the protocol over HTTP: JSON requests, and completions streamed as
+// server-sent events.
 type sse struct {
 	client httpc.Client
 }
@@ -66,18 +66,19 @@
 }
 
 const (
-	// NotRunHeader marks a backend server's refusal as "not run".
+	// NotRunHeader is set by a backend server on a 503 response if it has not
+	// started the request.
 	NotRunHeader = "Croft-Not-Run"
 
 	dataPrefix = "data: "
 	endMarker  = "[DONE]"
 )
 
-// Complete starts a completion.
+// Complete implements Protocol.
 func (p *sse) Complete(ctx context.Context, address ident.Address, c Completion) (Events, error) {
 	body, err := json.Marshal(completionToWire(c))
 	if err != nil {
-		return nil, fault.Wrap("engine.Complete", NotRun, err, "unencodable request")
+		return nil, fault.Wrap("engine.Complete", NotRun, err, "encoding the completion request failed")
 	}
 	call := &httpc.Call{
 		Address: address, Method: http.MethodPost, Path: "/v1/completions", Body: body,
@@ -85,33 +86,34 @@
 	}
 	stream, err := p.client.Open(ctx, call)
 	if fault.KindOf[httpc.Kind](err) == httpc.NotSent {
-		return nil, fault.Wrap("engine.Complete", NotRun, err, "the engine can't be reached")
+		return nil, fault.Wrap("engine.Complete", NotRun, err, "engine unreachable")
 	}
 	if err != nil {
-		return nil, fault.Wrap("engine.Complete", Broken, err, "the engine gave no answer")
+		return nil, fault.Wrap("engine.Complete", Broken, err, "engine did not answer the completion request")
 	}
 	if stream.Status == http.StatusServiceUnavailable {
 		stream.Close()
-		return nil, fault.New("engine.Complete", NotRun, "the engine takes no work")
+		return nil, fault.New("engine.Complete", NotRun, "engine refused the completion request with status 503")
 	}
 	if stream.Status != http.StatusOK {
 		stream.Close()
-		return nil, fault.New("engine.Complete", Broken, "the engine answered "+http.StatusText(stream.Status))
+		return nil, fault.New("engine.Complete", Broken, "engine answered the completion request with "+http.StatusText(stream.Status))
 	}
 	return &sseEvents{stream: stream}, nil
 }
 
+// sseEvents reads a completion stream.
 type sseEvents struct {
 	stream *httpc.Stream
 }
 
-// Next reads up to the next event. The end of the stream without an event is
-// an error: an answer ends with its Done event.
+// Next implements Events. Lines that carry no event are skipped, including the
+// end marker: only a Done event completes an answer.
 func (e *sseEvents) Next() (Event, error) {
 	for {
 		line, err := e.stream.Body.ReadString('\n')
 		if err != nil {
-			return Event{}, fault.Wrap("engine.Next", Broken, err, "the stream ended without its end mark")
+			return Event{}, fault.Wrap("engine.Next", Broken, err, "stream ended before the Done event")
 		}
 		data, ok := strings.CutPrefix(strings.TrimSpace(line), strings.TrimSpace(dataPrefix))
 		data = strings.TrimSpace(data)
@@ -120,18 +122,18 @@
 		}
 		var w eventWire
 		if err := json.Unmarshal([]byte(data), &w); err != nil {
-			return Event{}, fault.Wrap("engine.Next", Broken, err, "unreadable event")
+			return Event{}, fault.Wrap("engine.Next", Broken, err, "decoding a completion event failed")
 		}
 		return eventFromWire(w), nil
 	}
 }
 
-// Close ends the stream.
+// Close implements Events.
 func (e *sseEvents) Close() {
 	e.stream.Close()
 }
 
-// Load asks for the engine's report.
+// Load fetches the engine's load report.
 func (p *sse) Load(ctx context.Context, address ident.Address) (pool.Report, error) {
 	call := &httpc.Call{Address: address, Method: http.MethodGet, Path: "/load"}
 	answer, err := p.client.Do(ctx, call)
@@ -143,33 +145,35 @@
 		return pool.Report{}, httpc.StatusError(call, answer)
 	}
 	if err := json.Unmarshal(answer.Body, &w); err != nil {
-		return pool.Report{}, fault.Wrap("engine.Load", Broken, err, "unreadable report")
+		return pool.Report{}, fault.Wrap("engine.Load", Broken, err, "decoding the load report failed")
 	}
 	return reportFromWire(w), nil
 }
 
-// Execute sends an order and waits until the engine has carried it out.
+// Execute implements Protocol. It uses a new connection, so that the HTTP client
+// cannot send the order twice.
 func (p *sse) Execute(ctx context.Context, address ident.Address, order Order) error {
 	body, err := json.Marshal(orderWire{Fence: int64(order.Fence), Adapter: string(order.Adapter), Version: int64(order.Version)})
 	if err != nil {
-		return fault.Wrap("engine.Obey", NotRun, err, "unencodable order")
+		return fault.Wrap("engine.Execute", NotRun, err, "encoding the order failed")
 	}
 	call := &httpc.Call{Address: address, Method: http.MethodPost, Path: "/orders", Body: body, FreshConn: true}
 	answer, err := p.client.Do(ctx, call)
 	if err != nil {
-		return fault.Wrap("engine.Obey", Broken, err, "the order's answer was lost")
+		return fault.Wrap("engine.Execute", Broken, err, "no answer to the order")
 	}
 	switch answer.Status {
 	case http.StatusOK:
 		return nil
 	case http.StatusConflict:
-		return fault.New("engine.Obey", OldFence, string(answer.Body))
+		return fault.New("engine.Execute", OldFence, string(answer.Body))
 	default:
-		return fault.Wrap("engine.Obey", Broken, httpc.StatusError(call, answer), "the order failed")
+		return fault.Wrap("engine.Execute", Broken, httpc.StatusError(call, answer), "order failed")
 	}
 }
 
-// TransferState passes the engine's own form of the state on as it is.
+// TransferState implements Protocol. It does not decode the state, whose format
+// is the engine's.
 func (p *sse) TransferState(ctx context.Context, from, to ident.Address, id ident.RequestID) error {
 	exportCall := &httpc.Call{Address: from, Method: http.MethodGet, Path: "/kv?ID=" + url.QueryEscape(string(id))}
 	state, err := p.client.Do(ctx, exportCall)
@@ -177,7 +181,7 @@
 		err = httpc.StatusError(exportCall, state)
 	}
 	if err != nil {
-		return fault.Wrap("engine.Carry", Broken, err, "the state could not be exported")
+		return fault.Wrap("engine.TransferState", Broken, err, "exporting the KV cache failed")
 	}
 	importCall := &httpc.Call{Address: to, Method: http.MethodPost, Path: "/kv", Body: state.Body}
 	imported, err := p.client.Do(ctx, importCall)
@@ -185,7 +189,7 @@
 		err = httpc.StatusError(importCall, imported)
 	}
 	if err != nil {
-		return fault.Wrap("engine.Carry", Broken, err, "the state could not be imported")
+		return fault.Wrap("engine.TransferState", Broken, err, "importing the KV cache failed")
 	}
 	return nil
 }
