--- a/croftmoor/calls/calls.go
+++ b/croftmoor/calls/calls.go
@@ -67,17 +67,17 @@
 }
 
 const (
-	maxTries   = 4
-	retryTerm  = 300 * clock.Millis(1)
-	idHeader   = "X-Request-ID"
-	typeHeader = "Content-Type"
+	maxTries          = 4
+	retryAfter        = 300 * clock.Millis(1)
+	idHeader          = "X-Request-ID"
+	contentTypeHeader = "Content-Type"
 	// notRunHeader marks a backend server's own word that it did not run a call.
 	notRunHeader = "Croft-Not-Run"
 )
 
 // Do carries a call to its end. ctx holds the deadline.
 func (c *Caller) Do(ctx context.Context, r Request) (Answer, error) {
-	if err := c.held(&r); err != nil {
+	if err := c.checkGuard(&r); err != nil {
 		return Answer{}, err
 	}
 	if r.Repeatable {
@@ -86,11 +86,11 @@
 	return c.doOnce(ctx, r)
 }
 
-// sent is how far a try got.
-type sent int
+// tryResult is how far a try got.
+type tryResult int
 
 const (
-	notSent sent = iota
+	notSent tryResult = iota
 	refused
 	lost
 	answered
@@ -101,83 +101,83 @@
 	retries.Earn()
 	var tried []ident.BackendName
 	mayHaveRun := false
-	var last error
+	var lastErr error
 	for try := range maxTries {
 		if try > 0 && !retries.Spend() {
-			c.note(r, trail.Refuse, "", "", "no retry left in the class's budget")
+			c.logDecision(r, trail.Refuse, "", "", "no retry left in the class's budget")
 			break
 		}
-		if try > 0 && c.held(&r) != nil {
+		if try > 0 && c.checkGuard(&r) != nil {
 			break
 		}
 		server := c.pick(r, tried, try)
 		if server == nil {
 			break
 		}
-		answer, how, err := c.try(ctx, r, server, try+1 < maxTries)
-		if how == answered {
+		answer, result, err := c.try(ctx, r, server, try+1 < maxTries)
+		if result == answered {
 			return answer, nil
 		}
-		mayHaveRun = mayHaveRun || how == lost
+		mayHaveRun = mayHaveRun || result == lost
 		tried = append(tried, server.Name)
-		last = err
+		lastErr = err
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return Answer{}, c.giveUp(ctx, r, mayHaveRun, last)
+	return Answer{}, c.refusal(ctx, r, mayHaveRun, lastErr)
 }
 
-func (c *Caller) giveUp(ctx context.Context, r Request, mayHaveRun bool, last error) error {
+func (c *Caller) refusal(ctx context.Context, r Request, mayHaveRun bool, err error) error {
 	var refusal *refuse.Error
 	switch {
 	case !mayHaveRun:
-		refusal = refuse.After("calls.Do", refuse.NotRun, "no backend server of service "+string(r.Service.Name)+" took the call", retryTerm)
+		refusal = refuse.After("calls.Do", refuse.NotRun, "no backend server of service "+string(r.Service.Name)+" took the call", retryAfter)
 	case ctx.Err() != nil && r.Repeatable:
 		refusal = refuse.New("calls.Do", refuse.Late, "no answer before the deadline", "ask again; the call may be repeated")
 	case r.Repeatable:
-		refusal = refuse.After("calls.Do", refuse.OutcomeUnknown, "the answer was lost; the call may be repeated", retryTerm)
+		refusal = refuse.After("calls.Do", refuse.OutcomeUnknown, "the answer was lost; the call may be repeated", retryAfter)
 	default:
 		refusal = refuse.New("calls.Do", refuse.OutcomeUnknown, "the answer was lost after the call was sent",
 			"find out from service "+string(r.Service.Name)+" whether it ran; asking again with the same id never runs it twice")
 	}
-	refusal.Err = last
+	refusal.Err = err
 	return refusal
 }
 
 // try sends the call to one server.
-func (c *Caller) try(ctx context.Context, r Request, server *pool.Server, more bool) (Answer, sent, error) {
-	tryCtx, cancel := c.share(ctx, more && r.Repeatable)
+func (c *Caller) try(ctx context.Context, r Request, server *pool.Server, moreTries bool) (Answer, tryResult, error) {
+	tryCtx, cancel := c.tryContext(ctx, moreTries && r.Repeatable)
 	defer cancel()
 	call := &httpc.Call{Address: server.Address(), Method: r.Method, Path: r.Path, Body: r.Body, FreshConn: !r.Repeatable}
 	call.Headers = append(call.Headers, r.Headers...)
 	call.Headers = append(call.Headers, httpc.Header{Name: idHeader, Value: string(r.ID)})
-	began := c.Clock.Mono()
+	start := c.Clock.Mono()
 	answer, err := c.client.Do(tryCtx, call)
 	now := c.Clock.Mono()
-	how := judge(answer, err)
-	c.learn(tryCtx, &r, server, how)
-	server.Release(c.Clock, false, now-began, how == answered)
-	if how == answered {
-		return Answer{Status: answer.Status, ContentType: answer.Header(typeHeader), Body: answer.Body, Backend: server.Name}, how, nil
+	result := classify(answer, err)
+	c.reportToGuard(tryCtx, &r, server, result)
+	server.Release(c.Clock, false, now-start, result == answered)
+	if result == answered {
+		return Answer{Status: answer.Status, ContentType: answer.Header(contentTypeHeader), Body: answer.Body, Backend: server.Name}, result, nil
 	}
 	if ctx.Err() == nil && server.Breaker.RecordFailure(now) {
-		c.note(r, trail.Hold, server.Name, "", "ejected after failures")
+		c.logDecision(r, trail.Hold, server.Name, "", "ejected after failures")
 	}
-	return Answer{}, how, err
+	return Answer{}, result, err
 }
 
-// share gives a try half of the time that is left when others may follow.
-func (c *Caller) share(ctx context.Context, more bool) (context.Context, context.CancelFunc) {
+// tryContext gives a try half of the time that is left when others may follow.
+func (c *Caller) tryContext(ctx context.Context, divide bool) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
-	if !ok || !more {
+	if !ok || !divide {
 		return context.WithCancel(ctx)
 	}
-	left := clock.Millis(deadline.UnixMilli()) - c.Clock.Now()
-	return context.WithTimeout(ctx, (left / 2).Duration())
+	remaining := clock.Millis(deadline.UnixMilli()) - c.Clock.Now()
+	return context.WithTimeout(ctx, (remaining / 2).Duration())
 }
 
-func judge(answer *httpc.Answer, err error) sent {
+func classify(answer *httpc.Answer, err error) tryResult {
 	switch {
 	case fault.KindOf[httpc.Kind](err) == httpc.NotSent:
 		return notSent
@@ -193,18 +193,18 @@
 func (c *Caller) pick(r Request, tried []ident.BackendName, try int) *pool.Server {
 	server, runnerUp, reason := c.Pool.Pick(pool.Query{ID: r.ID, Service: r.Service, Exclude: tried})
 	if server == nil {
-		c.note(r, trail.Refuse, "", "", reason)
+		c.logDecision(r, trail.Refuse, "", "", reason)
 		return nil
 	}
 	action := trail.Route
 	if try > 0 {
 		action = trail.Retry
 	}
-	c.note(r, action, server.Name, runnerUp, reason)
+	c.logDecision(r, action, server.Name, runnerUp, reason)
 	return server
 }
 
-func (c *Caller) note(r Request, action trail.Action, choice, runnerUp ident.BackendName, reason string) {
+func (c *Caller) logDecision(r Request, action trail.Action, choice, runnerUp ident.BackendName, reason string) {
 	c.Trail.Add(trail.Decision{ID: string(r.ID), Action: action, Choice: string(choice), RunnerUp: string(runnerUp), Reason: reason})
 }
 
@@ -215,7 +215,7 @@
 }
 
 func (c *Caller) budget(r Request) *budget.Budget {
-	made, _ := c.budgets.LoadOrStore(budgetKey{class: r.Class, service: r.Service.Name}, &budget.Budget{})
-	b, _ := made.(*budget.Budget)
+	loaded, _ := c.budgets.LoadOrStore(budgetKey{class: r.Class, service: r.Service.Name}, &budget.Budget{})
+	b, _ := loaded.(*budget.Budget)
 	return b
 }
--- a/croftmoor/calls/calls_test.go
+++ b/croftmoor/calls/calls_test.go
@@ -23,39 +23,39 @@
 	"croftmoor.dev/kernel/trail"
 )
 
-// claimer grants, or refuses, and notes settlements.
-type claimer struct {
-	refuses bool
-	known   *once.Entry
-	blocks  chan struct{}
+// fakeClaimer grants, or refuses, and notes settlements.
+type fakeClaimer struct {
+	notReady   bool
+	entry      *once.Entry
+	settleGate chan struct{}
 
 	mu      sync.Mutex
 	settled []once.Outcome
 }
 
-func (*claimer) NewAttempt() int64                   { return 1 }
-func (*claimer) RunnerAlive(ident.InstanceName) bool { return false }
-func (c *claimer) Claim(_ context.Context, r once.Request) (once.Entry, error) {
-	if c.refuses {
+func (*fakeClaimer) NewAttempt() int64                   { return 1 }
+func (*fakeClaimer) RunnerAlive(ident.InstanceName) bool { return false }
+func (c *fakeClaimer) Claim(_ context.Context, r once.Request) (once.Entry, error) {
+	if c.notReady {
 		return once.Entry{}, fault.New("test", once.NotReady, "no backup")
 	}
-	if c.known != nil {
-		return *c.known, nil
+	if c.entry != nil {
+		return *c.entry, nil
 	}
 	return once.Entry{ID: r.ID, Status: once.Granted, Runner: r.Runner, Attempt: r.Attempt}, nil
 }
 
-func (c *claimer) Settle(_ context.Context, s once.Settlement) {
-	if c.blocks != nil {
-		<-c.blocks
+func (c *fakeClaimer) Settle(_ context.Context, s once.Settlement) {
+	if c.settleGate != nil {
+		<-c.settleGate
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.settled = append(c.settled, s.Outcome)
 }
 
-// serverThat answers each connection with text, after it has read the request.
-func serverThat(t *testing.T, text string) ident.Address {
+// startServer answers each connection with text, after it has read the request.
+func startServer(t *testing.T, text string) ident.Address {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -80,14 +80,14 @@
 }
 
 const (
-	answers  = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-	refuses  = "HTTP/1.1 503 Out\r\nCroft-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
-	saysLess = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"
-	nothing  = ""
+	okResponse        = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	notRunResponse    = "HTTP/1.1 503 Out\r\nCroft-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+	truncatedResponse = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"
+	noResponse        = ""
 )
 
-// unreachable is an address at which nothing listens.
-func unreachable(t *testing.T) ident.Address {
+// unreachableAddress is an address at which nothing listens.
+func unreachableAddress(t *testing.T) ident.Address {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -97,7 +97,7 @@
 	return ident.Address(listener.Addr().String())
 }
 
-func callerOf(c *claimer, addresses ...ident.Address) *Caller {
+func newCaller(c *fakeClaimer, addresses ...ident.Address) *Caller {
 	clk := clock.New()
 	table := &fleet.Table{Clock: clk}
 	members := make([]fleet.Member, 0, len(addresses))
@@ -112,14 +112,14 @@
 	return &Caller{Self: "self", Pool: p, Claimer: c, Clock: clk, Trail: &trail.Trail{Log: zerolog.Nop(), Clock: clk}}
 }
 
-func request(repeatable bool) Request {
+func newRequest(repeatable bool) Request {
 	return Request{
 		ID: "x", Service: conf.Service{Name: "s", Kind: conf.Plain, Slots: 4, Policy: route.RoundRobin},
 		Method: http.MethodPost, Path: "/hold", Repeatable: repeatable,
 	}
 }
 
-func assertEnds(t *testing.T, c *Caller, r Request, want refuse.Kind) {
+func assertRefusal(t *testing.T, c *Caller, r Request, want refuse.Kind) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), (5 * clock.Second).Duration())
 	defer cancel()
@@ -135,7 +135,7 @@
 	}
 }
 
-func assertSettled(t *testing.T, caller *Caller, c *claimer, want once.Outcome) {
+func assertSettled(t *testing.T, caller *Caller, c *fakeClaimer, want once.Outcome) {
 	t.Helper()
 	caller.Wait()
 	c.mu.Lock()
@@ -151,64 +151,64 @@
 		want    refuse.Kind
 		settled once.Outcome
 	}{
-		"an answer":                       {[]string{answers}, "", once.Ran},
-		"refused by one, run by the next": {[]string{refuses, answers}, "", once.Ran},
-		"refused by all":                  {[]string{refuses, refuses}, refuse.NotRun, once.DidNotRun},
-		"no answer: never sent again":     {[]string{nothing, nothing}, refuse.OutcomeUnknown, once.CannotTell},
-		"half an answer is no answer":     {[]string{saysLess, saysLess}, refuse.OutcomeUnknown, once.CannotTell},
+		"an answer":                       {[]string{okResponse}, "", once.Ran},
+		"refused by one, run by the next": {[]string{notRunResponse, okResponse}, "", once.Ran},
+		"refused by all":                  {[]string{notRunResponse, notRunResponse}, refuse.NotRun, once.DidNotRun},
+		"no answer: never sent again":     {[]string{noResponse, noResponse}, refuse.OutcomeUnknown, once.CannotTell},
+		"half an answer is no answer":     {[]string{truncatedResponse, truncatedResponse}, refuse.OutcomeUnknown, once.CannotTell},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var addresses []ident.Address
 			for _, text := range c.servers {
-				addresses = append(addresses, serverThat(t, text))
+				addresses = append(addresses, startServer(t, text))
 			}
-			claims := &claimer{}
-			caller := callerOf(claims, addresses...)
-			assertEnds(t, caller, request(false), c.want)
+			claims := &fakeClaimer{}
+			caller := newCaller(claims, addresses...)
+			assertRefusal(t, caller, newRequest(false), c.want)
 			assertSettled(t, caller, claims, c.settled)
 		})
 	}
 	t.Run("unreachable servers", func(t *testing.T) {
-		claims := &claimer{}
-		caller := callerOf(claims, unreachable(t), unreachable(t))
-		assertEnds(t, caller, request(false), refuse.NotRun)
+		claims := &fakeClaimer{}
+		caller := newCaller(claims, unreachableAddress(t), unreachableAddress(t))
+		assertRefusal(t, caller, newRequest(false), refuse.NotRun)
 		assertSettled(t, caller, claims, once.DidNotRun)
 	})
 	t.Run("no grant: refused at once, though the settlement hangs", func(t *testing.T) {
-		claims := &claimer{refuses: true, blocks: make(chan struct{})}
-		caller := callerOf(claims, unreachable(t))
-		assertEnds(t, caller, request(false), refuse.NotRun)
-		close(claims.blocks)
+		claims := &fakeClaimer{notReady: true, settleGate: make(chan struct{})}
+		caller := newCaller(claims, unreachableAddress(t))
+		assertRefusal(t, caller, newRequest(false), refuse.NotRun)
+		close(claims.settleGate)
 		assertSettled(t, caller, claims, once.DidNotRun)
 	})
 	t.Run("a repeat gets the first answer", func(t *testing.T) {
-		claims := &claimer{known: &once.Entry{Status: once.Done, Answer: once.Answer{Status: 200, Body: []byte("first")}}}
-		answer, err := callerOf(claims).Do(context.Background(), request(false))
+		claims := &fakeClaimer{entry: &once.Entry{Status: once.Done, Answer: once.Answer{Status: 200, Body: []byte("first")}}}
+		answer, err := newCaller(claims).Do(context.Background(), newRequest(false))
 		if err != nil || string(answer.Body) != "first" {
 			t.Fatalf("%s %v", answer.Body, err)
 		}
 	})
 	t.Run("a repeat of what a dead instance ran is unknown", func(t *testing.T) {
-		claims := &claimer{known: &once.Entry{Status: once.Granted, Runner: "dead"}}
-		assertEnds(t, callerOf(claims), request(false), refuse.OutcomeUnknown)
+		claims := &fakeClaimer{entry: &once.Entry{Status: once.Granted, Runner: "dead"}}
+		assertRefusal(t, newCaller(claims), newRequest(false), refuse.OutcomeUnknown)
 	})
 }
 
 func TestRepeatable(t *testing.T) {
 	t.Run("a lost answer is asked for again", func(t *testing.T) {
-		assertEnds(t, callerOf(nil, serverThat(t, nothing), serverThat(t, answers)), request(true), "")
+		assertRefusal(t, newCaller(nil, startServer(t, noResponse), startServer(t, okResponse)), newRequest(true), "")
 	})
 	t.Run("the budget ends retries", func(t *testing.T) {
-		caller := callerOf(nil, serverThat(t, nothing), serverThat(t, nothing), serverThat(t, nothing), serverThat(t, nothing))
-		assertEnds(t, caller, request(true), refuse.OutcomeUnknown)
-		lost := 0
+		caller := newCaller(nil, startServer(t, noResponse), startServer(t, noResponse), startServer(t, noResponse), startServer(t, noResponse))
+		assertRefusal(t, caller, newRequest(true), refuse.OutcomeUnknown)
+		retries := 0
 		for _, d := range caller.Trail.Decisions("x") {
 			if d.Action == trail.Retry {
-				lost++
+				retries++
 			}
 		}
-		if lost != 1 {
-			t.Fatalf("%d retries, want the one that is saved", lost)
+		if retries != 1 {
+			t.Fatalf("%d retries, want the one that is saved", retries)
 		}
 	})
 }
--- a/croftmoor/calls/guard.go
+++ b/croftmoor/calls/guard.go
@@ -30,28 +30,28 @@
 	return poison.Subject{Host: string(r.Service.Name), Method: r.Method, Target: r.Path, Body: r.Body}.Fingerprint()
 }
 
-// held refuses a call that goes to no server, since servers ended under it before.
-func (c *Caller) held(r *Request) error {
+// checkGuard refuses a call that goes to no server, since servers ended under it before.
+func (c *Caller) checkGuard(r *Request) error {
 	if c.Guard == nil || c.Guard.Quiet() {
 		return nil
 	}
-	left, why := c.Guard.Held(r.fingerprint())
-	if left == 0 {
+	remaining, reason := c.Guard.Held(r.fingerprint())
+	if remaining == 0 {
 		return nil
 	}
-	c.note(*r, trail.Refuse, "", "", why)
-	return refuse.After("calls.Do", refuse.NotRun, why, left)
+	c.logDecision(*r, trail.Refuse, "", "", reason)
+	return refuse.After("calls.Do", refuse.NotRun, reason, remaining)
 }
 
-// learn tells the guard how a try ended. A server that lost a call has ended under it
+// reportToGuard tells the guard how a try ended. A server that lost a call has ended under it
 // if nobody listens at its address any more.
-func (c *Caller) learn(ctx context.Context, r *Request, server *pool.Server, how sent) {
+func (c *Caller) reportToGuard(ctx context.Context, r *Request, server *pool.Server, result tryResult) {
 	switch {
 	case c.Guard == nil:
-	case how == answered && !c.Guard.Quiet():
+	case result == answered && !c.Guard.Quiet():
 		c.Guard.Answered(r.fingerprint())
-	case how == lost && ctx.Err() == nil && !server.Leaving() && c.client.ConnectionRefused(ctx, server.Address()):
+	case result == lost && ctx.Err() == nil && !server.Leaving() && c.client.ConnectionRefused(ctx, server.Address()):
 		c.Guard.Ended(r.fingerprint(), server.Name)
-		c.note(*r, trail.Ended, server.Name, "", "request "+string(r.fingerprint())+": nobody listens there any more")
+		c.logDecision(*r, trail.Ended, server.Name, "", "request "+string(r.fingerprint())+": nobody listens there any more")
 	}
 }
--- a/croftmoor/calls/guard_test.go
+++ b/croftmoor/calls/guard_test.go
@@ -13,26 +13,26 @@
 	"croftmoor.dev/kernel/poison"
 )
 
-// tableGuard is a guard of one instance.
-type tableGuard struct {
+// localGuard is a guard of one instance.
+type localGuard struct {
 	table *poison.Table
 	clock *clock.Clock
 }
 
-func (g *tableGuard) Quiet() bool { return g.table.Empty() }
+func (g *localGuard) Quiet() bool { return g.table.Empty() }
 
-func (g *tableGuard) Held(r poison.Fingerprint) (left clock.Millis, why string) {
+func (g *localGuard) Held(r poison.Fingerprint) (left clock.Millis, why string) {
 	return g.table.Verdict(r, g.clock.Mono()).HeldFor, "held"
 }
 
-func (g *tableGuard) Ended(r poison.Fingerprint, server ident.BackendName) {
+func (g *localGuard) Ended(r poison.Fingerprint, server ident.BackendName) {
 	g.table.Ended(poison.End{Request: r, Server: server}, true, g.clock.Mono())
 }
 
-func (g *tableGuard) Answered(r poison.Fingerprint) { g.table.Answered(r) }
+func (g *localGuard) Answered(r poison.Fingerprint) { g.table.Answered(r) }
 
-// ending returns a server that ends with the first request that it reads.
-func ending(t *testing.T) ident.Address {
+// startCrashingServer returns a server that ends with the first request that it reads.
+func startCrashingServer(t *testing.T) ident.Address {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -57,12 +57,12 @@
 func TestCallThatEndsServers(t *testing.T) {
 	var addresses []ident.Address
 	for range 6 {
-		addresses = append(addresses, ending(t))
+		addresses = append(addresses, startCrashingServer(t))
 	}
-	c := callerOf(&claimer{}, addresses...)
-	guard := &tableGuard{table: poison.NewTable(), clock: c.Clock}
+	c := newCaller(&fakeClaimer{}, addresses...)
+	guard := &localGuard{table: poison.NewTable(), clock: c.Clock}
 	c.Guard = guard
-	r := request(true)
+	r := newRequest(true)
 	for range 3 {
 		_, _ = c.Do(t.Context(), r)
 	}
