calls: comments and messages in plain technical English

Comments state the contract of claims, results of a try and who waits for what. The reason of Ended decisions stays, since docs/OPERATIONS.md describes it.

--- a/croftmoor/calls/calls.go
+++ b/croftmoor/calls/calls.go
@@ -1,5 +1,5 @@
-// Package calls carries calls to plain services: the choice of a backend
-// server, retries of what may be repeated, and at most one run of what may not.
+// Package calls routes calls to the backend servers of plain services. It retries
+// repeatable calls and runs calls that are not repeatable at most once.
 package calls
 
 import (
@@ -21,21 +21,24 @@
 	"croftmoor.dev/kernel/trail"
 )
 
-// Request is one call.
+// Request is a call to a plain service.
 type Request struct {
-	ID         ident.RequestID
-	Service    conf.Service
-	Class      ident.Class
-	Method     string
-	Path       string
-	Headers    []httpc.Header
-	Body       []byte
+	ID      ident.RequestID
+	Service conf.Service
+	// Class selects the retry budget, together with Service.
+	Class  ident.Class
+	Method string
+	// Path includes the query string.
+	Path    string
+	Headers []httpc.Header
+	Body    []byte
+	// Repeatable means that running the call more than once is safe.
 	Repeatable bool
-	// Issued is when the caller made the id, if known; else 0.
+	// Issued is the time at which the caller created the ID, or 0 if unknown.
 	Issued clock.Millis
 }
 
-// Answer is the backend server's answer.
+// Answer is a backend server's response.
 type Answer struct {
 	Status      int
 	ContentType string
@@ -43,15 +46,21 @@
 	Backend     ident.BackendName
 }
 
-// Claimer grants the right to run what may not be repeated.
+// Claimer grants the right to run calls that are not repeatable, at most once for
+// each ID.
 type Claimer interface {
+	// NewAttempt returns a number that identifies an attempt of this instance.
 	NewAttempt() int64
+	// Claim requests the right to run a call and returns the entry of its ID, which
+	// may belong to another attempt.
 	Claim(ctx context.Context, request once.Request) (once.Entry, error)
+	// Settle records the outcome of a claimed call.
 	Settle(ctx context.Context, settlement once.Settlement)
+	// RunnerAlive reports whether an instance is live.
 	RunnerAlive(runner ident.InstanceName) bool
 }
 
-// Caller carries calls. Set the fields before use.
+// Caller sends calls to backend servers. Set the exported fields before use.
 type Caller struct {
 	Self    ident.InstanceName
 	Pool    *pool.Pool
@@ -61,8 +70,10 @@
 	// Guard may be nil.
 	Guard Guard
 
-	client  httpc.Client
-	group   conc.WaitGroup
+	client httpc.Client
+	// group runs the settlements.
+	group conc.WaitGroup
+	// budgets maps budgetKey to *budget.Budget.
 	budgets sync.Map
 }
 
@@ -71,11 +82,13 @@
 	retryAfter        = 300 * clock.Millis(1)
 	idHeader          = "X-Request-ID"
 	contentTypeHeader = "Content-Type"
-	// notRunHeader marks a backend server's own word that it did not run a call.
+	// notRunHeader is set by a backend server on a 503 response if it has not run
+	// the call.
 	notRunHeader = "Croft-Not-Run"
 )
 
-// Do carries a call to its end. ctx holds the deadline.
+// Do sends a call and returns the response, or a *refuse.Error. The deadline is
+// ctx's.
 func (c *Caller) Do(ctx context.Context, r Request) (Answer, error) {
 	if err := c.checkGuard(&r); err != nil {
 		return Answer{}, err
@@ -86,16 +99,22 @@
 	return c.doOnce(ctx, r)
 }
 
-// tryResult is how far a try got.
+// tryResult is the result of sending a call to one server.
 type tryResult int
 
 const (
+	// notSent means that the server has not received the call.
 	notSent tryResult = iota
+	// refused means that the server answered that it has not run the call.
 	refused
+	// lost means that the server may have run the call, but its response is missing
+	// or incomplete.
 	lost
 	answered
 )
 
+// doRepeatable runs a repeatable call, with retries on other servers as far as the
+// retry budget allows.
 func (c *Caller) doRepeatable(ctx context.Context, r Request) (Answer, error) {
 	retries := c.budget(r)
 	retries.Earn()
@@ -104,7 +123,7 @@
 	var lastErr error
 	for try := range maxTries {
 		if try > 0 && !retries.Spend() {
-			c.logDecision(r, trail.Refuse, "", "", "no retry left in the class's budget")
+			c.logDecision(r, trail.Refuse, "", "", "the retry budget of the class is exhausted")
 			break
 		}
 		if try > 0 && c.checkGuard(&r) != nil {
@@ -128,24 +147,27 @@
 	return Answer{}, c.refusal(ctx, r, mayHaveRun, lastErr)
 }
 
+// refusal returns the error of a call that was not answered. err is the error of
+// the last try.
 func (c *Caller) refusal(ctx context.Context, r Request, mayHaveRun bool, err error) error {
 	var refusal *refuse.Error
 	switch {
 	case !mayHaveRun:
-		refusal = refuse.After("calls.Do", refuse.NotRun, "no backend server of service "+string(r.Service.Name)+" took the call", retryAfter)
+		refusal = refuse.After("calls.Do", refuse.NotRun, "no backend server of service "+string(r.Service.Name)+" accepted the call", retryAfter)
 	case ctx.Err() != nil && r.Repeatable:
-		refusal = refuse.New("calls.Do", refuse.Late, "no answer before the deadline", "ask again; the call may be repeated")
+		refusal = refuse.New("calls.Do", refuse.Late, "no response before the deadline", "retry; the call is repeatable")
 	case r.Repeatable:
-		refusal = refuse.After("calls.Do", refuse.OutcomeUnknown, "the answer was lost; the call may be repeated", retryAfter)
+		refusal = refuse.After("calls.Do", refuse.OutcomeUnknown, "no complete response; the call is repeatable", retryAfter)
 	default:
-		refusal = refuse.New("calls.Do", refuse.OutcomeUnknown, "the answer was lost after the call was sent",
+		refusal = refuse.New("calls.Do", refuse.OutcomeUnknown, "no complete response after the call was sent",
 			"find out from service "+string(r.Service.Name)+" whether it ran; asking again with the same id never runs it twice")
 	}
 	refusal.Err = err
 	return refusal
 }
 
-// try sends the call to one server.
+// try sends the call to one server and releases the server. moreTries tells
+// whether another try may follow.
 func (c *Caller) try(ctx context.Context, r Request, server *pool.Server, moreTries bool) (Answer, tryResult, error) {
 	tryCtx, cancel := c.tryContext(ctx, moreTries && r.Repeatable)
 	defer cancel()
@@ -167,7 +189,8 @@
 	return Answer{}, result, err
 }
 
-// tryContext gives a try half of the time that is left when others may follow.
+// tryContext returns the context of a try. If divide is true, it ends after half
+// of the remaining time, which leaves time for a retry.
 func (c *Caller) tryContext(ctx context.Context, divide bool) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
 	if !ok || !divide {
@@ -177,6 +200,7 @@
 	return context.WithTimeout(ctx, (remaining / 2).Duration())
 }
 
+// classify returns the result of a try from its response and error.
 func classify(answer *httpc.Answer, err error) tryResult {
 	switch {
 	case fault.KindOf[httpc.Kind](err) == httpc.NotSent:
@@ -190,6 +214,8 @@
 	}
 }
 
+// pick acquires a server that is not in tried, or returns nil if none is
+// available.
 func (c *Caller) pick(r Request, tried []ident.BackendName, try int) *pool.Server {
 	server, runnerUp, reason := c.Pool.Pick(pool.Query{ID: r.ID, Service: r.Service, Exclude: tried})
 	if server == nil {
@@ -208,12 +234,13 @@
 	c.Trail.Add(trail.Decision{ID: string(r.ID), Action: action, Choice: string(choice), RunnerUp: string(runnerUp), Reason: reason})
 }
 
-// budgetKey names one budget.
+// budgetKey identifies a retry budget.
 type budgetKey struct {
 	class   ident.Class
 	service ident.Service
 }
 
+// budget returns the retry budget of the call's class and service.
 func (c *Caller) budget(r Request) *budget.Budget {
 	loaded, _ := c.budgets.LoadOrStore(budgetKey{class: r.Class, service: r.Service.Name}, &budget.Budget{})
 	b, _ := loaded.(*budget.Budget)
--- a/croftmoor/calls/calls_test.go
+++ b/croftmoor/calls/calls_test.go
@@ -23,7 +23,9 @@
 	"croftmoor.dev/kernel/trail"
 )
 
-// fakeClaimer grants, or refuses, and notes settlements.
+// fakeClaimer returns entry if set, fails with NotReady if notReady is set, and
+// grants every claim otherwise. Settle waits for settleGate, if set, and records
+// the outcome.
 type fakeClaimer struct {
 	notReady   bool
 	entry      *once.Entry
@@ -54,7 +56,8 @@
 	c.settled = append(c.settled, s.Outcome)
 }
 
-// startServer answers each connection with text, after it has read the request.
+// startServer starts a server that reads one request from each connection, writes
+// text and closes the connection.
 func startServer(t *testing.T, text string) ident.Address {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -86,7 +89,7 @@
 	noResponse        = ""
 )
 
-// unreachableAddress is an address at which nothing listens.
+// unreachableAddress returns an address that refuses connections.
 func unreachableAddress(t *testing.T) ident.Address {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -119,6 +122,7 @@
 	}
 }
 
+// assertRefusal runs the call and checks the kind of its error; "" means success.
 func assertRefusal(t *testing.T, c *Caller, r Request, want refuse.Kind) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), (5 * clock.Second).Duration())
@@ -131,7 +135,7 @@
 		return
 	}
 	if got := refuse.Of(err).Kind; err == nil || got != want {
-		t.Fatalf("ended %v, want %s", err, want)
+		t.Fatalf("error %v, want kind %s", err, want)
 	}
 }
 
@@ -141,7 +145,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.settled) != 1 || c.settled[0] != want {
-		t.Fatalf("settled %v, want one %s", c.settled, want)
+		t.Fatalf("settled outcomes %v, want exactly one %s", c.settled, want)
 	}
 }
 
@@ -151,11 +155,11 @@
 		want    refuse.Kind
 		settled once.Outcome
 	}{
-		"an answer":                       {[]string{okResponse}, "", once.Ran},
-		"refused by one, run by the next": {[]string{notRunResponse, okResponse}, "", once.Ran},
-		"refused by all":                  {[]string{notRunResponse, notRunResponse}, refuse.NotRun, once.DidNotRun},
-		"no answer: never sent again":     {[]string{noResponse, noResponse}, refuse.OutcomeUnknown, once.CannotTell},
-		"half an answer is no answer":     {[]string{truncatedResponse, truncatedResponse}, refuse.OutcomeUnknown, once.CannotTell},
+		"answered by the first server":                   {[]string{okResponse}, "", once.Ran},
+		"refused by the first server, run by the second": {[]string{notRunResponse, okResponse}, "", once.Ran},
+		"refused by all servers":                         {[]string{notRunResponse, notRunResponse}, refuse.NotRun, once.DidNotRun},
+		"no response: not retried":                       {[]string{noResponse, noResponse}, refuse.OutcomeUnknown, once.CannotTell},
+		"truncated response: not retried":                {[]string{truncatedResponse, truncatedResponse}, refuse.OutcomeUnknown, once.CannotTell},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var addresses []ident.Address
@@ -174,31 +178,31 @@
 		assertRefusal(t, caller, newRequest(false), refuse.NotRun)
 		assertSettled(t, caller, claims, once.DidNotRun)
 	})
-	t.Run("no grant: refused at once, though the settlement hangs", func(t *testing.T) {
+	t.Run("a failed claim is refused without waiting for the settlement", func(t *testing.T) {
 		claims := &fakeClaimer{notReady: true, settleGate: make(chan struct{})}
 		caller := newCaller(claims, unreachableAddress(t))
 		assertRefusal(t, caller, newRequest(false), refuse.NotRun)
 		close(claims.settleGate)
 		assertSettled(t, caller, claims, once.DidNotRun)
 	})
-	t.Run("a repeat gets the first answer", func(t *testing.T) {
+	t.Run("a repeated ID gets the stored response", func(t *testing.T) {
 		claims := &fakeClaimer{entry: &once.Entry{Status: once.Done, Answer: once.Answer{Status: 200, Body: []byte("first")}}}
 		answer, err := newCaller(claims).Do(context.Background(), newRequest(false))
 		if err != nil || string(answer.Body) != "first" {
 			t.Fatalf("%s %v", answer.Body, err)
 		}
 	})
-	t.Run("a repeat of what a dead instance ran is unknown", func(t *testing.T) {
+	t.Run("a repeated ID granted to a dead instance: OutcomeUnknown", func(t *testing.T) {
 		claims := &fakeClaimer{entry: &once.Entry{Status: once.Granted, Runner: "dead"}}
 		assertRefusal(t, newCaller(claims), newRequest(false), refuse.OutcomeUnknown)
 	})
 }
 
 func TestRepeatable(t *testing.T) {
-	t.Run("a lost answer is asked for again", func(t *testing.T) {
+	t.Run("a lost response is retried", func(t *testing.T) {
 		assertRefusal(t, newCaller(nil, startServer(t, noResponse), startServer(t, okResponse)), newRequest(true), "")
 	})
-	t.Run("the budget ends retries", func(t *testing.T) {
+	t.Run("the retry budget limits retries", func(t *testing.T) {
 		caller := newCaller(nil, startServer(t, noResponse), startServer(t, noResponse), startServer(t, noResponse), startServer(t, noResponse))
 		assertRefusal(t, caller, newRequest(true), refuse.OutcomeUnknown)
 		retries := 0
@@ -208,7 +212,7 @@
 			}
 		}
 		if retries != 1 {
-			t.Fatalf("%d retries, want the one that is saved", retries)
+			t.Fatalf("%d retries, want the 1 that the budget allows", retries)
 		}
 	})
 }
--- a/croftmoor/calls/guard.go
+++ b/croftmoor/calls/guard.go
@@ -11,26 +11,29 @@
 	"croftmoor.dev/kernel/trail"
 )
 
-// Guard knows the requests that end the servers that run them, as far as any instance
-// has seen.
+// Guard tracks requests whose servers terminated while running them, as reported
+// by all instances.
 type Guard interface {
-	// Quiet tells that no request is suspected, so that none needs to be looked up.
+	// Quiet reports whether no request is suspected. Held and Answered can then be
+	// skipped.
 	Quiet() bool
-	// Held returns for how long a request goes to no server, and why; 0 if it may.
-	Held(request poison.Fingerprint) (left clock.Millis, why string)
-	// Ended tells that a server ended while it ran a request.
+	// Held returns the remaining time for which a request must not be sent to any
+	// server, and the reason. The time is 0 if the request may be sent.
+	Held(request poison.Fingerprint) (remaining clock.Millis, reason string)
+	// Ended records that a server terminated while it ran a request.
 	Ended(request poison.Fingerprint, server ident.BackendName)
-	// Answered tells that a server answered a request.
+	// Answered records that a server answered a request.
 	Answered(request poison.Fingerprint)
 }
 
-// fingerprint returns what the call shares with others that ask for the same. Services
-// belong to one team each, so that no team's calls are like another's.
+// fingerprint identifies calls with the same service, method, path and body. A
+// service belongs to one team, so calls of different teams never share a fingerprint.
 func (r *Request) fingerprint() poison.Fingerprint {
 	return poison.Subject{Host: string(r.Service.Name), Method: r.Method, Target: r.Path, Body: r.Body}.Fingerprint()
 }
 
-// checkGuard refuses a call that goes to no server, since servers ended under it before.
+// checkGuard returns a NotRun error if the guard holds the call because servers
+// terminated while running it.
 func (c *Caller) checkGuard(r *Request) error {
 	if c.Guard == nil || c.Guard.Quiet() {
 		return nil
@@ -43,8 +46,8 @@
 	return refuse.After("calls.Do", refuse.NotRun, reason, remaining)
 }
 
-// reportToGuard tells the guard how a try ended. A server that lost a call has ended under it
-// if nobody listens at its address any more.
+// reportToGuard reports the result of a try to the guard. A server that lost the call
+// counts as terminated if its address now refuses connections.
 func (c *Caller) reportToGuard(ctx context.Context, r *Request, server *pool.Server, result tryResult) {
 	switch {
 	case c.Guard == nil:
--- a/croftmoor/calls/guard_test.go
+++ b/croftmoor/calls/guard_test.go
@@ -13,7 +13,7 @@
 	"croftmoor.dev/kernel/poison"
 )
 
-// localGuard is a guard of one instance.
+// localGuard is a Guard with the ends seen by one instance.
 type localGuard struct {
 	table *poison.Table
 	clock *clock.Clock
@@ -21,7 +21,7 @@
 
 func (g *localGuard) Quiet() bool { return g.table.Empty() }
 
-func (g *localGuard) Held(r poison.Fingerprint) (left clock.Millis, why string) {
+func (g *localGuard) Held(r poison.Fingerprint) (remaining clock.Millis, reason string) {
 	return g.table.Verdict(r, g.clock.Mono()).HeldFor, "held"
 }
 
@@ -31,7 +31,8 @@
 
 func (g *localGuard) Answered(r poison.Fingerprint) { g.table.Answered(r) }
 
-// startCrashingServer returns a server that ends with the first request that it reads.
+// startCrashingServer starts a server that stops listening when it receives its first
+// request.
 func startCrashingServer(t *testing.T) ident.Address {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -52,8 +53,8 @@
 	return ident.Address(listener.Addr().String())
 }
 
-// The teams' own interface: a call that ended servers went to four more each time that it
-// came again.
+// Guards against a call that terminates servers being sent to further servers each time
+// it is repeated.
 func TestCallThatEndsServers(t *testing.T) {
 	var addresses []ident.Address
 	for range 6 {
@@ -69,9 +70,9 @@
 	_, err := c.Do(t.Context(), r)
 	refusal := refuse.Of(err)
 	if refusal.Kind != refuse.NotRun || refusal.RetryAfter < clock.Second {
-		t.Errorf("the call ended with %v, want that it has not run, and when to come back", err)
+		t.Errorf("error %v, want kind NotRun with RetryAfter of at least 1 s", err)
 	}
 	if v := guard.table.Verdict(r.fingerprint(), c.Clock.Mono()); v.Ends != poison.Threshold {
-		t.Errorf("%d servers ended, want %d", v.Ends, poison.Threshold)
+		t.Errorf("%d servers terminated, want %d", v.Ends, poison.Threshold)
 	}
 }
--- a/croftmoor/calls/once.go
+++ b/croftmoor/calls/once.go
@@ -11,14 +11,16 @@
 )
 
 const (
-	// pollInterval is the pause between two looks at a run that is under way elsewhere.
+	// pollInterval is the delay between claims while another attempt runs the call.
 	pollInterval = 40 * clock.Millis(1)
-	// maxKeptBody is the largest answer that is kept for repeats.
+	// maxKeptBody is the largest response body, in bytes, that is stored for
+	// repeated calls.
 	maxKeptBody = 64 << 10
 )
 
-// doOnce runs a call that may not be repeated: only under a grant, and on a
-// second server only if the first certainly did not run it.
+// doOnce runs a call that is not repeatable. It sends the call only if its ID's
+// shard has granted the run, and to another server only if the previous one has
+// certainly not run it. If the ID has run before, it returns the stored response.
 func (c *Caller) doOnce(ctx context.Context, r Request) (Answer, error) {
 	claim := once.Request{ID: r.ID, Runner: c.Self, Attempt: c.Claimer.NewAttempt(), Issued: r.Issued}
 	for {
@@ -26,19 +28,19 @@
 		if err != nil {
 			c.logDecision(r, trail.Refuse, "", "", err.Error())
 			c.settle(claim, once.DidNotRun, Answer{})
-			refusal := refuse.After("calls.Do", refuse.NotRun, "the right to run the call could not be had", retryAfter)
+			refusal := refuse.After("calls.Do", refuse.NotRun, "claiming the call's ID failed", retryAfter)
 			refusal.Err = err
 			return Answer{}, refusal
 		}
 		switch {
 		case entry.Status == once.Granted && entry.Runner == c.Self && entry.Attempt == claim.Attempt:
-			c.logDecision(r, trail.Grant, "", "", "granted by the id's shard")
+			c.logDecision(r, trail.Grant, "", "", "run granted by the shard of the ID")
 			return c.runGranted(ctx, r, claim)
 		case entry.Status == once.Done:
-			c.logDecision(r, trail.Hold, entry.Answer.Backend, "", "ran before; its answer is given again")
+			c.logDecision(r, trail.Hold, entry.Answer.Backend, "", "already run; the stored response is returned")
 			return answerOf(entry), nil
 		case entry.Status == once.Unknown || !c.Claimer.RunnerAlive(entry.Runner):
-			c.logDecision(r, trail.Refuse, "", "", "may have run before; its outcome is unknown")
+			c.logDecision(r, trail.Refuse, "", "", "may have run in another attempt; its outcome is unknown")
 			return Answer{}, c.refusal(ctx, r, true, nil)
 		}
 		if !c.Clock.Sleep(ctx, pollInterval) {
@@ -47,13 +49,14 @@
 	}
 }
 
+// answerOf returns the stored response of an entry.
 func answerOf(entry once.Entry) Answer {
 	return Answer{Status: entry.Answer.Status, ContentType: "application/json", Body: entry.Answer.Body, Backend: entry.Answer.Backend}
 }
 
-// runGranted sends the call. What left this process is never sent again. The
-// run goes on to its deadline when the caller has gone, so that a repeat of
-// the call can be told how it ended.
+// runGranted sends a call whose run was granted. A call that a server may have
+// received is never sent again. If the caller disconnects, the call continues
+// until its deadline, so that its outcome is known when the ID is repeated.
 func (c *Caller) runGranted(callerCtx context.Context, r Request, claim once.Request) (Answer, error) {
 	ctx, cancel := withoutCancel(callerCtx)
 	defer cancel()
@@ -81,7 +84,8 @@
 	return Answer{}, c.refusal(ctx, r, false, lastErr)
 }
 
-// withoutCancel keeps a context's deadline and drops its cancellation.
+// withoutCancel returns a context with ctx's deadline that is not canceled with
+// ctx.
 func withoutCancel(ctx context.Context) (context.Context, context.CancelFunc) {
 	uncanceled := context.WithoutCancel(ctx)
 	if deadline, ok := ctx.Deadline(); ok {
@@ -90,8 +94,9 @@
 	return context.WithCancel(uncanceled)
 }
 
-// settle tells the shard how the flight ended, in the background: the caller's
-// answer does not wait for it, and it goes on after the caller has gone.
+// settle reports the outcome to the ID's shard in the background, without
+// delaying the response. The outcome of a response that is too large to store is
+// reported as CannotTell.
 func (c *Caller) settle(claim once.Request, outcome once.Outcome, answer Answer) {
 	if len(answer.Body) > maxKeptBody {
 		outcome = once.CannotTell
@@ -104,7 +109,8 @@
 	c.group.Go(func() { c.Claimer.Settle(context.Background(), settlement) })
 }
 
-// Wait waits for the settlements under way. Call it once no call is served any more.
+// Wait waits for pending settlements. It must not be called before all calls have
+// returned.
 func (c *Caller) Wait() {
 	c.group.Wait()
 }
