--- a/croftmoor/admin/admin.go
+++ b/croftmoor/admin/admin.go
@@ -56,25 +56,25 @@
 }
 
 const (
-	bodyLimit   = 8 << 20
-	applyTerm   = 8 * clock.Second
-	applyPause  = 20 * clock.Millis(1)
-	appendTerm  = 2 * clock.Second
-	headTimeout = 20 * clock.Second
-	bearer      = "Bearer "
-	operatorKey = "Operator"
+	bodyLimit         = 8 << 20
+	applyTimeout      = 8 * clock.Second
+	applyPollInterval = 20 * clock.Millis(1)
+	appendTimeout     = 2 * clock.Second
+	readTimeout       = 20 * clock.Second
+	bearerPrefix      = "Bearer "
+	operatorKey       = "Operator"
 )
 
 // App returns the HTTP app.
 func (a *Admin) App() *fiber.App {
-	app := fiber.New(fiber.Config{BodyLimit: bodyLimit, ReadTimeout: headTimeout.Duration(), ErrorHandler: onError})
+	app := fiber.New(fiber.Config{BodyLimit: bodyLimit, ReadTimeout: readTimeout.Duration(), ErrorHandler: handleError})
 	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", a.readyz)
 	app.Get("/metrics", adaptor.HTTPHandler(a.Metrics))
 	app.Get("/", a.page)
 	api := app.Group("/v1", a.authenticate)
 	api.Get("/status", func(c fiber.Ctx) error { return c.JSON(a.Status()) })
-	api.Get("/why/*", a.why)
+	api.Get("/why/*", a.listDecisions)
 	api.Post("/drain", a.drain)
 	api.Post("/restore", a.restore)
 	api.Get("/teams", a.listTeams)
@@ -86,8 +86,8 @@
 }
 
 func (a *Admin) readyz(c fiber.Ctx) error {
-	if why := a.Ready(); why != "" {
-		return c.Status(http.StatusServiceUnavailable).SendString(why + "\n")
+	if reason := a.Ready(); reason != "" {
+		return c.Status(http.StatusServiceUnavailable).SendString(reason + "\n")
 	}
 	return c.SendString("ready\n")
 }
@@ -99,7 +99,7 @@
 		fiber.Locals(c, operatorKey, Operator{Name: "anyone", Teams: []ident.Team{anyTeam}})
 		return c.Next()
 	}
-	token, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), bearer)
+	token, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), bearerPrefix)
 	sum := sha256.Sum256([]byte(token))
 	hash := []byte(hex.EncodeToString(sum[:]))
 	for _, operator := range a.Operators {
@@ -115,21 +115,21 @@
 	return fiber.Locals[Operator](c, operatorKey)
 }
 
-func (o Operator) may(team ident.Team) bool {
+func (o Operator) mayAccess(team ident.Team) bool {
 	return slices.Contains(o.Teams, anyTeam) || slices.Contains(o.Teams, team)
 }
 
-// scoped returns the team of the path if the operator may use it.
-func scoped(c fiber.Ctx) (ident.Team, error) {
+// teamOf returns the team of the path if the operator may use it.
+func teamOf(c fiber.Ctx) (ident.Team, error) {
 	team := ident.Team(string([]byte(c.Params("team"))))
-	if !operatorOf(c).may(team) {
+	if !operatorOf(c).mayAccess(team) {
 		return "", refuse.New("admin", refuse.Denied, "operator "+operatorOf(c).Name+" has no rights on team "+string(team), "ask an operator of that team")
 	}
 	return team, nil
 }
 
 func (a *Admin) drain(c fiber.Ctx) error {
-	if !operatorOf(c).may(anyTeam) {
+	if !operatorOf(c).mayAccess(anyTeam) {
 		return refuse.New("admin", refuse.Denied, "draining an instance needs rights on all teams", "ask an operator with Teams [\"*\"]")
 	}
 	a.Drain()
@@ -140,14 +140,14 @@
 // has lost the shared state and no instance holds it. Of several the first in
 // the log counts.
 func (a *Admin) restore(c fiber.Ctx) error {
-	if !operatorOf(c).may(anyTeam) {
+	if !operatorOf(c).mayAccess(anyTeam) {
 		return refuse.New("admin", refuse.Denied, "restoring needs rights on all teams", "ask an operator with Teams [\"*\"]")
 	}
 	if !a.Reader.StateMissing() {
 		return refuse.New("admin.restore", refuse.Invalid, "this instance holds the shared state, or has not read the log to its end",
 			"restore only when every instance says that it has no configuration")
 	}
-	ctx, cancel := context.WithTimeout(c.Context(), applyTerm.Duration())
+	ctx, cancel := context.WithTimeout(c.Context(), applyTimeout.Duration())
 	defer cancel()
 	batch, err := a.Log.Read(ctx, fold.Stream, 0, 0)
 	if err != nil {
@@ -173,7 +173,7 @@
 	Reason   string
 }
 
-func (a *Admin) why(c fiber.Ctx) error {
+func (a *Admin) listDecisions(c fiber.Ctx) error {
 	list := []decisionWire{}
 	for _, d := range a.Trail.Decisions(c.Params("*")) {
 		list = append(list, decisionWire{
@@ -206,7 +206,7 @@
 	}
 	list := []teamWire{}
 	for team, entry := range state.Teams {
-		if operatorOf(c).may(team) {
+		if operatorOf(c).mayAccess(team) {
 			list = append(list, teamWire{Team: string(team), Revision: int64(entry.Revision), By: entry.Author})
 		}
 	}
@@ -215,7 +215,7 @@
 }
 
 func (a *Admin) getTeam(c fiber.Ctx) error {
-	team, err := scoped(c)
+	team, err := teamOf(c)
 	if err != nil {
 		return err
 	}
@@ -237,7 +237,7 @@
 	}
 	list := []conf.VerdictWire{}
 	for _, v := range state.Verdicts {
-		if operatorOf(c).may(v.Team) {
+		if operatorOf(c).mayAccess(v.Team) {
 			list = append(list, conf.VerdictToWire(v))
 		}
 	}
@@ -250,7 +250,7 @@
 		return err
 	}
 	v, ok := state.VerdictOf(ident.RecordID(c.Params("id")))
-	if !ok || !operatorOf(c).may(v.Team) {
+	if !ok || !operatorOf(c).mayAccess(v.Team) {
 		return refuse.After("admin.verdict", refuse.OutcomeUnknown, "no change with this id has been judged yet", clock.Second)
 	}
 	return c.JSON(conf.VerdictToWire(v))
@@ -268,7 +268,7 @@
 // apply appends a change and answers with the verdict that all instances give
 // it. It says accepted only after the record was read back and judged.
 func (a *Admin) apply(c fiber.Ctx) error {
-	team, err := scoped(c)
+	team, err := teamOf(c)
 	if err != nil {
 		return err
 	}
@@ -283,16 +283,16 @@
 	if change.Author == "" {
 		change.Author = operatorOf(c).Name
 	}
-	expected, err := a.rehearse(change)
+	expected, err := a.dryRun(change)
 	if err != nil {
 		return err
 	}
 	if w.DryRun || expected.Outcome != conf.Accepted {
 		return c.JSON(conf.VerdictToWire(expected))
 	}
-	ctx, cancel := context.WithTimeout(c.Context(), applyTerm.Duration())
+	ctx, cancel := context.WithTimeout(c.Context(), applyTimeout.Duration())
 	defer cancel()
-	verdict, err := a.append(ctx, change)
+	verdict, err := a.appendChange(ctx, change)
 	if err != nil {
 		return err
 	}
@@ -300,9 +300,9 @@
 	return c.JSON(conf.VerdictToWire(verdict))
 }
 
-// rehearse judges a change on a copy of the state here, so that what can't be
+// dryRun judges a change on a copy of the state here, so that what can't be
 // accepted is not appended at all.
-func (a *Admin) rehearse(change conf.Change) (conf.Verdict, error) {
+func (a *Admin) dryRun(change conf.Change) (conf.Verdict, error) {
 	state, err := a.state()
 	if err != nil {
 		return conf.Verdict{}, err
@@ -310,33 +310,33 @@
 	return state.Clone().Apply(change, ident.Offset(state.Revision()+1), a.Clock.Now()), nil
 }
 
-// append appends the change until it has been judged. Appending it again is
+// appendChange appends the change until it has been judged. Appending it again is
 // harmless: its id is judged once.
-func (a *Admin) append(ctx context.Context, change conf.Change) (conf.Verdict, error) {
+func (a *Admin) appendChange(ctx context.Context, change conf.Change) (conf.Verdict, error) {
 	record, err := fold.ChangeRecord(change)
 	if err != nil {
 		return conf.Verdict{}, refuse.New("admin.apply", refuse.Invalid, err.Error(), "correct the file")
 	}
-	appended, mayBe := false, false
+	appended, maybeAppended := false, false
 	for {
 		if !appended {
-			once, cancel := context.WithTimeout(ctx, appendTerm.Duration())
-			_, err := a.Log.Append(once, fold.Stream, record)
+			attemptCtx, cancel := context.WithTimeout(ctx, appendTimeout.Duration())
+			_, err := a.Log.Append(attemptCtx, fold.Stream, record)
 			cancel()
 			appended = err == nil
-			mayBe = mayBe || appended || fault.KindOf[tail.Kind](err) == tail.Unknown
+			maybeAppended = maybeAppended || appended || fault.KindOf[tail.Kind](err) == tail.Unknown
 		}
 		if v, ok := a.Reader.Current().Conf.VerdictOf(change.ID); ok {
 			return v, nil
 		}
-		if !a.Clock.Sleep(ctx, applyPause) {
-			return conf.Verdict{}, unjudged(change, mayBe)
+		if !a.Clock.Sleep(ctx, applyPollInterval) {
+			return conf.Verdict{}, noVerdict(change, maybeAppended)
 		}
 	}
 }
 
-func unjudged(change conf.Change, mayBe bool) error {
-	if !mayBe {
+func noVerdict(change conf.Change, maybeAppended bool) error {
+	if !maybeAppended {
 		return refuse.After("admin.apply", refuse.NotRun, "the platform's log took no record", 2*clock.Second)
 	}
 	return refuse.New("admin.apply", refuse.OutcomeUnknown, "the change may be in the platform's log but has not been read back",
@@ -351,10 +351,10 @@
 	RetryAfterMillis int64
 }
 
-func onError(c fiber.Ctx, err error) error {
-	var routing *fiber.Error
-	if eris.As(err, &routing) {
-		return c.Status(routing.Code).JSON(refusalWire{Kind: string(refuse.Invalid), What: routing.Message, Do: "see the administration API in docs/OPERATIONS.md"})
+func handleError(c fiber.Ctx, err error) error {
+	var httpErr *fiber.Error
+	if eris.As(err, &httpErr) {
+		return c.Status(httpErr.Code).JSON(refusalWire{Kind: string(refuse.Invalid), What: httpErr.Message, Do: "see the administration API in docs/OPERATIONS.md"})
 	}
 	r := refuse.Of(err)
 	status := http.StatusServiceUnavailable
--- a/croftmoor/admin/admin_test.go
+++ b/croftmoor/admin/admin_test.go
@@ -25,9 +25,9 @@
 // memoryLog is a log that the reader follows at once, and that can be out, or
 // lose the answers of appends that took effect.
 type memoryLog struct {
-	reader *fold.Reader
-	out    bool
-	loses  int
+	reader      *fold.Reader
+	unavailable bool
+	lostAnswers int
 
 	mu   sync.Mutex
 	next ident.Offset
@@ -36,13 +36,13 @@
 func (l *memoryLog) Append(_ context.Context, _ ident.Stream, data []byte) (ident.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.out {
+	if l.unavailable {
 		return 0, fault.New("test", tail.Refused, "out")
 	}
 	l.next++
 	l.reader.Apply(tail.Batch{First: 1, Next: l.next + 1, Records: []tail.Record{{Offset: l.next, Data: data}}})
-	if l.loses > 0 {
-		l.loses--
+	if l.lostAnswers > 0 {
+		l.lostAnswers--
 		return 0, fault.New("test", tail.Unknown, "lost")
 	}
 	return l.next, nil
@@ -52,12 +52,12 @@
 	return tail.Batch{}, nil
 }
 
-func hashOf(token string) string {
+func tokenHash(token string) string {
 	sum := sha256.Sum256([]byte(token))
 	return hex.EncodeToString(sum[:])
 }
 
-func adminOf(operators ...Operator) (*Admin, *memoryLog) {
+func newAdmin(operators ...Operator) (*Admin, *memoryLog) {
 	reader := &fold.Reader{}
 	reader.Apply(tail.Batch{First: 1, Next: 1})
 	log := &memoryLog{reader: reader}
@@ -68,8 +68,8 @@
 	}, log
 }
 
-// ask sends a request and returns the status and the body.
-func ask(t *testing.T, a *Admin, method, path, token, body string) (status int, text string) {
+// send sends a request and returns the status and the body.
+func send(t *testing.T, a *Admin, method, path, token, body string) (status int, text string) {
 	t.Helper()
 	request := httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader(body))
 	if token != "" {
@@ -87,7 +87,7 @@
 	return answer.StatusCode, string(data)
 }
 
-func assertAnswer(t *testing.T, status int, text string, wantStatus int, wants ...string) {
+func assertResponse(t *testing.T, status int, text string, wantStatus int, wants ...string) {
 	t.Helper()
 	if status != wantStatus {
 		t.Fatalf("status %d, want %d: %s", status, wantStatus, text)
@@ -99,7 +99,7 @@
 	}
 }
 
-func changeOf(team string) string {
+func changeBody(team string) string {
 	data, err := json.Marshal(applyWire{Text: json.RawMessage(`{"Team":"` + team + `"}`)})
 	if err != nil {
 		panic(err)
@@ -108,9 +108,9 @@
 }
 
 func TestCredentials(t *testing.T) {
-	a, _ := adminOf(
-		Operator{Name: "all", TokenHash: hashOf("every"), Teams: []ident.Team{anyTeam}},
-		Operator{Name: "one", TokenHash: hashOf("mine"), Teams: []ident.Team{"t"}},
+	a, _ := newAdmin(
+		Operator{Name: "all", TokenHash: tokenHash("every"), Teams: []ident.Team{anyTeam}},
+		Operator{Name: "one", TokenHash: tokenHash("mine"), Teams: []ident.Team{"t"}},
 	)
 	for name, c := range map[string]struct {
 		method, path, token, body string
@@ -120,16 +120,16 @@
 		"no token":                     {"GET", "/v1/teams", "", "", 403, "no operator has this token"},
 		"a wrong token":                {"GET", "/v1/teams", "guess", "", 403, "no operator has this token"},
 		"health needs none":            {"GET", "/healthz", "", "", 200, "ok"},
-		"one's own team":               {"POST", "/v1/teams/t/config", "mine", changeOf("t"), 200, "Accepted"},
+		"one's own team":               {"POST", "/v1/teams/t/config", "mine", changeBody("t"), 200, "Accepted"},
 		"another's file":               {"GET", "/v1/teams/u", "mine", "", 403, "no rights on team u"},
-		"another's team":               {"POST", "/v1/teams/u/config", "mine", changeOf("u"), 403, "no rights on team u"},
-		"all teams":                    {"POST", "/v1/teams/u/config", "every", changeOf("u"), 200, "Accepted"},
+		"another's team":               {"POST", "/v1/teams/u/config", "mine", changeBody("u"), 403, "no rights on team u"},
+		"all teams":                    {"POST", "/v1/teams/u/config", "every", changeBody("u"), 200, "Accepted"},
 		"draining needs all teams":     {"POST", "/v1/drain", "mine", "", 403, "rights on all teams"},
 		"restoring needs a lost state": {"POST", "/v1/restore", "every", "", 400, "holds the shared state"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			status, text := ask(t, a, c.method, c.path, c.token, c.body)
-			assertAnswer(t, status, text, c.status, c.want)
+			status, text := send(t, a, c.method, c.path, c.token, c.body)
+			assertResponse(t, status, text, c.status, c.want)
 			if c.token != "" && strings.Contains(text, c.token+`"`) {
 				t.Error("the answer repeats the token")
 			}
@@ -139,28 +139,28 @@
 
 func TestApply(t *testing.T) {
 	t.Run("a lost answer is made good by the change's id", func(t *testing.T) {
-		a, log := adminOf()
-		log.loses = 1
-		status, text := ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("t"))
-		assertAnswer(t, status, text, 200, "Accepted")
+		a, log := newAdmin()
+		log.lostAnswers = 1
+		status, text := send(t, a, "POST", "/v1/teams/t/config", "", changeBody("t"))
+		assertResponse(t, status, text, 200, "Accepted")
 		if log.next > 2 || a.Reader.Current().Conf.Teams["t"].Revision != 1 {
 			t.Fatalf("%d records, revision %d", log.next, a.Reader.Current().Conf.Teams["t"].Revision)
 		}
 	})
 	t.Run("a conflict is not appended", func(t *testing.T) {
-		a, log := adminOf()
-		ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("t"))
-		status, text := ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("t"))
-		assertAnswer(t, status, text, 200, "Conflict", "revision 1 by anyone is in force")
+		a, log := newAdmin()
+		send(t, a, "POST", "/v1/teams/t/config", "", changeBody("t"))
+		status, text := send(t, a, "POST", "/v1/teams/t/config", "", changeBody("t"))
+		assertResponse(t, status, text, 200, "Conflict", "revision 1 by anyone is in force")
 		if log.next != 1 {
 			t.Fatalf("%d records", log.next)
 		}
 	})
 	t.Run("a file of another team, or none", func(t *testing.T) {
-		a, _ := adminOf()
-		status, text := ask(t, a, "POST", "/v1/teams/t/config", "", changeOf("u"))
-		assertAnswer(t, status, text, 200, "Refused", "$.Team")
-		status, text = ask(t, a, "POST", "/v1/teams/t/config", "", "{")
-		assertAnswer(t, status, text, 400, "not JSON")
+		a, _ := newAdmin()
+		status, text := send(t, a, "POST", "/v1/teams/t/config", "", changeBody("u"))
+		assertResponse(t, status, text, 200, "Refused", "$.Team")
+		status, text = send(t, a, "POST", "/v1/teams/t/config", "", "{")
+		assertResponse(t, status, text, 400, "not JSON")
 	})
 }
