--- a/croftmoor/admin/admin.go
+++ b/croftmoor/admin/admin.go
@@ -1,5 +1,5 @@
-// Package admin is the entry instance's port for operators: configuration,
-// status, decisions, drain, health and metrics.
+// Package admin serves the HTTP API for operators: configuration, status,
+// decisions, drain, restore, health and metrics.
 package admin
 
 import (
@@ -26,32 +26,33 @@
 	"croftmoor.dev/kernel/trail"
 )
 
-// Operator is someone who may use this port.
+// Operator is a user of the admin API.
 type Operator struct {
 	Name string
-	// TokenHash is the SHA-256 of the operator's token, in hexadecimal.
+	// TokenHash is the SHA-256 hash of the operator's token, in hexadecimal.
 	TokenHash string
-	// Teams lists the teams whose files the operator may read and change;
-	// "*" stands for all.
+	// Teams lists the teams whose configuration the operator may read and change.
+	// "*" means all teams and also permits drain and restore.
 	Teams []ident.Team
 }
 
-// anyTeam in an operator's scope stands for all teams.
+// anyTeam in Operator.Teams matches every team.
 const anyTeam ident.Team = "*"
 
-// Admin serves operators. Set the fields before App.
+// Admin serves the admin API. Set the fields before calling App.
 type Admin struct {
 	Reader    *fold.Reader
 	Log       tail.Log
 	Clock     *clock.Clock
 	Trail     *trail.Trail
 	Operators []Operator
-	Metrics   http.Handler
-	// Status returns what /v1/status answers.
+	// Metrics serves /metrics.
+	Metrics http.Handler
+	// Status returns the response of /v1/status, which is encoded as JSON.
 	Status func() any
-	// Ready says why the instance is not ready; "" means that it is.
+	// Ready returns the reason why the instance is not ready, or "" if it is.
 	Ready func() string
-	// Drain starts a planned stop.
+	// Drain starts a graceful shutdown. It must not block.
 	Drain func()
 }
 
@@ -65,7 +66,8 @@
 	operatorKey       = "Operator"
 )
 
-// App returns the HTTP app.
+// App returns the HTTP application. /healthz, /readyz, /metrics and the status
+// page need no token.
 func (a *Admin) App() *fiber.App {
 	app := fiber.New(fiber.Config{BodyLimit: bodyLimit, ReadTimeout: readTimeout.Duration(), ErrorHandler: handleError})
 	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
@@ -92,8 +94,8 @@
 	return c.SendString("ready\n")
 }
 
-// authenticate finds the operator by token. With no operators configured the
-// port is open to whoever reaches it.
+// authenticate identifies the operator by the bearer token. If no operators are
+// configured, every request is allowed and has access to all teams.
 func (a *Admin) authenticate(c fiber.Ctx) error {
 	if len(a.Operators) == 0 {
 		fiber.Locals(c, operatorKey, Operator{Name: "anyone", Teams: []ident.Team{anyTeam}})
@@ -111,6 +113,7 @@
 	return refuse.New("admin", refuse.Denied, "no operator has this token", "send Authorization: Bearer TOKEN with a token whose hash is in the settings")
 }
 
+// operatorOf returns the operator that authenticate has stored in c.
 func operatorOf(c fiber.Ctx) Operator {
 	return fiber.Locals[Operator](c, operatorKey)
 }
@@ -119,7 +122,8 @@
 	return slices.Contains(o.Teams, anyTeam) || slices.Contains(o.Teams, team)
 }
 
-// teamOf returns the team of the path if the operator may use it.
+// teamOf returns the team in the request's path, or a Denied error if the operator
+// has no access to it.
 func teamOf(c fiber.Ctx) (ident.Team, error) {
 	team := ident.Team(string([]byte(c.Params("team"))))
 	if !operatorOf(c).mayAccess(team) {
@@ -136,9 +140,9 @@
 	return c.SendStatus(http.StatusAccepted)
 }
 
-// restore appends a checkpoint without configuration, for the case that the log
-// has lost the shared state and no instance holds it. Of several the first in
-// the log counts.
+// restore appends a checkpoint without configuration, for use when the log has
+// lost the shared state and no instance holds it. If several such checkpoints are
+// appended, the first in the log takes effect.
 func (a *Admin) restore(c fiber.Ctx) error {
 	if !operatorOf(c).mayAccess(anyTeam) {
 		return refuse.New("admin", refuse.Denied, "restoring needs rights on all teams", "ask an operator with Teams [\"*\"]")
@@ -151,7 +155,7 @@
 	defer cancel()
 	batch, err := a.Log.Read(ctx, fold.Stream, 0, 0)
 	if err != nil {
-		return refuse.After("admin.restore", refuse.NotRun, "the platform's log can't be read", clock.Second)
+		return refuse.After("admin.restore", refuse.NotRun, "reading the platform's log failed", clock.Second)
 	}
 	record, err := fold.CheckpointRecord(fold.NewRecoveryState(batch.Next-1, a.Clock.Now()))
 	if err != nil {
@@ -163,7 +167,7 @@
 	return c.SendStatus(http.StatusAccepted)
 }
 
-// decisionWire is the JSON form of a decision.
+// decisionWire is the JSON encoding of a trail.Decision.
 type decisionWire struct {
 	At       int64
 	ID       string
@@ -183,6 +187,7 @@
 	return c.JSON(list)
 }
 
+// state returns the configuration, or a NotRun error if there is none yet.
 func (a *Admin) state() (*conf.State, error) {
 	state := a.Reader.Current()
 	if state == nil {
@@ -191,7 +196,7 @@
 	return state.Conf, nil
 }
 
-// teamWire is the JSON form of a team's file in force.
+// teamWire is the JSON encoding of a team's active configuration file.
 type teamWire struct {
 	Team     string
 	Revision int64
@@ -251,12 +256,12 @@
 	}
 	v, ok := state.VerdictOf(ident.RecordID(c.Params("id")))
 	if !ok || !operatorOf(c).mayAccess(v.Team) {
-		return refuse.After("admin.verdict", refuse.OutcomeUnknown, "no change with this id has been judged yet", clock.Second)
+		return refuse.After("admin.verdict", refuse.OutcomeUnknown, "no verdict on a change with this id yet", clock.Second)
 	}
 	return c.JSON(conf.VerdictToWire(v))
 }
 
-// applyWire is an operator's change.
+// applyWire is the JSON request of apply.
 type applyWire struct {
 	ID     string
 	Base   int64
@@ -265,8 +270,9 @@
 	Text   json.RawMessage
 }
 
-// apply appends a change and answers with the verdict that all instances give
-// it. It says accepted only after the record was read back and judged.
+// apply appends a configuration change to the log and returns its verdict, which
+// is the same on all instances. Accepted is returned only after the record has
+// been read back from the log.
 func (a *Admin) apply(c fiber.Ctx) error {
 	team, err := teamOf(c)
 	if err != nil {
@@ -300,8 +306,8 @@
 	return c.JSON(conf.VerdictToWire(verdict))
 }
 
-// dryRun judges a change on a copy of the state here, so that what can't be
-// accepted is not appended at all.
+// dryRun applies a change to a copy of this instance's state and returns the
+// verdict, so that changes that would be rejected are not appended to the log.
 func (a *Admin) dryRun(change conf.Change) (conf.Verdict, error) {
 	state, err := a.state()
 	if err != nil {
@@ -310,8 +316,9 @@
 	return state.Clone().Apply(change, ident.Offset(state.Revision()+1), a.Clock.Now()), nil
 }
 
-// appendChange appends the change until it has been judged. Appending it again is
-// harmless: its id is judged once.
+// appendChange appends a change and waits for its verdict. A failed append is
+// retried even if it may have taken effect, since only the first record with the
+// change's ID is applied. The instance must have a configuration state.
 func (a *Admin) appendChange(ctx context.Context, change conf.Change) (conf.Verdict, error) {
 	record, err := fold.ChangeRecord(change)
 	if err != nil {
@@ -335,15 +342,17 @@
 	}
 }
 
+// noVerdict returns the error of a change whose verdict was not seen in time:
+// NotRun if it is certainly not in the log.
 func noVerdict(change conf.Change, maybeAppended bool) error {
 	if !maybeAppended {
-		return refuse.After("admin.apply", refuse.NotRun, "the platform's log took no record", 2*clock.Second)
+		return refuse.After("admin.apply", refuse.NotRun, "appending to the platform's log failed", 2*clock.Second)
 	}
 	return refuse.New("admin.apply", refuse.OutcomeUnknown, "the change may be in the platform's log but has not been read back",
 		"find out with: croftctl outcome "+string(change.ID))
 }
 
-// refusalWire is the JSON form of a refusal.
+// refusalWire is the JSON encoding of a refuse.Error.
 type refusalWire struct {
 	Kind             string
 	What             string
@@ -351,6 +360,7 @@
 	RetryAfterMillis int64
 }
 
+// handleError writes an error as JSON, with the HTTP status of its kind.
 func handleError(c fiber.Ctx, err error) error {
 	var httpErr *fiber.Error
 	if eris.As(err, &httpErr) {
--- a/croftmoor/admin/admin_test.go
+++ b/croftmoor/admin/admin_test.go
@@ -22,11 +22,12 @@
 	"croftmoor.dev/kernel/trail"
 )
 
-// memoryLog is a log that the reader follows at once, and that can be out, or
-// lose the answers of appends that took effect.
+// memoryLog is a log whose records are applied to reader immediately.
 type memoryLog struct {
-	reader      *fold.Reader
+	reader *fold.Reader
+	// unavailable makes appends fail with Refused.
 	unavailable bool
+	// lostAnswers is the number of successful appends to report as Unknown.
 	lostAnswers int
 
 	mu   sync.Mutex
@@ -37,13 +38,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.unavailable {
-		return 0, fault.New("test", tail.Refused, "out")
+		return 0, fault.New("test", tail.Refused, "log unavailable")
 	}
 	l.next++
 	l.reader.Apply(tail.Batch{First: 1, Next: l.next + 1, Records: []tail.Record{{Offset: l.next, Data: data}}})
 	if l.lostAnswers > 0 {
 		l.lostAnswers--
-		return 0, fault.New("test", tail.Unknown, "lost")
+		return 0, fault.New("test", tail.Unknown, "answer lost")
 	}
 	return l.next, nil
 }
@@ -68,7 +69,7 @@
 	}, log
 }
 
-// send sends a request and returns the status and the body.
+// send sends a request and returns the status and the body of the response.
 func send(t *testing.T, a *Admin, method, path, token, body string) (status int, text string) {
 	t.Helper()
 	request := httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader(body))
@@ -94,7 +95,7 @@
 	}
 	for _, want := range wants {
 		if !strings.Contains(text, want) {
-			t.Errorf("%q is not in %s", want, text)
+			t.Errorf("%q is missing in the body %s", want, text)
 		}
 	}
 }
@@ -117,28 +118,28 @@
 		status                    int
 		want                      string
 	}{
-		"no token":                     {"GET", "/v1/teams", "", "", 403, "no operator has this token"},
-		"a wrong token":                {"GET", "/v1/teams", "guess", "", 403, "no operator has this token"},
-		"health needs none":            {"GET", "/healthz", "", "", 200, "ok"},
-		"one's own team":               {"POST", "/v1/teams/t/config", "mine", changeBody("t"), 200, "Accepted"},
-		"another's file":               {"GET", "/v1/teams/u", "mine", "", 403, "no rights on team u"},
-		"another's team":               {"POST", "/v1/teams/u/config", "mine", changeBody("u"), 403, "no rights on team u"},
-		"all teams":                    {"POST", "/v1/teams/u/config", "every", changeBody("u"), 200, "Accepted"},
-		"draining needs all teams":     {"POST", "/v1/drain", "mine", "", 403, "rights on all teams"},
-		"restoring needs a lost state": {"POST", "/v1/restore", "every", "", 400, "holds the shared state"},
+		"no token":                           {"GET", "/v1/teams", "", "", 403, "no operator has this token"},
+		"a wrong token":                      {"GET", "/v1/teams", "guess", "", 403, "no operator has this token"},
+		"health check without token":         {"GET", "/healthz", "", "", 200, "ok"},
+		"apply to the operator's team":       {"POST", "/v1/teams/t/config", "mine", changeBody("t"), 200, "Accepted"},
+		"read another team's file":           {"GET", "/v1/teams/u", "mine", "", 403, "no rights on team u"},
+		"apply to another team":              {"POST", "/v1/teams/u/config", "mine", changeBody("u"), 403, "no rights on team u"},
+		"operator of all teams":              {"POST", "/v1/teams/u/config", "every", changeBody("u"), 200, "Accepted"},
+		"drain without rights on all teams":  {"POST", "/v1/drain", "mine", "", 403, "rights on all teams"},
+		"restore while the state is present": {"POST", "/v1/restore", "every", "", 400, "holds the shared state"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			status, text := send(t, a, c.method, c.path, c.token, c.body)
 			assertResponse(t, status, text, c.status, c.want)
 			if c.token != "" && strings.Contains(text, c.token+`"`) {
-				t.Error("the answer repeats the token")
+				t.Error("the response contains the token")
 			}
 		})
 	}
 }
 
 func TestApply(t *testing.T) {
-	t.Run("a lost answer is made good by the change's id", func(t *testing.T) {
+	t.Run("an append with a lost answer is applied once", func(t *testing.T) {
 		a, log := newAdmin()
 		log.lostAnswers = 1
 		status, text := send(t, a, "POST", "/v1/teams/t/config", "", changeBody("t"))
@@ -147,7 +148,7 @@
 			t.Fatalf("%d records, revision %d", log.next, a.Reader.Current().Conf.Teams["t"].Revision)
 		}
 	})
-	t.Run("a conflict is not appended", func(t *testing.T) {
+	t.Run("a conflicting change is not appended", func(t *testing.T) {
 		a, log := newAdmin()
 		send(t, a, "POST", "/v1/teams/t/config", "", changeBody("t"))
 		status, text := send(t, a, "POST", "/v1/teams/t/config", "", changeBody("t"))
@@ -156,7 +157,7 @@
 			t.Fatalf("%d records", log.next)
 		}
 	})
-	t.Run("a file of another team, or none", func(t *testing.T) {
+	t.Run("a file of another team and invalid JSON are refused", func(t *testing.T) {
 		a, _ := newAdmin()
 		status, text := send(t, a, "POST", "/v1/teams/t/config", "", changeBody("u"))
 		assertResponse(t, status, text, 200, "Refused", "$.Team")
--- a/croftmoor/admin/page.go
+++ b/croftmoor/admin/page.go
@@ -2,7 +2,7 @@
 
 import "github.com/gofiber/fiber/v3"
 
-// pageText shows the status as it changes. It only reads.
+// pageText is the status page. It polls /v1/status once a second.
 const pageText = `<!doctype html>
 <html lang="en"><head><meta charset="utf-8"><title>croftmoor</title>
 <style>body{font:14px monospace;margin:2em}pre{white-space:pre-wrap}</style></head>
