front: names in the terms of the field

Handlers, limits, timeouts and wire types are named for what they hold; headers and JSON fields are unchanged.

--- a/croftmoor/front/front.go
+++ b/croftmoor/front/front.go
@@ -61,10 +61,10 @@
 	defaultDeadline = 10 * clock.Second
 	maxDeadline     = 10 * clock.Minute
 	maxIDBytes      = 128
-	drainRetry      = 100 * clock.Millis(1)
+	drainRetryAfter = 100 * clock.Millis(1)
 	bodyLimit       = 16 << 20
 	headerLimit     = 16 << 10
-	headTimeout     = 30 * clock.Second
+	readTimeout     = 30 * clock.Second
 	idleTimeout     = 2 * clock.Minute
 )
 
@@ -72,8 +72,8 @@
 func (f *Front) App() *fiber.App {
 	app := fiber.New(fiber.Config{
 		BodyLimit: bodyLimit, ReadBufferSize: headerLimit,
-		ReadTimeout: headTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
-		ErrorHandler: f.onError,
+		ReadTimeout: readTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
+		ErrorHandler: f.handleError,
 	})
 	app.Use(f.track)
 	app.Post("/v1/completions", f.complete)
@@ -98,51 +98,51 @@
 func (f *Front) track(c fiber.Ctx) error {
 	if f.draining.Load() {
 		c.Set(fiber.HeaderConnection, "close")
-		return refuse.After("front", refuse.NotRun, "this instance is stopping", drainRetry)
+		return refuse.After("front", refuse.NotRun, "this instance is stopping", drainRetryAfter)
 	}
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	return c.Next()
 }
 
-// head is what every request carries, with defaults.
-type head struct {
+// requestInfo is what every request carries, with defaults.
+type requestInfo struct {
 	id       ident.RequestID
 	class    ident.Class
 	deadline clock.Millis
 	issued   clock.Millis
 }
 
-func (f *Front) head(c fiber.Ctx) (head, error) {
-	h := head{id: ident.RequestID(copied(c.Get(idHeader))), class: ident.Class(copied(c.Get(classHeader)))}
-	if h.id == "" {
-		h.id = ident.RequestID(ident.NewRandom())
-		h.issued = f.Clock.Now()
+func (f *Front) readInfo(c fiber.Ctx) (requestInfo, error) {
+	info := requestInfo{id: ident.RequestID(cloneString(c.Get(idHeader))), class: ident.Class(cloneString(c.Get(classHeader)))}
+	if info.id == "" {
+		info.id = ident.RequestID(ident.NewRandom())
+		info.issued = f.Clock.Now()
 	}
-	if len(h.id) > maxIDBytes {
-		return h, refuse.New("front", refuse.Invalid, idHeader+" is longer than 128 bytes", "send a shorter id")
+	if len(info.id) > maxIDBytes {
+		return info, refuse.New("front", refuse.Invalid, idHeader+" is longer than 128 bytes", "send a shorter id")
 	}
-	c.Set(idHeader, string(h.id))
-	limit, limited := f.limit(h.class)
-	span := defaultDeadline
+	c.Set(idHeader, string(info.id))
+	limit, limited := f.classLimit(info.class)
+	timeout := defaultDeadline
 	if limited {
-		span = limit.Deadline
+		timeout = limit.Deadline
 	} else {
 		// Names of classes come from callers; only configured ones are kept apart.
-		h.class = defaultClass
+		info.class = defaultClass
 	}
-	asked, err := millis(c, deadlineHeader, span)
+	requested, err := millisHeader(c, deadlineHeader, timeout)
 	if err != nil {
-		return h, err
+		return info, err
 	}
-	h.deadline = f.Clock.Mono() + min(asked, maxDeadline)
-	if h.issued == 0 {
-		h.issued, err = millis(c, issuedHeader, issuedOf(string(h.id)))
+	info.deadline = f.Clock.Mono() + min(requested, maxDeadline)
+	if info.issued == 0 {
+		info.issued, err = millisHeader(c, issuedHeader, uuidTime(string(info.id)))
 	}
-	return h, err
+	return info, err
 }
 
-func millis(c fiber.Ctx, name string, fallback clock.Millis) (clock.Millis, error) {
+func millisHeader(c fiber.Ctx, name string, fallback clock.Millis) (clock.Millis, error) {
 	text := c.Get(name)
 	if text == "" {
 		return fallback, nil
@@ -154,11 +154,11 @@
 	return clock.Millis(value), nil
 }
 
-func copied(text string) string {
+func cloneString(text string) string {
 	return string([]byte(text))
 }
 
-func (f *Front) limit(class ident.Class) (conf.Limit, bool) {
+func (f *Front) classLimit(class ident.Class) (conf.Limit, bool) {
 	state := f.Reader.Current()
 	if state == nil {
 		return conf.Limit{}, false
@@ -166,23 +166,23 @@
 	return state.Conf.Limit(class)
 }
 
-// admitted runs do once the class's limits let the request start. The context
+// withAdmission runs do once the class's limits let the request start. The context
 // ends at the deadline or when the caller has gone.
-func (f *Front) admitted(c fiber.Ctx, h head, do func(ctx context.Context) error) error {
-	ctx, stop := f.contextOf(c, h)
+func (f *Front) withAdmission(c fiber.Ctx, info requestInfo, do func(ctx context.Context) error) error {
+	ctx, stop := f.requestContext(c, info)
 	defer stop()
-	leave, decision, err := f.enter(ctx, h)
+	release, decision, err := f.admit(ctx, info)
 	if err != nil {
-		f.Trail.Add(trail.Decision{ID: string(h.id), Action: trail.Refuse, Choice: string(h.class), Reason: decision.Reason})
+		f.Trail.Add(trail.Decision{ID: string(info.id), Action: trail.Refuse, Choice: string(info.class), Reason: decision.Reason})
 		return refuse.After("front.admit", refuse.NotRun, decision.Reason, decision.RetryAfter)
 	}
-	defer leave()
+	defer release()
 	return do(ctx)
 }
 
-func (f *Front) contextOf(c fiber.Ctx, h head) (context.Context, func()) {
-	left := h.deadline - f.Clock.Mono()
-	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
+func (f *Front) requestContext(c fiber.Ctx, info requestInfo) (context.Context, func()) {
+	remaining := info.deadline - f.Clock.Mono()
+	ctx, cancel := context.WithTimeout(context.Background(), remaining.Duration())
 	watched, stop := f.Watcher.Watch(ctx, c.RequestCtx().Conn())
 	return watched, func() {
 		stop()
@@ -190,20 +190,20 @@
 	}
 }
 
-func (f *Front) enter(ctx context.Context, h head) (func(), admit.Decision, error) {
-	limit, limited := f.limit(h.class)
+func (f *Front) admit(ctx context.Context, info requestInfo) (func(), admit.Decision, error) {
+	limit, limited := f.classLimit(info.class)
 	if !limited {
 		return func() {}, admit.Decision{Verdict: admit.Start}, nil
 	}
-	made, _ := f.gates.LoadOrStore(h.class, &admit.Gate{Clock: f.Clock})
-	gate, _ := made.(*admit.Gate)
+	loaded, _ := f.gates.LoadOrStore(info.class, &admit.Gate{Clock: f.Clock})
+	gate, _ := loaded.(*admit.Gate)
 	n := max(f.Instances(), 1)
-	gate.SetLimits(float64(limit.Rate)/float64(n), share(limit.Concurrency, n), share(limit.Queue, n))
-	return gate.Enter(ctx, admit.Request{StartBy: h.deadline, Deadline: h.deadline})
+	gate.SetLimits(float64(limit.Rate)/float64(n), limitPerInstance(limit.Concurrency, n), limitPerInstance(limit.Queue, n))
+	return gate.Enter(ctx, admit.Request{StartBy: info.deadline, Deadline: info.deadline})
 }
 
-// share divides a limit by the instances, rounding up.
-func share(limit, instances int) int {
+// limitPerInstance divides a limit by the instances, rounding up.
+func limitPerInstance(limit, instances int) int {
 	return (limit + instances - 1) / instances
 }
 
@@ -216,12 +216,12 @@
 	RetryAfterMillis int64
 }
 
-// onError turns an error into its answer; it is the one place where refusals
+// handleError turns an error into its answer; it is the one place where refusals
 // meet HTTP statuses.
-func (f *Front) onError(c fiber.Ctx, err error) error {
-	var routing *fiber.Error
-	if eris.As(err, &routing) {
-		return c.Status(routing.Code).JSON(refusalWire{Kind: string(refuse.Invalid), What: routing.Message, Do: "see the API in docs/OPERATIONS.md"})
+func (f *Front) handleError(c fiber.Ctx, err error) error {
+	var httpErr *fiber.Error
+	if eris.As(err, &httpErr) {
+		return c.Status(httpErr.Code).JSON(refusalWire{Kind: string(refuse.Invalid), What: httpErr.Message, Do: "see the API in docs/OPERATIONS.md"})
 	}
 	refusal := refuse.Of(err)
 	f.Metrics.Refused(string(refusal.Kind))
@@ -233,7 +233,7 @@
 }
 
 func (f *Front) refusalToWire(c fiber.Ctx, r *refuse.Error) refusalWire {
-	id := copied(string(c.Response().Header.Peek(idHeader)))
+	id := cloneString(string(c.Response().Header.Peek(idHeader)))
 	what := r.What
 	if r.Err != nil {
 		what += ": " + r.Err.Error()
@@ -264,7 +264,7 @@
 func (f *Front) service(name string, kind conf.ServiceKind) (conf.Service, error) {
 	state := f.Reader.Current()
 	if state == nil {
-		return conf.Service{}, refuse.After("front", refuse.NotRun, "this instance has no configuration yet", drainRetry)
+		return conf.Service{}, refuse.After("front", refuse.NotRun, "this instance has no configuration yet", drainRetryAfter)
 	}
 	service, ok := state.Conf.Service(ident.Service(name))
 	if !ok || service.Kind != kind {
--- a/croftmoor/front/live.go
+++ b/croftmoor/front/live.go
@@ -20,7 +20,7 @@
 
 // call passes a call through to a plain service.
 func (f *Front) call(c fiber.Ctx) error {
-	h, err := f.head(c)
+	info, err := f.readInfo(c)
 	if err != nil {
 		return err
 	}
@@ -28,21 +28,21 @@
 	if err != nil {
 		return err
 	}
-	path := "/" + copied(c.Params("*"))
+	path := "/" + cloneString(c.Params("*"))
 	request := calls.Request{
-		ID: h.id, Service: service, Class: h.class, Method: copied(c.Method()), Path: pathWithQuery(c, path),
-		Headers: passed(c), Body: append([]byte(nil), c.Body()...),
-		Repeatable: service.Repeatable(path), Issued: h.issued,
+		ID: info.id, Service: service, Class: info.class, Method: cloneString(c.Method()), Path: pathWithQuery(c, path),
+		Headers: forwardedHeaders(c), Body: append([]byte(nil), c.Body()...),
+		Repeatable: service.Repeatable(path), Issued: info.issued,
 	}
-	if asked := c.Get(repeatableHeader); asked != "" {
+	if header := c.Get(repeatableHeader); header != "" {
 		// A caller may forbid repeats that the configuration allows, not the
 		// other way round.
-		request.Repeatable = request.Repeatable && strings.EqualFold(asked, "true")
+		request.Repeatable = request.Repeatable && strings.EqualFold(header, "true")
 	}
-	began := f.Clock.Mono()
-	return f.admitted(c, h, func(ctx context.Context) error {
+	start := f.Clock.Mono()
+	return f.withAdmission(c, info, func(ctx context.Context) error {
 		answer, err := f.Calls.Do(ctx, request)
-		f.Metrics.Served(string(service.Name), err == nil, f.Clock.Mono()-began)
+		f.Metrics.Served(string(service.Name), err == nil, f.Clock.Mono()-start)
 		if err != nil {
 			return err
 		}
@@ -59,12 +59,12 @@
 	return path
 }
 
-// passed lists the headers that go on to the backend server.
-func passed(c fiber.Ctx) []httpc.Header {
+// forwardedHeaders lists the headers that go on to the backend server.
+func forwardedHeaders(c fiber.Ctx) []httpc.Header {
 	var list []httpc.Header
 	for _, name := range []string{fiber.HeaderContentType, fiber.HeaderAccept, fiber.HeaderAuthorization} {
 		if value := c.Get(name); value != "" {
-			list = append(list, httpc.Header{Name: name, Value: copied(value)})
+			list = append(list, httpc.Header{Name: name, Value: cloneString(value)})
 		}
 	}
 	return list
@@ -100,14 +100,14 @@
 }
 
 const (
-	defaultTokens = 256
-	maxTokens     = 1 << 20
-	partBuffer    = 256
-	endMark       = "data: [DONE]\n\n"
+	defaultMaxTokens = 256
+	maxTokensLimit   = 1 << 20
+	partBufferLen    = 256
+	endMarker        = "data: [DONE]\n\n"
 )
 
 func (f *Front) complete(c fiber.Ctx) error {
-	h, err := f.head(c)
+	info, err := f.readInfo(c)
 	if err != nil {
 		return err
 	}
@@ -119,35 +119,35 @@
 	if err != nil {
 		return err
 	}
-	if w.Prompt == "" || w.MaxTokens < 0 || w.MaxTokens > maxTokens {
+	if w.Prompt == "" || w.MaxTokens < 0 || w.MaxTokens > maxTokensLimit {
 		return refuse.New("front.complete", refuse.Invalid, "prompt is empty, or max_tokens is not from 1 to 1048576", "correct the request")
 	}
 	request := gener.Request{
-		ID: h.id, Service: service, Adapter: ident.Trainer(w.Adapter), Prompt: w.Prompt, Seed: w.Seed,
+		ID: info.id, Service: service, Adapter: ident.Trainer(w.Adapter), Prompt: w.Prompt, Seed: w.Seed,
 		MaxTokens: ident.Tokens(w.MaxTokens), Priority: gener.LivePriority,
 	}
 	if request.MaxTokens == 0 {
-		request.MaxTokens = defaultTokens
+		request.MaxTokens = defaultMaxTokens
 	}
 	if w.Stream {
-		return f.completeStream(c, h, request)
+		return f.completeStream(c, info, request)
 	}
-	return f.completeWhole(c, h, request)
+	return f.completeBlocking(c, info, request)
 }
 
-func (f *Front) completeWhole(c fiber.Ctx, h head, request gener.Request) error {
+func (f *Front) completeBlocking(c fiber.Ctx, info requestInfo, request gener.Request) error {
 	began := f.Clock.Mono()
-	return f.admitted(c, h, func(ctx context.Context) error {
+	return f.withAdmission(c, info, func(ctx context.Context) error {
 		answer, err := f.Gen.Generate(ctx, request)
 		f.Metrics.Served(string(request.Service.Name), err == nil, f.Clock.Mono()-began)
 		if err != nil {
 			return err
 		}
-		return c.JSON(wholeAnswer(request, answer))
+		return c.JSON(completeAnswer(request, answer))
 	})
 }
 
-func wholeAnswer(request gener.Request, answer gener.Answer) completionAnswer {
+func completeAnswer(request gener.Request, answer gener.Answer) completionAnswer {
 	stop := "stop"
 	return completionAnswer{
 		ID: string(request.ID), Object: "text_completion", Model: string(request.Service.Name),
@@ -156,28 +156,28 @@
 	}
 }
 
-// streamed is one part of a streamed answer, or its end.
-type streamed struct {
-	part gener.Part
-	err  error
-	end  bool
-	all  gener.Answer
+// streamItem is one part of a streamItem answer, or its end.
+type streamItem struct {
+	part   gener.Part
+	err    error
+	end    bool
+	answer gener.Answer
 }
 
 // completeStream answers with server-sent events. The status is only decided
 // once the first part is there, so that a refusal before it is a plain one.
-func (f *Front) completeStream(c fiber.Ctx, h head, request gener.Request) error {
-	ctx, stop := f.contextOf(c, h)
-	leave, decision, err := f.enter(ctx, h)
+func (f *Front) completeStream(c fiber.Ctx, info requestInfo, request gener.Request) error {
+	ctx, stop := f.requestContext(c, info)
+	release, decision, err := f.admit(ctx, info)
 	if err != nil {
 		stop()
 		return refuse.After("front.admit", refuse.NotRun, decision.Reason, decision.RetryAfter)
 	}
-	parts := f.produce(ctx, request)
+	parts := f.startGeneration(ctx, request)
 	first := <-parts
 	if first.err != nil {
 		stop()
-		leave()
+		release()
 		return first.err
 	}
 	f.inFlight.Add(1)
@@ -185,18 +185,18 @@
 	began := f.Clock.Mono()
 	return c.SendStreamWriter(func(out *bufio.Writer) {
 		defer f.inFlight.Add(-1)
-		defer leave()
+		defer release()
 		defer stop()
-		ok := f.relay(out, request, first, parts)
+		ok := f.writeStream(out, request, first, parts)
 		f.Metrics.Served(string(request.Service.Name), ok, f.Clock.Mono()-began)
 	})
 }
 
-// produce generates in the background; the channel gets parts and then one
+// startGeneration generates in the background; the channel gets parts and then one
 // end or error. It is never blocked for longer than ctx lasts.
-func (f *Front) produce(ctx context.Context, request gener.Request) <-chan streamed {
-	parts := make(chan streamed, partBuffer)
-	push := func(s streamed) bool {
+func (f *Front) startGeneration(ctx context.Context, request gener.Request) <-chan streamItem {
+	parts := make(chan streamItem, partBufferLen)
+	push := func(s streamItem) bool {
 		select {
 		case parts <- s:
 			return true
@@ -204,32 +204,32 @@
 			return false
 		}
 	}
-	request.OnPart = func(p gener.Part) bool { return push(streamed{part: p}) }
+	request.OnPart = func(p gener.Part) bool { return push(streamItem{part: p}) }
 	f.group.Go(func() {
 		defer close(parts)
 		answer, err := f.Gen.Generate(ctx, request)
 		if err != nil {
 			// The receiver waits for exactly this, so it must not be lost when
 			// ctx has ended.
-			parts <- streamed{err: err}
+			parts <- streamItem{err: err}
 			return
 		}
-		push(streamed{end: true, all: answer})
+		push(streamItem{end: true, answer: answer})
 	})
 	return parts
 }
 
-// relay writes the parts. It reports whether the whole answer went out.
-func (f *Front) relay(out *bufio.Writer, request gener.Request, next streamed, parts <-chan streamed) bool {
+// writeStream writes the parts. It reports whether the whole answer went out.
+func (f *Front) writeStream(out *bufio.Writer, request gener.Request, next streamItem, parts <-chan streamItem) bool {
 	for ok := true; ok; next, ok = <-parts {
 		if next.err != nil {
 			writeError(out, request, next.err)
 			return false
 		}
 		if next.end {
-			answer := wholeAnswer(request, next.all)
+			answer := completeAnswer(request, next.answer)
 			answer.Choices[0].Text = ""
-			return writeEvent(out, answer) && writeText(out, endMark)
+			return writeEvent(out, answer) && writeText(out, endMarker)
 		}
 		event := completionAnswer{
 			ID: string(request.ID), Object: "text_completion", Model: string(request.Service.Name),
@@ -268,17 +268,17 @@
 
 // uuidLength and the rest locate the time in a UUID of version 7.
 const (
-	uuidLength  = 36
-	uuidVersion = 14
-	uuidMillis  = 12
+	uuidLength       = 36
+	uuidVersionIndex = 14
+	uuidTimeDigits   = 12
 )
 
-// issuedOf returns when an id was made, if it is a UUID of version 7; else 0.
-func issuedOf(id string) clock.Millis {
-	if len(id) != uuidLength || id[uuidVersion] != '7' {
+// uuidTime returns when an id was made, if it is a UUID of version 7; else 0.
+func uuidTime(id string) clock.Millis {
+	if len(id) != uuidLength || id[uuidVersionIndex] != '7' {
 		return 0
 	}
-	digits := strings.ReplaceAll(id, "-", "")[:uuidMillis]
+	digits := strings.ReplaceAll(id, "-", "")[:uuidTimeDigits]
 	value, err := strconv.ParseInt(digits, 16, 64)
 	if err != nil {
 		return 0
--- a/croftmoor/front/train.go
+++ b/croftmoor/front/train.go
@@ -30,8 +30,8 @@
 	WaitMillis int64
 }
 
-// pulledWire hands over samples.
-type pulledWire struct {
+// pullResponseWire hands over samples.
+type pullResponseWire struct {
 	PullID   string
 	Step     int64
 	Owner    string
@@ -48,8 +48,8 @@
 }
 
 const (
-	defaultPull = 256
-	maxPull     = 4096
+	defaultPullSamples = 256
+	maxPullSamples     = 4096
 )
 
 func (f *Front) openStep(c fiber.Ctx) error {
@@ -63,7 +63,7 @@
 	}
 	open := peers.Open{
 		Spec: steps.Spec{
-			Trainer: ident.Trainer(copied(c.Params("trainer"))), Step: ident.Step(w.Step), Prompts: w.Prompts,
+			Trainer: ident.Trainer(cloneString(c.Params("trainer"))), Step: ident.Step(w.Step), Prompts: w.Prompts,
 			GroupSize: w.GroupSize, MaxTokens: ident.Tokens(w.MaxTokens),
 		},
 		Have: have, Version: ident.Version(w.Version),
@@ -80,23 +80,23 @@
 		return err
 	}
 	have, err := steps.ParseSet(w.Have)
-	if err != nil || w.Most < 0 || w.Most > maxPull {
+	if err != nil || w.Most < 0 || w.Most > maxPullSamples {
 		return refuse.New("front.pull", refuse.Invalid, "Have is not a base64 bitmap, or Most is not from 1 to 4096", "correct the request")
 	}
 	if w.Most == 0 {
-		w.Most = defaultPull
+		w.Most = defaultPullSamples
 	}
 	ctx, stop := f.Watcher.Watch(c.Context(), c.RequestCtx().Conn())
 	defer stop()
 	pulled, err := f.Feed.Pull(ctx, peers.Pull{
-		Trainer: ident.Trainer(copied(c.Params("trainer"))), Step: ident.Step(w.Step), PullID: w.PullID, Have: have,
+		Trainer: ident.Trainer(cloneString(c.Params("trainer"))), Step: ident.Step(w.Step), PullID: w.PullID, Have: have,
 		Version: ident.Version(w.Version), Most: w.Most, Wait: clock.Millis(w.WaitMillis),
 	})
 	if err != nil {
 		return err
 	}
-	f.Metrics.Handed(copied(c.Params("trainer")), len(pulled.Samples))
-	return c.JSON(pulledToWire(pulled))
+	f.Metrics.Handed(cloneString(c.Params("trainer")), len(pulled.Samples))
+	return c.JSON(pullResponseToWire(pulled))
 }
 
 func (f *Front) publish(c fiber.Ctx) error {
@@ -105,13 +105,13 @@
 		return err
 	}
 	f.Feed.Publish(c.Context(), peers.Publication{
-		Trainer: ident.Trainer(copied(c.Params("trainer"))), Version: ident.Version(w.Version),
+		Trainer: ident.Trainer(cloneString(c.Params("trainer"))), Version: ident.Version(w.Version),
 	})
 	return c.SendStatus(fiber.StatusOK)
 }
 
-func pulledToWire(p peers.Pulled) pulledWire {
-	w := pulledWire{
+func pullResponseToWire(p peers.Pulled) pullResponseWire {
+	w := pullResponseWire{
 		PullID: p.PullID, Step: int64(p.Step), Owner: string(p.Owner), Samples: []peers.SampleWire{},
 		Missing: p.Missing, Running: p.Running, Ready: p.Ready, Held: p.Held,
 		Complete: p.Missing+p.Running+p.Ready == 0,
