--- a/croftmoor/admin/admin.go
+++ b/croftmoor/admin/admin.go
@@ -52,7 +52,7 @@
 	Status func() any
 	// Ready returns the reason why the instance is not ready, or "" if it is.
 	Ready func() string
-	// Drain starts a graceful shutdown. It must not block.
+	// Drain starts a graceful shutdown.
 	Drain func()
 }
 
--- a/croftmoor/front/front.go
+++ b/croftmoor/front/front.go
@@ -1,4 +1,4 @@
-// Package front is the entry instance's port for callers and trainers.
+// Package front serves the HTTP API for callers and trainers.
 package front
 
 import (
@@ -27,7 +27,7 @@
 	"croftmoor.dev/kernel/trail"
 )
 
-// Front serves callers and trainers. Set the exported fields before Setup.
+// Front serves the API. Set the exported fields before calling App.
 type Front struct {
 	Reader  *fold.Reader
 	Calls   *calls.Caller
@@ -37,16 +37,19 @@
 	Clock   *clock.Clock
 	Trail   *trail.Trail
 	Metrics *metric.Set
-	// Instances tells how many instances share the limits of a class.
+	// Instances returns the number of live instances, among which the limits of a
+	// class are divided.
 	Instances func() int
 
-	group    conc.WaitGroup
+	// group runs the generations of streamed completions.
+	group conc.WaitGroup
+	// gates maps ident.Class to *admit.Gate.
 	gates    sync.Map
 	inFlight atomic.Int64
 	draining atomic.Bool
 }
 
-// Header names of requests and answers.
+// HTTP headers of requests and responses.
 const (
 	idHeader         = "X-Request-ID"
 	deadlineHeader   = "Croft-Deadline-Millis"
@@ -68,7 +71,7 @@
 	idleTimeout     = 2 * clock.Minute
 )
 
-// App returns the HTTP app.
+// App returns the HTTP application.
 func (f *Front) App() *fiber.App {
 	app := fiber.New(fiber.Config{
 		BodyLimit: bodyLimit, ReadBufferSize: headerLimit,
@@ -84,12 +87,13 @@
 	return app
 }
 
-// Drain refuses new requests from now on.
+// Drain makes Front refuse new requests. It does not wait for requests in flight.
 func (f *Front) Drain() {
 	f.draining.Store(true)
 }
 
-// InFlight returns how many requests are being served.
+// InFlight returns the number of requests being served, including streamed
+// responses.
 func (f *Front) InFlight() int64 {
 	return f.inFlight.Load()
 }
@@ -105,14 +109,18 @@
 	return c.Next()
 }
 
-// requestInfo is what every request carries, with defaults.
+// requestInfo holds the values of a request's Croft headers and its ID, with
+// defaults applied.
 type requestInfo struct {
-	id       ident.RequestID
-	class    ident.Class
+	id    ident.RequestID
+	class ident.Class
+	// deadline is in monotonic time.
 	deadline clock.Millis
-	issued   clock.Millis
+	// issued is the wall-clock time at which the ID was created, or 0 if unknown.
+	issued clock.Millis
 }
 
+// readInfo reads the request's headers and sets the response's ID header.
 func (f *Front) readInfo(c fiber.Ctx) (requestInfo, error) {
 	info := requestInfo{id: ident.RequestID(cloneString(c.Get(idHeader))), class: ident.Class(cloneString(c.Get(classHeader)))}
 	if info.id == "" {
@@ -128,7 +136,8 @@
 	if limited {
 		timeout = limit.Deadline
 	} else {
-		// Names of classes come from callers; only configured ones are kept apart.
+		// Class names come from callers. Unconfigured ones share the default class,
+		// so that callers cannot create gates and budgets without bound.
 		info.class = defaultClass
 	}
 	requested, err := millisHeader(c, deadlineHeader, timeout)
@@ -142,6 +151,8 @@
 	return info, err
 }
 
+// millisHeader parses a header in milliseconds. It returns fallback if the header
+// is missing.
 func millisHeader(c fiber.Ctx, name string, fallback clock.Millis) (clock.Millis, error) {
 	text := c.Get(name)
 	if text == "" {
@@ -154,10 +165,13 @@
 	return clock.Millis(value), nil
 }
 
+// cloneString copies a string that fiber returned, whose memory is reused after
+// the handler returns.
 func cloneString(text string) string {
 	return string([]byte(text))
 }
 
+// classLimit returns the configured limit of a class, if any.
 func (f *Front) classLimit(class ident.Class) (conf.Limit, bool) {
 	state := f.Reader.Current()
 	if state == nil {
@@ -166,8 +180,8 @@
 	return state.Conf.Limit(class)
 }
 
-// withAdmission runs do once the class's limits let the request start. The context
-// ends at the deadline or when the caller has gone.
+// withAdmission waits until the limits of the request's class admit it, then runs
+// do. The context ends at the deadline or when the caller disconnects.
 func (f *Front) withAdmission(c fiber.Ctx, info requestInfo, do func(ctx context.Context) error) error {
 	ctx, stop := f.requestContext(c, info)
 	defer stop()
@@ -180,6 +194,8 @@
 	return do(ctx)
 }
 
+// requestContext returns a context that ends at the request's deadline or when the
+// caller disconnects, and a function that releases it.
 func (f *Front) requestContext(c fiber.Ctx, info requestInfo) (context.Context, func()) {
 	remaining := info.deadline - f.Clock.Mono()
 	ctx, cancel := context.WithTimeout(context.Background(), remaining.Duration())
@@ -190,6 +206,8 @@
 	}
 }
 
+// admit waits until the limits of the request's class admit it. The returned
+// function must be called when an admitted request ends.
 func (f *Front) admit(ctx context.Context, info requestInfo) (func(), admit.Decision, error) {
 	limit, limited := f.classLimit(info.class)
 	if !limited {
@@ -202,12 +220,12 @@
 	return gate.Enter(ctx, admit.Request{StartBy: info.deadline, Deadline: info.deadline})
 }
 
-// limitPerInstance divides a limit by the instances, rounding up.
+// limitPerInstance divides a limit among the instances, rounding up.
 func limitPerInstance(limit, instances int) int {
 	return (limit + instances - 1) / instances
 }
 
-// refusalWire is the JSON form of a refusal.
+// refusalWire is the JSON encoding of a refuse.Error.
 type refusalWire struct {
 	ID               string
 	Kind             string
@@ -216,8 +234,8 @@
 	RetryAfterMillis int64
 }
 
-// handleError turns an error into its answer; it is the one place where refusals
-// meet HTTP statuses.
+// handleError writes an error as JSON, with the HTTP status and the Retry-After
+// header of its kind.
 func (f *Front) handleError(c fiber.Ctx, err error) error {
 	var httpErr *fiber.Error
 	if eris.As(err, &httpErr) {
@@ -260,7 +278,8 @@
 	}
 }
 
-// service finds a configured service of the wanted kind.
+// service returns the configured service with this name, which must be of the
+// given kind.
 func (f *Front) service(name string, kind conf.ServiceKind) (conf.Service, error) {
 	state := f.Reader.Current()
 	if state == nil {
@@ -274,9 +293,10 @@
 	return service, nil
 }
 
+// decode decodes the JSON body of a request into a value.
 func decode(c fiber.Ctx, into any) error {
 	if err := json.Unmarshal(c.Body(), into); err != nil {
-		return refuse.New("front", refuse.Invalid, "the body is not the JSON that is expected: "+err.Error(), "see the API in docs/OPERATIONS.md")
+		return refuse.New("front", refuse.Invalid, "decoding the JSON body failed: "+err.Error(), "see the API in docs/OPERATIONS.md")
 	}
 	return nil
 }
--- a/croftmoor/front/live.go
+++ b/croftmoor/front/live.go
@@ -18,7 +18,7 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// call passes a call through to a plain service.
+// call forwards a call to a plain service.
 func (f *Front) call(c fiber.Ctx) error {
 	info, err := f.readInfo(c)
 	if err != nil {
@@ -35,8 +35,8 @@
 		Repeatable: service.Repeatable(path), Issued: info.issued,
 	}
 	if header := c.Get(repeatableHeader); header != "" {
-		// A caller may forbid repeats that the configuration allows, not the
-		// other way round.
+		// A caller may forbid repeats that the configuration allows, but may not
+		// allow repeats that the configuration forbids.
 		request.Repeatable = request.Repeatable && strings.EqualFold(header, "true")
 	}
 	start := f.Clock.Mono()
@@ -52,6 +52,7 @@
 	})
 }
 
+// pathWithQuery appends the request's query string to path.
 func pathWithQuery(c fiber.Ctx, path string) string {
 	if query := c.RequestCtx().URI().QueryString(); len(query) > 0 {
 		return path + "?" + string(query)
@@ -59,7 +60,8 @@
 	return path
 }
 
-// forwardedHeaders lists the headers that go on to the backend server.
+// forwardedHeaders returns the request headers that are forwarded to the backend
+// server.
 func forwardedHeaders(c fiber.Ctx) []httpc.Header {
 	var list []httpc.Header
 	for _, name := range []string{fiber.HeaderContentType, fiber.HeaderAccept, fiber.HeaderAuthorization} {
@@ -70,7 +72,7 @@
 	return list
 }
 
-// completionWire is a completion request in the usual form of model servers.
+// completionWire is a completion request in the format of the OpenAI API.
 type completionWire struct {
 	Model     string `json:"model"`      // completion request
 	Prompt    string `json:"prompt"`     // completion request
@@ -80,7 +82,7 @@
 	Stream    bool   `json:"stream"`     // completion request
 }
 
-// completionAnswer is a whole answer, or one event of a stream.
+// completionAnswer is a complete answer, or one event of a streamed answer.
 type completionAnswer struct {
 	ID      string             `json:"id"`      // completion answer
 	Object  string             `json:"object"`  // completion answer
@@ -106,6 +108,7 @@
 	endMarker        = "data: [DONE]\n\n"
 )
 
+// complete serves completion requests, streamed or not.
 func (f *Front) complete(c fiber.Ctx) error {
 	info, err := f.readInfo(c)
 	if err != nil {
@@ -135,6 +138,7 @@
 	return f.completeBlocking(c, info, request)
 }
 
+// completeBlocking responds once the answer is complete.
 func (f *Front) completeBlocking(c fiber.Ctx, info requestInfo, request gener.Request) error {
 	began := f.Clock.Mono()
 	return f.withAdmission(c, info, func(ctx context.Context) error {
@@ -147,6 +151,7 @@
 	})
 }
 
+// completeAnswer returns the response that holds all of an answer.
 func completeAnswer(request gener.Request, answer gener.Answer) completionAnswer {
 	stop := "stop"
 	return completionAnswer{
@@ -156,7 +161,8 @@
 	}
 }
 
-// streamItem is one part of a streamItem answer, or its end.
+// streamItem is a part of a streamed answer, an error, or the end with the
+// complete answer.
 type streamItem struct {
 	part   gener.Part
 	err    error
@@ -164,8 +170,8 @@
 	answer gener.Answer
 }
 
-// completeStream answers with server-sent events. The status is only decided
-// once the first part is there, so that a refusal before it is a plain one.
+// completeStream responds with server-sent events. It waits for the first part
+// before it sends the status, so that an earlier error gets its own HTTP status.
 func (f *Front) completeStream(c fiber.Ctx, info requestInfo, request gener.Request) error {
 	ctx, stop := f.requestContext(c, info)
 	release, decision, err := f.admit(ctx, info)
@@ -192,8 +198,9 @@
 	})
 }
 
-// startGeneration generates in the background; the channel gets parts and then one
-// end or error. It is never blocked for longer than ctx lasts.
+// startGeneration generates an answer in the background. The channel receives the
+// parts, then the end or an error, and is closed. Parts and the end are dropped
+// once ctx has ended.
 func (f *Front) startGeneration(ctx context.Context, request gener.Request) <-chan streamItem {
 	parts := make(chan streamItem, partBufferLen)
 	push := func(s streamItem) bool {
@@ -209,8 +216,7 @@
 		defer close(parts)
 		answer, err := f.Gen.Generate(ctx, request)
 		if err != nil {
-			// The receiver waits for exactly this, so it must not be lost when
-			// ctx has ended.
+			// Sent even if ctx has ended: the receiver may be waiting for the error.
 			parts <- streamItem{err: err}
 			return
 		}
@@ -219,7 +225,8 @@
 	return parts
 }
 
-// writeStream writes the parts. It reports whether the whole answer went out.
+// writeStream writes next and then parts as events. It reports whether the
+// complete answer was written.
 func (f *Front) writeStream(out *bufio.Writer, request gener.Request, next streamItem, parts <-chan streamItem) bool {
 	for ok := true; ok; next, ok = <-parts {
 		if next.err != nil {
@@ -242,7 +249,7 @@
 	return false
 }
 
-// writeError ends a stream without its end mark, and says why.
+// writeError writes an error event, which ends a stream without the end marker.
 func writeError(out *bufio.Writer, request gener.Request, err error) {
 	refusal := refuse.Of(err)
 	data, jsonErr := json.Marshal(refusalWire{
@@ -254,11 +261,13 @@
 	}
 }
 
+// writeEvent writes one server-sent event. It reports whether that succeeded.
 func writeEvent(out *bufio.Writer, event completionAnswer) bool {
 	data, err := json.Marshal(event)
 	return err == nil && writeText(out, "data: "+string(data)+"\n\n")
 }
 
+// writeText writes and flushes text. It reports whether that succeeded.
 func writeText(out *bufio.Writer, text string) bool {
 	if _, err := out.WriteString(text); err != nil {
 		return false
@@ -266,14 +275,15 @@
 	return out.Flush() == nil
 }
 
-// uuidLength and the rest locate the time in a UUID of version 7.
+// Layout of a version 7 UUID: length, index of the version digit, and number of
+// leading hexadecimal digits that hold the Unix time in milliseconds.
 const (
 	uuidLength       = 36
 	uuidVersionIndex = 14
 	uuidTimeDigits   = 12
 )
 
-// uuidTime returns when an id was made, if it is a UUID of version 7; else 0.
+// uuidTime returns the creation time of a version 7 UUID, or 0 if id is not one.
 func uuidTime(id string) clock.Millis {
 	if len(id) != uuidLength || id[uuidVersionIndex] != '7' {
 		return 0
--- a/croftmoor/front/train.go
+++ b/croftmoor/front/train.go
@@ -10,7 +10,8 @@
 	"croftmoor.dev/kernel/steps"
 )
 
-// openWire opens a step. Have names the held slots as a base64 bitmap.
+// openWire is the JSON request that opens a step. Have is a base64 bitmap of the
+// slots whose samples the trainer already holds.
 type openWire struct {
 	Step      int64
 	Prompts   []string
@@ -20,7 +21,8 @@
 	Have      string
 }
 
-// pullWire asks for samples.
+// pullWire is the JSON request for samples of a step. Have is as in openWire, Most
+// is the maximum number of samples.
 type pullWire struct {
 	Step       int64
 	PullID     string
@@ -30,7 +32,8 @@
 	WaitMillis int64
 }
 
-// pullResponseWire hands over samples.
+// pullResponseWire is the JSON response to pullWire. Complete means that no slot is
+// missing, running or ready.
 type pullResponseWire struct {
 	PullID   string
 	Step     int64
@@ -43,6 +46,7 @@
 	Complete bool
 }
 
+// versionWire is the JSON request that publishes an adapter version.
 type versionWire struct {
 	Version int64
 }
@@ -52,6 +56,7 @@
 	maxPullSamples     = 4096
 )
 
+// openStep opens a step of a trainer.
 func (f *Front) openStep(c fiber.Ctx) error {
 	var w openWire
 	if err := decode(c, &w); err != nil {
@@ -74,6 +79,8 @@
 	return c.SendStatus(fiber.StatusOK)
 }
 
+// pull returns finished samples of a step. It ends early if the trainer
+// disconnects.
 func (f *Front) pull(c fiber.Ctx) error {
 	var w pullWire
 	if err := decode(c, &w); err != nil {
@@ -99,6 +106,7 @@
 	return c.JSON(pullResponseToWire(pulled))
 }
 
+// publish announces a new adapter version of a trainer.
 func (f *Front) publish(c fiber.Ctx) error {
 	var w versionWire
 	if err := decode(c, &w); err != nil {
