--- a/croftmoor/front/front.go
+++ b/croftmoor/front/front.go
@@ -60,15 +60,15 @@
 )
 
 const (
-	defaultClass    = ident.Class("Default")
-	defaultDeadline = 10 * clock.Second
-	maxDeadline     = 10 * clock.Minute
-	maxIDBytes      = 128
-	drainRetryAfter = 100 * clock.Millis(1)
-	bodyLimit       = 16 << 20
-	headerLimit     = 16 << 10
-	readTimeout     = 30 * clock.Second
-	idleTimeout     = 2 * clock.Minute
+	defaultClass       = ident.Class("Default")
+	defaultDeadline    = 10 * clock.Second
+	maxDeadline        = 10 * clock.Minute
+	maxIDBytes         = 128
+	notReadyRetryAfter = 100 * clock.Millis(1)
+	bodyLimit          = 16 << 20
+	headerLimit        = 16 << 10
+	readTimeout        = 30 * clock.Second
+	idleTimeout        = 2 * clock.Minute
 )
 
 // App returns the HTTP application.
@@ -102,7 +102,7 @@
 func (f *Front) track(c fiber.Ctx) error {
 	if f.draining.Load() {
 		c.Set(fiber.HeaderConnection, "close")
-		return refuse.After("front", refuse.NotRun, "this instance is stopping", drainRetryAfter)
+		return refuse.After("front", refuse.NotRun, "this instance is stopping", notReadyRetryAfter)
 	}
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
@@ -283,7 +283,7 @@
 func (f *Front) service(name string, kind conf.ServiceKind) (conf.Service, error) {
 	state := f.Reader.Current()
 	if state == nil {
-		return conf.Service{}, refuse.After("front", refuse.NotRun, "this instance has no configuration yet", drainRetryAfter)
+		return conf.Service{}, refuse.After("front", refuse.NotRun, "this instance has no configuration yet", notReadyRetryAfter)
 	}
 	service, ok := state.Conf.Service(ident.Service(name))
 	if !ok || service.Kind != kind {
