--- a/croftmoor/calls/calls.go
+++ b/croftmoor/calls/calls.go
@@ -49,14 +49,14 @@
 // Claimer grants the right to run calls that are not repeatable, at most once for
 // each ID.
 type Claimer interface {
-	// NewAttempt returns a number that identifies an attempt of this instance.
+	// NewAttempt returns an attempt number that is unique at this instance.
 	NewAttempt() int64
 	// Claim requests the right to run a call and returns the entry of its ID, which
 	// may belong to another attempt.
 	Claim(ctx context.Context, request once.Request) (once.Entry, error)
 	// Settle records the outcome of a claimed call.
 	Settle(ctx context.Context, settlement once.Settlement)
-	// RunnerAlive reports whether an instance is live.
+	// RunnerAlive reports whether the runner of an entry can still settle it.
 	RunnerAlive(runner ident.InstanceName) bool
 }
 
