--- a/croftmoor/front/live.go
+++ b/croftmoor/front/live.go
@@ -72,7 +72,8 @@
 	return list
 }
 
-// completionWire is a completion request in the format of the OpenAI API.
+// completionWire is a completion request in the format of the OpenAI completions API,
+// with the additional field adapter.
 type completionWire struct {
 	Model     string `json:"model"`      // completion request
 	Prompt    string `json:"prompt"`     // completion request
