--- a/croftmoor/admin/admin.go
+++ b/croftmoor/admin/admin.go
@@ -1,5 +1,5 @@
-// Package admin is the entry instance's port for operators: configuration,
-// status, decisions, drain, health and metrics.
+// Package admin serves the HTTP API for operators: configuration, status,
+// decisions, drain, restore, health and metrics.
 package admin
 
 import (
@@ -26,55 +26,57 @@
 	"croftmoor.dev/kernel/trail"
 )
 
-// Operator is someone who may use this port.
+// Operator is a user of the admin API.
 type Operator struct {
 	Name string
-	// TokenHash is the SHA-256 of the operator's token, in hexadecimal.
+	// TokenHash is the SHA-256 hash of the operator's token, in hexadecimal.
 	TokenHash string
-	// Teams lists the teams whose files the operator may read and change;
-	// "*" stands for all.
+	// Teams lists the teams whose configuration the operator may read and change.
+	// "*" means all teams and also permits drain and restore.
 	Teams []ident.Team
 }
 
-// anyTeam in an operator's scope stands for all teams.
+// anyTeam in Operator.Teams matches every team.
 const anyTeam ident.Team = "*"
 
-// Admin serves operators. Set the fields before App.
+// Admin serves the admin API. Set the fields before calling App.
 type Admin struct {
 	Reader    *fold.Reader
 	Log       tail.Log
 	Clock     *clock.Clock
 	Trail     *trail.Trail
 	Operators []Operator
-	Metrics   http.Handler
-	// Status returns what /v1/status answers.
+	// Metrics serves /metrics.
+	Metrics http.Handler
+	// Status returns the response of /v1/status, which is encoded as JSON.
 	Status func() any
-	// Ready says why the instance is not ready; "" means that it is.
+	// Ready returns the reason why the instance is not ready, or "" if it is.
 	Ready func() string
-	// Drain starts a planned stop.
+	// Drain starts a graceful shutdown.
 	Drain func()
 }
 
 const (
-	bodyLimit   = 8 << 20
-	applyTerm   = 8 * clock.Second
-	applyPause  = 20 * clock.Millis(1)
-	appendTerm  = 2 * clock.Second
-	headTimeout = 20 * clock.Second
-	bearer      = "Bearer "
-	operatorKey = "Operator"
+	bodyLimit         = 8 << 20
+	applyTimeout      = 8 * clock.Second
+	applyPollInterval = 20 * clock.Millis(1)
+	appendTimeout     = 2 * clock.Second
+	readTimeout       = 20 * clock.Second
+	bearerPrefix      = "Bearer "
+	operatorKey       = "Operator"
 )
 
-// App returns the HTTP app.
+// App returns the HTTP application. /healthz, /readyz, /metrics and the status
+// page need no token.
 func (a *Admin) App() *fiber.App {
-	app := fiber.New(fiber.Config{BodyLimit: bodyLimit, ReadTimeout: headTimeout.Duration(), ErrorHandler: onError})
+	app := fiber.New(fiber.Config{BodyLimit: bodyLimit, ReadTimeout: readTimeout.Duration(), ErrorHandler: handleError})
 	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", a.readyz)
 	app.Get("/metrics", adaptor.HTTPHandler(a.Metrics))
 	app.Get("/", a.page)
 	api := app.Group("/v1", a.authenticate)
 	api.Get("/status", func(c fiber.Ctx) error { return c.JSON(a.Status()) })
-	api.Get("/why/*", a.why)
+	api.Get("/why/*", a.listDecisions)
 	api.Post("/drain", a.drain)
 	api.Post("/restore", a.restore)
 	api.Get("/teams", a.listTeams)
@@ -86,20 +88,20 @@
 }
 
 func (a *Admin) readyz(c fiber.Ctx) error {
-	if why := a.Ready(); why != "" {
-		return c.Status(http.StatusServiceUnavailable).SendString(why + "\n")
+	if reason := a.Ready(); reason != "" {
+		return c.Status(http.StatusServiceUnavailable).SendString(reason + "\n")
 	}
 	return c.SendString("ready\n")
 }
 
-// authenticate finds the operator by token. With no operators configured the
-// port is open to whoever reaches it.
+// authenticate identifies the operator by the bearer token. If no operators are
+// configured, every request is allowed and has access to all teams.
 func (a *Admin) authenticate(c fiber.Ctx) error {
 	if len(a.Operators) == 0 {
 		fiber.Locals(c, operatorKey, Operator{Name: "anyone", Teams: []ident.Team{anyTeam}})
 		return c.Next()
 	}
-	token, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), bearer)
+	token, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), bearerPrefix)
 	sum := sha256.Sum256([]byte(token))
 	hash := []byte(hex.EncodeToString(sum[:]))
 	for _, operator := range a.Operators {
@@ -111,47 +113,49 @@
 	return refuse.New("admin", refuse.Denied, "no operator has this token", "send Authorization: Bearer TOKEN with a token whose hash is in the settings")
 }
 
+// operatorOf returns the operator that authenticate has stored in c.
 func operatorOf(c fiber.Ctx) Operator {
 	return fiber.Locals[Operator](c, operatorKey)
 }
 
-func (o Operator) may(team ident.Team) bool {
+func (o Operator) mayAccess(team ident.Team) bool {
 	return slices.Contains(o.Teams, anyTeam) || slices.Contains(o.Teams, team)
 }
 
-// scoped returns the team of the path if the operator may use it.
-func scoped(c fiber.Ctx) (ident.Team, error) {
+// teamOf returns the team in the request's path, or a Denied error if the operator
+// has no access to it.
+func teamOf(c fiber.Ctx) (ident.Team, error) {
 	team := ident.Team(string([]byte(c.Params("team"))))
-	if !operatorOf(c).may(team) {
+	if !operatorOf(c).mayAccess(team) {
 		return "", refuse.New("admin", refuse.Denied, "operator "+operatorOf(c).Name+" has no rights on team "+string(team), "ask an operator of that team")
 	}
 	return team, nil
 }
 
 func (a *Admin) drain(c fiber.Ctx) error {
-	if !operatorOf(c).may(anyTeam) {
+	if !operatorOf(c).mayAccess(anyTeam) {
 		return refuse.New("admin", refuse.Denied, "draining an instance needs rights on all teams", "ask an operator with Teams [\"*\"]")
 	}
 	a.Drain()
 	return c.SendStatus(http.StatusAccepted)
 }
 
-// restore appends a checkpoint without configuration, for the case that the log
-// has lost the shared state and no instance holds it. Of several the first in
-// the log counts.
+// restore appends a checkpoint without configuration, for use when the log has
+// lost the shared state and no instance holds it. If several such checkpoints are
+// appended, the first in the log takes effect.
 func (a *Admin) restore(c fiber.Ctx) error {
-	if !operatorOf(c).may(anyTeam) {
+	if !operatorOf(c).mayAccess(anyTeam) {
 		return refuse.New("admin", refuse.Denied, "restoring needs rights on all teams", "ask an operator with Teams [\"*\"]")
 	}
 	if !a.Reader.StateMissing() {
 		return refuse.New("admin.restore", refuse.Invalid, "this instance holds the shared state, or has not read the log to its end",
 			"restore only when every instance says that it has no configuration")
 	}
-	ctx, cancel := context.WithTimeout(c.Context(), applyTerm.Duration())
+	ctx, cancel := context.WithTimeout(c.Context(), applyTimeout.Duration())
 	defer cancel()
 	batch, err := a.Log.Read(ctx, fold.Stream, 0, 0)
 	if err != nil {
-		return refuse.After("admin.restore", refuse.NotRun, "the platform's log can't be read", clock.Second)
+		return refuse.After("admin.restore", refuse.NotRun, "reading the platform's log failed", clock.Second)
 	}
 	record, err := fold.CheckpointRecord(fold.NewRecoveryState(batch.Next-1, a.Clock.Now()))
 	if err != nil {
@@ -163,7 +167,7 @@
 	return c.SendStatus(http.StatusAccepted)
 }
 
-// decisionWire is the JSON form of a decision.
+// decisionWire is the JSON encoding of a trail.Decision.
 type decisionWire struct {
 	At       int64
 	ID       string
@@ -173,7 +177,7 @@
 	Reason   string
 }
 
-func (a *Admin) why(c fiber.Ctx) error {
+func (a *Admin) listDecisions(c fiber.Ctx) error {
 	list := []decisionWire{}
 	for _, d := range a.Trail.Decisions(c.Params("*")) {
 		list = append(list, decisionWire{
@@ -183,6 +187,7 @@
 	return c.JSON(list)
 }
 
+// state returns the configuration, or a NotRun error if there is none yet.
 func (a *Admin) state() (*conf.State, error) {
 	state := a.Reader.Current()
 	if state == nil {
@@ -191,7 +196,7 @@
 	return state.Conf, nil
 }
 
-// teamWire is the JSON form of a team's file in force.
+// teamWire is the JSON encoding of a team's active configuration file.
 type teamWire struct {
 	Team     string
 	Revision int64
@@ -206,7 +211,7 @@
 	}
 	list := []teamWire{}
 	for team, entry := range state.Teams {
-		if operatorOf(c).may(team) {
+		if operatorOf(c).mayAccess(team) {
 			list = append(list, teamWire{Team: string(team), Revision: int64(entry.Revision), By: entry.Author})
 		}
 	}
@@ -215,7 +220,7 @@
 }
 
 func (a *Admin) getTeam(c fiber.Ctx) error {
-	team, err := scoped(c)
+	team, err := teamOf(c)
 	if err != nil {
 		return err
 	}
@@ -237,7 +242,7 @@
 	}
 	list := []conf.VerdictWire{}
 	for _, v := range state.Verdicts {
-		if operatorOf(c).may(v.Team) {
+		if operatorOf(c).mayAccess(v.Team) {
 			list = append(list, conf.VerdictToWire(v))
 		}
 	}
@@ -250,13 +255,13 @@
 		return err
 	}
 	v, ok := state.VerdictOf(ident.RecordID(c.Params("id")))
-	if !ok || !operatorOf(c).may(v.Team) {
-		return refuse.After("admin.verdict", refuse.OutcomeUnknown, "no change with this id has been judged yet", clock.Second)
+	if !ok || !operatorOf(c).mayAccess(v.Team) {
+		return refuse.After("admin.verdict", refuse.OutcomeUnknown, "no verdict on a change with this id yet", clock.Second)
 	}
 	return c.JSON(conf.VerdictToWire(v))
 }
 
-// applyWire is an operator's change.
+// applyWire is the JSON request of apply.
 type applyWire struct {
 	ID     string
 	Base   int64
@@ -265,10 +270,11 @@
 	Text   json.RawMessage
 }
 
-// apply appends a change and answers with the verdict that all instances give
-// it. It says accepted only after the record was read back and judged.
+// apply appends a configuration change to the log and returns its verdict, which
+// is the same on all instances. Accepted is returned only after the record has
+// been read back from the log.
 func (a *Admin) apply(c fiber.Ctx) error {
-	team, err := scoped(c)
+	team, err := teamOf(c)
 	if err != nil {
 		return err
 	}
@@ -283,16 +289,16 @@
 	if change.Author == "" {
 		change.Author = operatorOf(c).Name
 	}
-	expected, err := a.rehearse(change)
+	expected, err := a.dryRun(change)
 	if err != nil {
 		return err
 	}
 	if w.DryRun || expected.Outcome != conf.Accepted {
 		return c.JSON(conf.VerdictToWire(expected))
 	}
-	ctx, cancel := context.WithTimeout(c.Context(), applyTerm.Duration())
+	ctx, cancel := context.WithTimeout(c.Context(), applyTimeout.Duration())
 	defer cancel()
-	verdict, err := a.append(ctx, change)
+	verdict, err := a.appendChange(ctx, change)
 	if err != nil {
 		return err
 	}
@@ -300,9 +306,9 @@
 	return c.JSON(conf.VerdictToWire(verdict))
 }
 
-// rehearse judges a change on a copy of the state here, so that what can't be
-// accepted is not appended at all.
-func (a *Admin) rehearse(change conf.Change) (conf.Verdict, error) {
+// dryRun applies a change to a copy of this instance's state and returns the
+// verdict, so that changes that would be rejected are not appended to the log.
+func (a *Admin) dryRun(change conf.Change) (conf.Verdict, error) {
 	state, err := a.state()
 	if err != nil {
 		return conf.Verdict{}, err
@@ -310,40 +316,43 @@
 	return state.Clone().Apply(change, ident.Offset(state.Revision()+1), a.Clock.Now()), nil
 }
 
-// append appends the change until it has been judged. Appending it again is
-// harmless: its id is judged once.
-func (a *Admin) append(ctx context.Context, change conf.Change) (conf.Verdict, error) {
+// appendChange appends a change and waits for its verdict. A failed append is
+// retried even if it may have taken effect, since only the first record with the
+// change's ID is applied. The instance must have a configuration state.
+func (a *Admin) appendChange(ctx context.Context, change conf.Change) (conf.Verdict, error) {
 	record, err := fold.ChangeRecord(change)
 	if err != nil {
 		return conf.Verdict{}, refuse.New("admin.apply", refuse.Invalid, err.Error(), "correct the file")
 	}
-	appended, mayBe := false, false
+	appended, maybeAppended := false, false
 	for {
 		if !appended {
-			once, cancel := context.WithTimeout(ctx, appendTerm.Duration())
-			_, err := a.Log.Append(once, fold.Stream, record)
+			attemptCtx, cancel := context.WithTimeout(ctx, appendTimeout.Duration())
+			_, err := a.Log.Append(attemptCtx, fold.Stream, record)
 			cancel()
 			appended = err == nil
-			mayBe = mayBe || appended || fault.KindOf[tail.Kind](err) == tail.Unknown
+			maybeAppended = maybeAppended || appended || fault.KindOf[tail.Kind](err) == tail.Unknown
 		}
 		if v, ok := a.Reader.Current().Conf.VerdictOf(change.ID); ok {
 			return v, nil
 		}
-		if !a.Clock.Sleep(ctx, applyPause) {
-			return conf.Verdict{}, unjudged(change, mayBe)
+		if !a.Clock.Sleep(ctx, applyPollInterval) {
+			return conf.Verdict{}, noVerdict(change, maybeAppended)
 		}
 	}
 }
 
-func unjudged(change conf.Change, mayBe bool) error {
-	if !mayBe {
-		return refuse.After("admin.apply", refuse.NotRun, "the platform's log took no record", 2*clock.Second)
+// noVerdict returns the error of a change whose verdict was not seen in time:
+// NotRun if it is certainly not in the log.
+func noVerdict(change conf.Change, maybeAppended bool) error {
+	if !maybeAppended {
+		return refuse.After("admin.apply", refuse.NotRun, "appending to the platform's log failed", 2*clock.Second)
 	}
 	return refuse.New("admin.apply", refuse.OutcomeUnknown, "the change may be in the platform's log but has not been read back",
 		"find out with: croftctl outcome "+string(change.ID))
 }
 
-// refusalWire is the JSON form of a refusal.
+// refusalWire is the JSON encoding of a refuse.Error.
 type refusalWire struct {
 	Kind             string
 	What             string
@@ -351,10 +360,11 @@
 	RetryAfterMillis int64
 }
 
-func onError(c fiber.Ctx, err error) error {
-	var routing *fiber.Error
-	if eris.As(err, &routing) {
-		return c.Status(routing.Code).JSON(refusalWire{Kind: string(refuse.Invalid), What: routing.Message, Do: "see the administration API in docs/OPERATIONS.md"})
+// handleError writes an error as JSON, with the HTTP status of its kind.
+func handleError(c fiber.Ctx, err error) error {
+	var httpErr *fiber.Error
+	if eris.As(err, &httpErr) {
+		return c.Status(httpErr.Code).JSON(refusalWire{Kind: string(refuse.Invalid), What: httpErr.Message, Do: "see the administration API in docs/OPERATIONS.md"})
 	}
 	r := refuse.Of(err)
 	status := http.StatusServiceUnavailable
--- a/croftmoor/feed/try.go
+++ b/croftmoor/feed/try.go
@@ -75,8 +75,8 @@
 	spec := &a.step.tracker.Spec
 	answer, err := f.Gen.Generate(ctx, gener.Request{
 		ID: ident.RequestID(a.id()), Service: a.service, Adapter: a.parent.trainer, Prompt: a.attempt.Prompt,
-		Seed: fmt.Sprintf("%d.%d", spec.Step, a.attempt.Slot), Most: spec.MaxTokens,
-		Priority: a.priority, Least: a.minVersion, First: a.server, Part: a.recordProgress, Move: a.moveTarget,
+		Seed: fmt.Sprintf("%d.%d", spec.Step, a.attempt.Slot), MaxTokens: spec.MaxTokens,
+		Priority: a.priority, MinVersion: a.minVersion, FirstServer: a.server, OnPart: a.recordProgress, MoveTarget: a.moveTarget,
 	})
 	if err != nil {
 		return nil, err
@@ -102,7 +102,7 @@
 // moveTarget returns the server on which the rest of the sample is expected to finish
 // sooner, or nil. Samples move only while no slot of the step is missing. Lengths are
 // long-tailed, so an answer that is longer than estimated is taken to be half done.
-func (a *sampleAttempt) moveTarget(standing gener.Standing) *pool.Server {
+func (a *sampleAttempt) moveTarget(standing gener.Progress) *pool.Server {
 	ts := a.parent
 	ts.mu.Lock()
 	lastOfStep := a.step.tracker.Missing() == 0
--- a/croftmoor/front/live.go
+++ b/croftmoor/front/live.go
@@ -18,9 +18,9 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// call passes a call through to a plain service.
+// call forwards a call to a plain service.
 func (f *Front) call(c fiber.Ctx) error {
-	h, err := f.head(c)
+	info, err := f.readInfo(c)
 	if err != nil {
 		return err
 	}
@@ -28,21 +28,21 @@
 	if err != nil {
 		return err
 	}
-	path := "/" + copied(c.Params("*"))
+	path := "/" + cloneString(c.Params("*"))
 	request := calls.Request{
-		ID: h.id, Service: service, Class: h.class, Method: copied(c.Method()), Path: pathWithQuery(c, path),
-		Headers: passed(c), Body: append([]byte(nil), c.Body()...),
-		Repeatable: service.Repeatable(path), Issued: h.issued,
+		ID: info.id, Service: service, Class: info.class, Method: cloneString(c.Method()), Path: pathWithQuery(c, path),
+		Headers: forwardedHeaders(c), Body: append([]byte(nil), c.Body()...),
+		Repeatable: service.Repeatable(path), Issued: info.issued,
 	}
-	if asked := c.Get(repeatableHeader); asked != "" {
-		// A caller may forbid repeats that the configuration allows, not the
-		// other way round.
-		request.Repeatable = request.Repeatable && strings.EqualFold(asked, "true")
+	if header := c.Get(repeatableHeader); header != "" {
+		// A caller may forbid repeats that the configuration allows, but may not
+		// allow repeats that the configuration forbids.
+		request.Repeatable = request.Repeatable && strings.EqualFold(header, "true")
 	}
-	began := f.Clock.Mono()
-	return f.admitted(c, h, func(ctx context.Context) error {
+	start := f.Clock.Mono()
+	return f.withAdmission(c, info, func(ctx context.Context) error {
 		answer, err := f.Calls.Do(ctx, request)
-		f.Metrics.Served(string(service.Name), err == nil, f.Clock.Mono()-began)
+		f.Metrics.Served(string(service.Name), err == nil, f.Clock.Mono()-start)
 		if err != nil {
 			return err
 		}
@@ -52,6 +52,7 @@
 	})
 }
 
+// pathWithQuery appends the request's query string to path.
 func pathWithQuery(c fiber.Ctx, path string) string {
 	if query := c.RequestCtx().URI().QueryString(); len(query) > 0 {
 		return path + "?" + string(query)
@@ -59,18 +60,20 @@
 	return path
 }
 
-// passed lists the headers that go on to the backend server.
-func passed(c fiber.Ctx) []httpc.Header {
+// forwardedHeaders returns the request headers that are forwarded to the backend
+// server.
+func forwardedHeaders(c fiber.Ctx) []httpc.Header {
 	var list []httpc.Header
 	for _, name := range []string{fiber.HeaderContentType, fiber.HeaderAccept, fiber.HeaderAuthorization} {
 		if value := c.Get(name); value != "" {
-			list = append(list, httpc.Header{Name: name, Value: copied(value)})
+			list = append(list, httpc.Header{Name: name, Value: cloneString(value)})
 		}
 	}
 	return list
 }
 
-// completionWire is a completion request in the usual form of model servers.
+// completionWire is a completion request in the format of the OpenAI completions API,
+// with the additional field adapter.
 type completionWire struct {
 	Model     string `json:"model"`      // completion request
 	Prompt    string `json:"prompt"`     // completion request
@@ -80,7 +83,7 @@
 	Stream    bool   `json:"stream"`     // completion request
 }
 
-// completionAnswer is a whole answer, or one event of a stream.
+// completionAnswer is a complete answer, or one event of a streamed answer.
 type completionAnswer struct {
 	ID      string             `json:"id"`      // completion answer
 	Object  string             `json:"object"`  // completion answer
@@ -100,14 +103,15 @@
 }
 
 const (
-	defaultTokens = 256
-	maxTokens     = 1 << 20
-	partBuffer    = 256
-	endMark       = "data: [DONE]\n\n"
+	defaultMaxTokens = 256
+	maxTokensLimit   = 1 << 20
+	partBufferLen    = 256
+	endMarker        = "data: [DONE]\n\n"
 )
 
+// complete serves completion requests, streamed or not.
 func (f *Front) complete(c fiber.Ctx) error {
-	h, err := f.head(c)
+	info, err := f.readInfo(c)
 	if err != nil {
 		return err
 	}
@@ -119,35 +123,37 @@
 	if err != nil {
 		return err
 	}
-	if w.Prompt == "" || w.MaxTokens < 0 || w.MaxTokens > maxTokens {
+	if w.Prompt == "" || w.MaxTokens < 0 || w.MaxTokens > maxTokensLimit {
 		return refuse.New("front.complete", refuse.Invalid, "prompt is empty, or max_tokens is not from 1 to 1048576", "correct the request")
 	}
 	request := gener.Request{
-		ID: h.id, Service: service, Adapter: ident.Trainer(w.Adapter), Prompt: w.Prompt, Seed: w.Seed,
-		Most: ident.Tokens(w.MaxTokens), Priority: gener.LivePriority,
+		ID: info.id, Service: service, Adapter: ident.Trainer(w.Adapter), Prompt: w.Prompt, Seed: w.Seed,
+		MaxTokens: ident.Tokens(w.MaxTokens), Priority: gener.LivePriority,
 	}
-	if request.Most == 0 {
-		request.Most = defaultTokens
+	if request.MaxTokens == 0 {
+		request.MaxTokens = defaultMaxTokens
 	}
 	if w.Stream {
-		return f.completeStream(c, h, request)
+		return f.completeStream(c, info, request)
 	}
-	return f.completeWhole(c, h, request)
+	return f.completeBlocking(c, info, request)
 }
 
-func (f *Front) completeWhole(c fiber.Ctx, h head, request gener.Request) error {
+// completeBlocking responds once the answer is complete.
+func (f *Front) completeBlocking(c fiber.Ctx, info requestInfo, request gener.Request) error {
 	began := f.Clock.Mono()
-	return f.admitted(c, h, func(ctx context.Context) error {
+	return f.withAdmission(c, info, func(ctx context.Context) error {
 		answer, err := f.Gen.Generate(ctx, request)
 		f.Metrics.Served(string(request.Service.Name), err == nil, f.Clock.Mono()-began)
 		if err != nil {
 			return err
 		}
-		return c.JSON(wholeAnswer(request, answer))
+		return c.JSON(completeAnswer(request, answer))
 	})
 }
 
-func wholeAnswer(request gener.Request, answer gener.Answer) completionAnswer {
+// completeAnswer returns the response that holds all of an answer.
+func completeAnswer(request gener.Request, answer gener.Answer) completionAnswer {
 	stop := "stop"
 	return completionAnswer{
 		ID: string(request.ID), Object: "text_completion", Model: string(request.Service.Name),
@@ -156,28 +162,29 @@
 	}
 }
 
-// streamed is one part of a streamed answer, or its end.
-type streamed struct {
-	part gener.Part
-	err  error
-	end  bool
-	all  gener.Answer
+// streamItem is a part of a streamed answer, an error, or the end with the
+// complete answer.
+type streamItem struct {
+	part   gener.Part
+	err    error
+	end    bool
+	answer gener.Answer
 }
 
-// completeStream answers with server-sent events. The status is only decided
-// once the first part is there, so that a refusal before it is a plain one.
-func (f *Front) completeStream(c fiber.Ctx, h head, request gener.Request) error {
-	ctx, stop := f.contextOf(c, h)
-	leave, decision, err := f.enter(ctx, h)
+// completeStream responds with server-sent events. It waits for the first part
+// before it sends the status, so that an earlier error gets its own HTTP status.
+func (f *Front) completeStream(c fiber.Ctx, info requestInfo, request gener.Request) error {
+	ctx, stop := f.requestContext(c, info)
+	release, decision, err := f.admit(ctx, info)
 	if err != nil {
 		stop()
 		return refuse.After("front.admit", refuse.NotRun, decision.Reason, decision.RetryAfter)
 	}
-	parts := f.produce(ctx, request)
+	parts := f.startGeneration(ctx, request)
 	first := <-parts
 	if first.err != nil {
 		stop()
-		leave()
+		release()
 		return first.err
 	}
 	f.inFlight.Add(1)
@@ -185,18 +192,19 @@
 	began := f.Clock.Mono()
 	return c.SendStreamWriter(func(out *bufio.Writer) {
 		defer f.inFlight.Add(-1)
-		defer leave()
+		defer release()
 		defer stop()
-		ok := f.relay(out, request, first, parts)
+		ok := f.writeStream(out, request, first, parts)
 		f.Metrics.Served(string(request.Service.Name), ok, f.Clock.Mono()-began)
 	})
 }
 
-// produce generates in the background; the channel gets parts and then one
-// end or error. It is never blocked for longer than ctx lasts.
-func (f *Front) produce(ctx context.Context, request gener.Request) <-chan streamed {
-	parts := make(chan streamed, partBuffer)
-	push := func(s streamed) bool {
+// startGeneration generates an answer in the background. The channel receives the
+// parts, then the end or an error, and is closed. Parts and the end are dropped
+// once ctx has ended.
+func (f *Front) startGeneration(ctx context.Context, request gener.Request) <-chan streamItem {
+	parts := make(chan streamItem, partBufferLen)
+	push := func(s streamItem) bool {
 		select {
 		case parts <- s:
 			return true
@@ -204,32 +212,32 @@
 			return false
 		}
 	}
-	request.Part = func(p gener.Part) bool { return push(streamed{part: p}) }
+	request.OnPart = func(p gener.Part) bool { return push(streamItem{part: p}) }
 	f.group.Go(func() {
 		defer close(parts)
 		answer, err := f.Gen.Generate(ctx, request)
 		if err != nil {
-			// The receiver waits for exactly this, so it must not be lost when
-			// ctx has ended.
-			parts <- streamed{err: err}
+			// Sent even if ctx has ended: the receiver may be waiting for the error.
+			parts <- streamItem{err: err}
 			return
 		}
-		push(streamed{end: true, all: answer})
+		push(streamItem{end: true, answer: answer})
 	})
 	return parts
 }
 
-// relay writes the parts. It reports whether the whole answer went out.
-func (f *Front) relay(out *bufio.Writer, request gener.Request, next streamed, parts <-chan streamed) bool {
+// writeStream writes next and then parts as events. It reports whether the
+// complete answer was written.
+func (f *Front) writeStream(out *bufio.Writer, request gener.Request, next streamItem, parts <-chan streamItem) bool {
 	for ok := true; ok; next, ok = <-parts {
 		if next.err != nil {
 			writeError(out, request, next.err)
 			return false
 		}
 		if next.end {
-			answer := wholeAnswer(request, next.all)
+			answer := completeAnswer(request, next.answer)
 			answer.Choices[0].Text = ""
-			return writeEvent(out, answer) && writeText(out, endMark)
+			return writeEvent(out, answer) && writeText(out, endMarker)
 		}
 		event := completionAnswer{
 			ID: string(request.ID), Object: "text_completion", Model: string(request.Service.Name),
@@ -242,7 +250,7 @@
 	return false
 }
 
-// writeError ends a stream without its end mark, and says why.
+// writeError writes an error event, which ends a stream without the end marker.
 func writeError(out *bufio.Writer, request gener.Request, err error) {
 	refusal := refuse.Of(err)
 	data, jsonErr := json.Marshal(refusalWire{
@@ -254,11 +262,13 @@
 	}
 }
 
+// writeEvent writes one server-sent event. It reports whether that succeeded.
 func writeEvent(out *bufio.Writer, event completionAnswer) bool {
 	data, err := json.Marshal(event)
 	return err == nil && writeText(out, "data: "+string(data)+"\n\n")
 }
 
+// writeText writes and flushes text. It reports whether that succeeded.
 func writeText(out *bufio.Writer, text string) bool {
 	if _, err := out.WriteString(text); err != nil {
 		return false
@@ -266,19 +276,20 @@
 	return out.Flush() == nil
 }
 
-// uuidLength and the rest locate the time in a UUID of version 7.
+// Layout of a version 7 UUID: length, index of the version digit, and number of
+// leading hexadecimal digits that hold the Unix time in milliseconds.
 const (
-	uuidLength  = 36
-	uuidVersion = 14
-	uuidMillis  = 12
+	uuidLength       = 36
+	uuidVersionIndex = 14
+	uuidTimeDigits   = 12
 )
 
-// issuedOf returns when an id was made, if it is a UUID of version 7; else 0.
-func issuedOf(id string) clock.Millis {
-	if len(id) != uuidLength || id[uuidVersion] != '7' {
+// uuidTime returns the creation time of a version 7 UUID, or 0 if id is not one.
+func uuidTime(id string) clock.Millis {
+	if len(id) != uuidLength || id[uuidVersionIndex] != '7' {
 		return 0
 	}
-	digits := strings.ReplaceAll(id, "-", "")[:uuidMillis]
+	digits := strings.ReplaceAll(id, "-", "")[:uuidTimeDigits]
 	value, err := strconv.ParseInt(digits, 16, 64)
 	if err != nil {
 		return 0
