--- a/croftmoor/keeper/keeper.go
+++ b/croftmoor/keeper/keeper.go
@@ -58,7 +58,7 @@
 	group  conc.WaitGroup
 	mu     sync.Mutex
 	orders map[target]clock.Millis
-	newest map[ident.Trainer]ident.Version
+	newestVersions map[ident.Trainer]ident.Version
 	rounds int
 }
 
@@ -69,10 +69,10 @@
 }
 
 const (
-	period       = 200 * clock.Millis(1)
+	reconcileInterval       = 200 * clock.Millis(1)
 	storeTimeout = 2 * clock.Second
-	// reportTerm is how long a carried-out order may take to show in reports.
-	reportTerm = 1500 * clock.Millis(1)
+	// reportDelay is how long a carried-out order may take to show in reports.
+	reportDelay = 1500 * clock.Millis(1)
 	rolePrefix = "weights/"
 )
 
@@ -84,17 +84,17 @@
 // Run gives orders until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	k.orders = map[target]clock.Millis{}
-	k.newest = map[ident.Trainer]ident.Version{}
+	k.newestVersions = map[ident.Trainer]ident.Version{}
 	defer k.group.Wait()
-	k.Clock.Every(ctx, period, func() { k.round(ctx) })
+	k.Clock.Every(ctx, reconcileInterval, func() { k.reconcileAll(ctx) })
 }
 
-func (k *Keeper) round(ctx context.Context) {
+func (k *Keeper) reconcileAll(ctx context.Context) {
 	state := k.Reader.Current()
 	if state == nil || k.Weights == "" {
 		return
 	}
-	asked := false
+	fetched := false
 	trainers := state.Conf.Trainers()
 	k.rounds++
 	for i := range trainers {
@@ -107,21 +107,21 @@
 		if !held || !ok {
 			continue
 		}
-		if !asked {
-			k.askStore(ctx)
-			asked = true
+		if !fetched {
+			k.fetchNewestVersions(ctx)
+			fetched = true
 		}
 		policy, err := place.Policies.New(trainer.Placement)
 		if err != nil {
 			continue
 		}
-		count := policy.EnginesPerTrainer(len(k.Pool.Servers(service.Name)), sharing(trainers, service.Name))
-		k.reconcile(ctx, trainer.Name, service, role, fence, count)
+		engines := policy.EnginesPerTrainer(len(k.Pool.Servers(service.Name)), countTrainers(trainers, service.Name))
+		k.reconcile(ctx, trainer.Name, service, role, fence, engines)
 	}
 }
 
-// sharing counts the trainers of a service.
-func sharing(trainers []conf.Trainer, service ident.Service) int {
+// countTrainers counts the trainers of a service.
+func countTrainers(trainers []conf.Trainer, service ident.Service) int {
 	n := 0
 	for _, t := range trainers {
 		if t.Service == service {
@@ -133,25 +133,25 @@
 
 // reconcile orders the newest version where a carrier of the trainer's weights
 // runs an older one, at no more engines at once than the service allows.
-func (k *Keeper) reconcile(ctx context.Context, trainer ident.Trainer, service conf.Service, role string, fence ident.Fence, count int) {
-	want := k.wanted(trainer)
+func (k *Keeper) reconcile(ctx context.Context, trainer ident.Trainer, service conf.Service, role string, fence ident.Fence, engines int) {
+	newest := k.newestVersion(trainer)
 	now := k.Clock.Mono()
-	for _, server := range k.Pool.TrainerServers(service.Name, trainer, count) {
-		if want == 0 || server.Version(trainer) >= want {
+	for _, server := range k.Pool.TrainerServers(service.Name, trainer, engines) {
+		if newest == 0 || server.Version(trainer) >= newest {
 			continue
 		}
-		if !k.begin(target{server.Name, trainer}, service.SwapsAtOnce, now) {
+		if !k.beginOrder(target{server.Name, trainer}, service.SwapsAtOnce, now) {
 			continue
 		}
-		order := engine.Order{Fence: fence, Adapter: trainer, Version: want}
-		k.group.Go(func() { k.order(ctx, server, role, order) })
+		order := engine.Order{Fence: fence, Adapter: trainer, Version: newest}
+		k.group.Go(func() { k.sendOrder(ctx, server, role, order) })
 	}
 }
 
-// order sends one order, if the role is still held.
-func (k *Keeper) order(ctx context.Context, server *pool.Server, role string, order engine.Order) {
+// sendOrder sends one sendOrder, if the role is still held.
+func (k *Keeper) sendOrder(ctx context.Context, server *pool.Server, role string, order engine.Order) {
 	id := fmt.Sprintf("%s@%s", order.Adapter, server.Name)
-	defer k.end(target{server.Name, order.Adapter})
+	defer k.endOrder(target{server.Name, order.Adapter})
 	ctx, cancel := context.WithTimeout(ctx, k.Longest.Duration())
 	defer cancel()
 	if fence, held := k.Leaser.Holds(role); !held || fence != order.Fence {
@@ -167,51 +167,51 @@
 	}
 }
 
-// begin notes an order unless one is under way, or was given too lately to
+// beginOrder notes an order unless one is under way, or was given too lately to
 // show in reports, or too many are.
-func (k *Keeper) begin(t target, most int, now clock.Millis) bool {
+func (k *Keeper) beginOrder(t target, limit int, now clock.Millis) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	under := 0
+	inFlight := 0
 	for _, until := range k.orders {
 		if until == 0 {
-			under++
+			inFlight++
 		}
 	}
 	if until, ok := k.orders[t]; ok && (until == 0 || now < until) {
 		return false
 	}
-	if under >= most {
+	if inFlight >= limit {
 		return false
 	}
 	k.orders[t] = 0
 	return true
 }
 
-func (k *Keeper) end(t target) {
+func (k *Keeper) endOrder(t target) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.orders[t] = k.Clock.Mono() + reportTerm
+	k.orders[t] = k.Clock.Mono() + reportDelay
 }
 
-func (k *Keeper) wanted(trainer ident.Trainer) ident.Version {
+func (k *Keeper) newestVersion(trainer ident.Trainer) ident.Version {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.newest[trainer]
+	return k.newestVersions[trainer]
 }
 
-type weightsWire struct {
+type adapterWire struct {
 	Adapter string
 	Version int64
 }
 
 type newestWire struct {
-	Adapters []weightsWire
+	Adapters []adapterWire
 }
 
-// askStore reads the newest versions. While the store is out, the versions
+// fetchNewestVersions reads the newest versions. While the store is out, the versions
 // known so far stay wanted.
-func (k *Keeper) askStore(ctx context.Context) {
+func (k *Keeper) fetchNewestVersions(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
 	defer cancel()
 	call := &httpc.Call{Address: k.Weights, Method: http.MethodGet, Path: "/newest"}
@@ -227,6 +227,6 @@
 	defer k.mu.Unlock()
 	for _, a := range w.Adapters {
 		trainer := ident.Trainer(a.Adapter)
-		k.newest[trainer] = max(k.newest[trainer], ident.Version(a.Version))
+		k.newestVersions[trainer] = max(k.newestVersions[trainer], ident.Version(a.Version))
 	}
 }
