Call the time limit of an order in keeper OrderTimeout

Longest did not say what it bounds. The field is set in package serve.

gopls rename -w croftmoor/keeper/keeper.go:55:2 OrderTimeout (was Longest)

--- a/croftmoor/keeper/keeper.go
+++ b/croftmoor/keeper/keeper.go
@@ -51,8 +51,8 @@
 	Clock   *clock.Clock
 	Trail   *trail.Trail
 	Weights ident.Address
-	// Longest bounds one order.
-	Longest clock.Millis
+	// OrderTimeout bounds one order.
+	OrderTimeout clock.Millis
 
 	client httpc.Client
 	group  conc.WaitGroup
@@ -152,7 +152,7 @@
 func (k *Keeper) sendOrder(ctx context.Context, server *pool.Server, role string, order engine.Order) {
 	id := fmt.Sprintf("%s@%s", order.Adapter, server.Name)
 	defer k.endOrder(target{server.Name, order.Adapter})
-	ctx, cancel := context.WithTimeout(ctx, k.Longest.Duration())
+	ctx, cancel := context.WithTimeout(ctx, k.OrderTimeout.Duration())
 	defer cancel()
 	if fence, held := k.Leaser.Holds(role); !held || fence != order.Fence {
 		k.Trail.Add(trail.Decision{ID: id, Action: trail.Cancel, Choice: string(server.Name), Reason: "the lease on " + role + " ran out"})
--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -264,7 +264,7 @@
 	}
 	i.keeper = &keeper.Keeper{
 		Reader: i.reader, Pool: i.pool, Leaser: i.home, Engine: protocol, Clock: i.clock, Trail: decisions,
-		Weights: c.Weights, Longest: home.MaxActionTime,
+		Weights: c.Weights, OrderTimeout: home.MaxActionTime,
 	}
 	i.front = &front.Front{
 		Reader: i.reader, Calls: i.calls, Gen: gen, Feed: i.feed, Watcher: i.watcher, Clock: i.clock,
