Comments of keeper say what the code does

Plain terms for leases, orders and reconciling; says what the values of Keeper.orders mean, what OrderTimeout must not exceed, and that an empty Weights disables orders. The decision of a cancelled order says that its lease expired. Texts and layout (gofmt after the renames) only.

--- a/croftmoor/keeper/keeper.go
+++ b/croftmoor/keeper/keeper.go
@@ -1,8 +1,8 @@
-// Package keeper brings the weights that trainers publish onto the engines. For
-// each model service one instance at a time gives orders, under a lease (see
-// home.Lease); it compares what engines are believed to run with what they
-// should run and orders the difference, so that an order lost, refused or
-// half carried out is simply made again.
+// Package keeper distributes the weights that trainers publish to the engines. For
+// each model service the instance that holds the lease (see home.Lease) sends load
+// orders. It reconciles periodically: it compares the versions that engines report
+// with the newest ones in the weight store and sends orders for the difference, so
+// that an order that was lost, refused or partly executed is sent again.
 package keeper
 
 import (
@@ -35,31 +35,35 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-// Leaser holds roles.
+// Leaser grants leases on roles; see home.Lease.
 type Leaser interface {
 	Lease(ctx context.Context, role string) (ident.Fence, bool)
 	Holds(role string) (ident.Fence, bool)
 }
 
-// Keeper orders weights. Set the exported fields before Run; orders under way
-// are guarded by mu.
+// Keeper sends orders to load weights. Set the exported fields before Run; mu guards
+// orders and newestVersions.
 type Keeper struct {
-	Reader  *fold.Reader
-	Pool    *pool.Pool
-	Leaser  Leaser
-	Engine  engine.Protocol
-	Clock   *clock.Clock
-	Trail   *trail.Trail
+	Reader *fold.Reader
+	Pool   *pool.Pool
+	Leaser Leaser
+	Engine engine.Protocol
+	Clock  *clock.Clock
+	Trail  *trail.Trail
+	// Weights is the address of the weight store; if it is empty, no orders are sent.
 	Weights ident.Address
-	// OrderTimeout bounds one order.
+	// OrderTimeout must not exceed the time for which a lease is guaranteed to last
+	// (home.MaxActionTime), so that orders of two lease holders never overlap.
 	OrderTimeout clock.Millis
 
 	client httpc.Client
 	group  conc.WaitGroup
 	mu     sync.Mutex
-	orders map[target]clock.Millis
+	// orders maps a target to 0 while its order is in flight, then to the time before
+	// which no other order is sent to it.
+	orders         map[target]clock.Millis
 	newestVersions map[ident.Trainer]ident.Version
-	rounds int
+	rounds         int
 }
 
 // target is one adapter on one engine.
@@ -69,19 +73,19 @@
 }
 
 const (
-	reconcileInterval       = 200 * clock.Millis(1)
-	storeTimeout = 2 * clock.Second
-	// reportDelay is how long a carried-out order may take to show in reports.
+	reconcileInterval = 200 * clock.Millis(1)
+	storeTimeout      = 2 * clock.Second
+	// reportDelay is how long an executed order may take to appear in load reports.
 	reportDelay = 1500 * clock.Millis(1)
-	rolePrefix = "weights/"
+	rolePrefix  = "weights/"
 )
 
-// Role returns the role of ordering weights for a service.
+// Role returns the role whose lease allows an instance to order weights for a service.
 func Role(service ident.Service) string {
 	return rolePrefix + string(service)
 }
 
-// Run gives orders until ctx ends.
+// Run sends orders until ctx ends, then waits for those in flight.
 func (k *Keeper) Run(ctx context.Context) {
 	k.orders = map[target]clock.Millis{}
 	k.newestVersions = map[ident.Trainer]ident.Version{}
@@ -89,6 +93,7 @@
 	k.Clock.Every(ctx, reconcileInterval, func() { k.reconcileAll(ctx) })
 }
 
+// reconcileAll reconciles the trainers whose service this instance holds the lease for.
 func (k *Keeper) reconcileAll(ctx context.Context) {
 	state := k.Reader.Current()
 	if state == nil || k.Weights == "" {
@@ -98,8 +103,8 @@
 	trainers := state.Conf.Trainers()
 	k.rounds++
 	for i := range trainers {
-		// Each round begins with another trainer, so that none waits for ever
-		// while the orders under way are at their limit.
+		// Each round starts at a different trainer, so that none starves while the
+		// number of orders in flight is at its limit.
 		trainer := trainers[(i+k.rounds)%len(trainers)]
 		role := Role(trainer.Service)
 		fence, held := k.Leaser.Lease(ctx, role)
@@ -120,7 +125,6 @@
 	}
 }
 
-// countTrainers counts the trainers of a service.
 func countTrainers(trainers []conf.Trainer, service ident.Service) int {
 	n := 0
 	for _, t := range trainers {
@@ -131,8 +135,8 @@
 	return n
 }
 
-// reconcile orders the newest version where a carrier of the trainer's weights
-// runs an older one, at no more engines at once than the service allows.
+// reconcile orders the trainer's newest version at its servers (as many as engines says)
+// that report an older one, within the service's limit of concurrent swaps.
 func (k *Keeper) reconcile(ctx context.Context, trainer ident.Trainer, service conf.Service, role string, fence ident.Fence, engines int) {
 	newest := k.newestVersion(trainer)
 	now := k.Clock.Mono()
@@ -148,14 +152,14 @@
 	}
 }
 
-// sendOrder sends one sendOrder, if the role is still held.
+// sendOrder sends one order if the lease is still held under the order's fencing number.
 func (k *Keeper) sendOrder(ctx context.Context, server *pool.Server, role string, order engine.Order) {
 	id := fmt.Sprintf("%s@%s", order.Adapter, server.Name)
 	defer k.endOrder(target{server.Name, order.Adapter})
 	ctx, cancel := context.WithTimeout(ctx, k.OrderTimeout.Duration())
 	defer cancel()
 	if fence, held := k.Leaser.Holds(role); !held || fence != order.Fence {
-		k.Trail.Add(trail.Decision{ID: id, Action: trail.Cancel, Choice: string(server.Name), Reason: "the lease on " + role + " ran out"})
+		k.Trail.Add(trail.Decision{ID: id, Action: trail.Cancel, Choice: string(server.Name), Reason: "the lease on " + role + " expired"})
 		return
 	}
 	k.Trail.Add(trail.Decision{
@@ -167,8 +171,8 @@
 	}
 }
 
-// beginOrder notes an order unless one is under way, or was given too lately to
-// show in reports, or too many are.
+// beginOrder marks an order to t as in flight. It returns false if one is in flight, if
+// the last one is too recent to appear in load reports, or if limit orders are in flight.
 func (k *Keeper) beginOrder(t target, limit int, now clock.Millis) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -209,8 +213,8 @@
 	Adapters []adapterWire
 }
 
-// fetchNewestVersions reads the newest versions. While the store is out, the versions
-// known so far stay wanted.
+// fetchNewestVersions reads the newest published versions from the weight store. If the
+// store does not answer, the versions read before remain in use.
 func (k *Keeper) fetchNewestVersions(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
 	defer cancel()
