Names of peers say what the values are

Unexported names of package peers and of its tests only; wire field names, paths and header values are as before. Words for feelings of time (lately, many, few) became timeouts and counts.

--- a/croftmoor/peers/client.go
+++ b/croftmoor/peers/client.go
@@ -122,8 +122,8 @@
 
 // Note tells an instance of a sighting.
 func (c *Client) Note(ctx context.Context, to ident.InstanceName, s pool.ObservedVersion) error {
-	message := sightingToWire(s)
-	_, err := call[sightingWire, emptyWire](ctx, c, to, notePath, &message)
+	message := observedVersionToWire(s)
+	_, err := call[observedVersionWire, emptyWire](ctx, c, to, notePath, &message)
 	return err
 }
 
--- a/croftmoor/peers/codec.go
+++ b/croftmoor/peers/codec.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	kindHeader  = "Croft-Kind"
-	doHeader    = "Croft-Do"
-	retryHeader = "Croft-Retry-Millis"
+	kindHeader   = "Croft-Kind"
+	remedyHeader = "Croft-Do"
+	retryHeader  = "Croft-Retry-Millis"
 )
 
 // toConnect maps an error to the wire; fromConnect maps it back. All kinds
@@ -26,7 +26,7 @@
 	if eris.As(err, &refusal) {
 		e := connect.NewError(connect.CodeFailedPrecondition, eris.New(refusal.What))
 		e.Meta().Set(kindHeader, string(refusal.Kind))
-		e.Meta().Set(doHeader, refusal.Do)
+		e.Meta().Set(remedyHeader, refusal.Do)
 		return e
 	}
 	kind := fault.KindOf[once.Kind](err)
@@ -53,10 +53,10 @@
 	case string(once.NotPrimary), string(once.NotReady), string(once.OldEpoch):
 		return fault.New(op, once.Kind(kind), e.Message())
 	case string(refuse.StepUnknown), string(refuse.Invalid), string(refuse.NotRun):
-		return &refuse.Error{Op: op, Kind: refuse.Kind(kind), What: e.Message(), Do: e.Meta().Get(doHeader), RetryAfter: peerRetry}
+		return &refuse.Error{Op: op, Kind: refuse.Kind(kind), What: e.Message(), Do: e.Meta().Get(remedyHeader), RetryAfter: retryDelay}
 	default:
 		return fault.Wrap(op, Unreachable, err, "the peer gave no answer")
 	}
 }
 
-const peerRetry = 200 * clock.Millis(1)
+const retryDelay = 200 * clock.Millis(1)
--- a/croftmoor/peers/health.go
+++ b/croftmoor/peers/health.go
@@ -27,17 +27,17 @@
 	// Partners lists instances that must be pinged each time.
 	Partners func() []ident.InstanceName
 
-	mu    sync.Mutex
-	heard map[ident.InstanceName]heard
-	lives map[string]ident.InstanceName
-	// suspects is when calls got no answer.
-	suspects map[ident.InstanceName]clock.Millis
-	started  clock.Millis
-	members  int
-	changed  clock.Millis
+	mu           sync.Mutex
+	received     map[ident.InstanceName]receivedNews
+	incarnations map[string]ident.InstanceName
+	// suspectedAt is when calls got no answer.
+	suspectedAt   map[ident.InstanceName]clock.Millis
+	startedAt     clock.Millis
+	liveCount     int
+	liveChangedAt clock.Millis
 }
 
-type heard struct {
+type receivedNews struct {
 	at   clock.Millis
 	news News
 }
@@ -45,91 +45,91 @@
 const (
 	pingPeriod  = 500 * clock.Millis(1)
 	pingTimeout = 900 * clock.Millis(1)
-	// aliveTerm is how long a peer counts as reachable after it was heard.
-	aliveTerm = 1800 * clock.Millis(1)
-	// reachTerm is the same for counting most of the instances.
-	reachTerm = 3 * clock.Second
+	// aliveTimeout is how long a peer counts as reachable after it was heard.
+	aliveTimeout = 1800 * clock.Millis(1)
+	// reachableTimeout is the same for counting most of the instances.
+	reachableTimeout = 3 * clock.Second
 	// LostAfter is how long a peer must be silent before its state counts as lost.
 	LostAfter = 15 * clock.Second
-	// settleTerm is how long the set of live instances must stay the same
+	// stableTime is how long the set of live instances must stay the same
 	// before shards move without need.
-	settleTerm = 2 * clock.Second
-	// pingAll is the number of instances up to which all ping each other.
-	pingAll = 16
-	// pingSome is how many at random an instance pings beyond that, besides its
+	stableTime = 2 * clock.Second
+	// fullMeshLimit is the number of instances up to which all ping each other.
+	fullMeshLimit = 16
+	// randomPings is how many at random an instance pings beyond that, besides its
 	// partners, and manyTerm how long one then counts as live without news.
-	pingSome = 2
-	manyTerm = 60 * clock.Second
+	randomPings   = 2
+	sparseTimeout = 60 * clock.Second
 )
 
 // Run pings until ctx ends.
 func (h *Health) Run(ctx context.Context) {
 	h.mu.Lock()
-	h.started = h.Clock.Mono()
+	h.startedAt = h.Clock.Mono()
 	h.mu.Unlock()
 	for {
-		h.round(ctx)
+		h.pingTargets(ctx)
 		if !h.Clock.Sleep(ctx, pingPeriod) {
 			return
 		}
 	}
 }
 
-func (h *Health) round(ctx context.Context) {
+func (h *Health) pingTargets(ctx context.Context) {
 	var group conc.WaitGroup
-	for _, name := range h.targets() {
+	for _, name := range h.chooseTargets() {
 		group.Go(func() { h.ping(ctx, name) })
 	}
 	group.Wait()
-	h.noteChange()
-	if peer, upTo := h.ahead(); upTo > h.News().UpTo {
+	h.updateLiveCount()
+	if peer, upTo := h.mostAdvanced(); upTo > h.News().UpTo {
 		h.Behind(ctx, peer, upTo)
 	}
 }
 
-// ahead returns the peer that has read the most of the log, of those heard lately.
-func (h *Health) ahead() (peer ident.InstanceName, upTo ident.Offset) {
+// mostAdvanced returns the peer that has read the most of the log, of those heard lately.
+func (h *Health) mostAdvanced() (peer ident.InstanceName, upTo ident.Offset) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Clock.Mono()
-	for name, seen := range h.heard {
-		if now-seen.at <= aliveTerm && seen.news.UpTo > upTo {
+	for name, seen := range h.received {
+		if now-seen.at <= aliveTimeout && seen.news.UpTo > upTo {
 			peer, upTo = name, seen.news.UpTo
 		}
 	}
 	return peer, upTo
 }
 
-// targets returns whom to ping: all while there are few, else the partners
+// chooseTargets returns whom to ping: all while there are few, else the partners
 // and a random few, so that the cost of an instance does not grow. A ping
 // carries news both ways, so that of two instances one pings the other.
-func (h *Health) targets() []ident.InstanceName {
+func (h *Health) chooseTargets() []ident.InstanceName {
 	var names []ident.InstanceName
 	self := h.Self.ListName()
 	entries := h.Fleet.View().Entries
-	if len(entries) <= pingAll {
+	if len(entries) <= fullMeshLimit {
 		for _, m := range entries {
-			if m.Name != self && pings(self, m.Name) {
+			if m.Name != self && initiates(self, m.Name) {
 				names = append(names, ident.InstanceName(m.Name))
 			}
 		}
 		return names
 	}
-	for range pingSome {
+	for range randomPings {
 		if m := entries[rand.IntN(len(entries))]; m.Name != self {
 			names = append(names, ident.InstanceName(m.Name))
 		}
 	}
 	for _, partner := range h.Partners() {
-		if pings(self, partner.ListName()) {
+		if initiates(self, partner.ListName()) {
 			names = append(names, partner)
 		}
 	}
 	return names
 }
 
-// pings tells whether a is the one of the two that pings.
-func pings(a, b string) bool {
+// initiates tells whether a is the one of the two that initiates.
+func initiates(a, b string) bool {
 	first, second := min(a, b), max(a, b)
 	even := ident.Hash(first, second)%2 == 0
 	return (a == first) == even
@@ -149,22 +149,22 @@
 func (h *Health) Heard(news News) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.heard == nil {
-		h.heard = map[ident.InstanceName]heard{}
-		h.lives = map[string]ident.InstanceName{}
+	if h.received == nil {
+		h.received = map[ident.InstanceName]receivedNews{}
+		h.incarnations = map[string]ident.InstanceName{}
 	}
-	delete(h.suspects, news.Instance)
-	h.heard[news.Instance] = heard{at: h.Clock.Mono(), news: news}
-	h.lives[news.Instance.ListName()] = news.Instance
+	delete(h.suspectedAt, news.Instance)
+	h.received[news.Instance] = receivedNews{at: h.Clock.Mono(), news: news}
+	h.incarnations[news.Instance.ListName()] = news.Instance
 }
 
-func (h *Health) noteChange() {
+func (h *Health) updateLiveCount() {
 	live := len(h.Live())
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if live != h.members {
-		h.members = live
-		h.changed = h.Clock.Mono()
+	if live != h.liveCount {
+		h.liveCount = live
+		h.liveChangedAt = h.Clock.Mono()
 	}
 }
 
@@ -172,29 +172,29 @@
 func (h *Health) Settled() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.Clock.Mono()-h.changed >= settleTerm
+	return h.Clock.Mono()-h.liveChangedAt >= stableTime
 }
 
 // Alive tells whether the instance was heard of lately.
 func (h *Health) Alive(name ident.InstanceName) bool {
-	return name == h.Self || h.silent(name) <= aliveTerm
+	return name == h.Self || h.silence(name) <= aliveTimeout
 }
 
 // Gone tells whether the instance has been silent for so long that its state
 // counts as lost.
 func (h *Health) Gone(name ident.InstanceName) bool {
-	return name != h.Self && h.silent(name) >= LostAfter
+	return name != h.Self && h.silence(name) >= LostAfter
 }
 
-func (h *Health) silent(name ident.InstanceName) clock.Millis {
+func (h *Health) silence(name ident.InstanceName) clock.Millis {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	since := h.started
-	if seen, ok := h.heard[name]; ok {
+	since := h.startedAt
+	if seen, ok := h.received[name]; ok {
 		since = seen.at
-	} else if h.Clock.Mono()-h.started < LostAfter {
+	} else if h.Clock.Mono()-h.startedAt < LostAfter {
 		// Nobody has had the time to be heard of yet.
-		return aliveTerm + 1
+		return aliveTimeout + 1
 	}
 	return h.Clock.Mono() - since
 }
@@ -208,7 +208,7 @@
 		if m.Name == h.Self.ListName() {
 			continue
 		}
-		if name, ok := h.active(m); ok {
+		if name, ok := h.liveInstance(m); ok {
 			live = append(live, views.Member{Name: name, Zone: m.Zone})
 		}
 	}
@@ -218,27 +218,27 @@
 	return live
 }
 
-func (h *Health) active(m fleet.Member) (ident.InstanceName, bool) {
+func (h *Health) liveInstance(m fleet.Member) (ident.InstanceName, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	name, ok := h.lives[m.Name]
+	name, ok := h.incarnations[m.Name]
 	if !ok || m.State != fleet.Live {
 		return "", false
 	}
-	seen := h.heard[name]
-	suspected, ok := h.suspects[name]
+	seen := h.received[name]
+	suspected, ok := h.suspectedAt[name]
 	if ok && suspected >= seen.at {
 		return "", false
 	}
-	return name, !seen.news.Draining && h.Clock.Mono()-seen.at <= h.term(aliveTerm)
+	return name, !seen.news.Draining && h.Clock.Mono()-seen.at <= h.timeout(aliveTimeout)
 }
 
-// term returns for how long news counts: longer where few are pinged each round.
-func (h *Health) term(few clock.Millis) clock.Millis {
-	if len(h.Fleet.View().Entries) > pingAll {
-		return manyTerm
+// timeout returns for how long news counts: longer where few are pinged each round.
+func (h *Health) timeout(fullMeshTimeout clock.Millis) clock.Millis {
+	if len(h.Fleet.View().Entries) > fullMeshLimit {
+		return sparseTimeout
 	}
-	return few
+	return fullMeshTimeout
 }
 
 // Suspect notes that a call to the instance got no answer: it does not count as
@@ -246,10 +246,10 @@
 func (h *Health) Suspect(name ident.InstanceName) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.suspects == nil {
-		h.suspects = map[ident.InstanceName]clock.Millis{}
+	if h.suspectedAt == nil {
+		h.suspectedAt = map[ident.InstanceName]clock.Millis{}
 	}
-	h.suspects[name] = h.Clock.Mono()
+	h.suspectedAt[name] = h.Clock.Mono()
 }
 
 // MostReached tells whether more than half of the listed instances, self
@@ -264,7 +264,7 @@
 			continue
 		}
 		all++
-		if seen, ok := h.heard[h.lives[m.Name]]; ok && h.Clock.Mono()-seen.at <= h.term(reachTerm) {
+		if seen, ok := h.received[h.incarnations[m.Name]]; ok && h.Clock.Mono()-seen.at <= h.timeout(reachableTimeout) {
 			reached++
 		}
 	}
@@ -277,7 +277,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, m := range h.Fleet.View().Entries {
-		if seen, ok := h.heard[h.lives[m.Name]]; ok && h.Clock.Mono()-seen.at <= reachTerm {
+		if seen, ok := h.received[h.incarnations[m.Name]]; ok && h.Clock.Mono()-seen.at <= reachableTimeout {
 			list = append(list, seen.news)
 		}
 	}
--- a/croftmoor/peers/health_test.go
+++ b/croftmoor/peers/health_test.go
@@ -9,12 +9,12 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// healthOf makes the health of instance i-0 among many.
-func healthOf(many int) (*Health, *clock.Clock) {
+// newHealth makes the health of instance i-0 among many.
+func newHealth(instances int) (*Health, *clock.Clock) {
 	c := clock.NewManual(clock.Minute)
 	table := &fleet.Table{Clock: c}
 	var members []fleet.Member
-	for i := range many {
+	for i := range instances {
 		members = append(members, fleet.Member{Name: fmt.Sprintf("i-%d", i), Kind: fleet.Entry, State: fleet.Live})
 	}
 	table.Set(members)
@@ -22,7 +22,7 @@
 		Self: "i-0~a", Fleet: table, Clock: c, News: func() News { return News{Instance: "i-0~a"} },
 		Partners: func() []ident.InstanceName { return []ident.InstanceName{"i-1~b", "i-2~b", "i-3~b", "i-4~b"} },
 	}
-	h.started = c.Mono()
+	h.startedAt = c.Mono()
 	return h, c
 }
 
@@ -35,10 +35,10 @@
 
 func TestHealth(t *testing.T) {
 	t.Run("silence ends liveness soon, and loses state late", func(t *testing.T) {
-		h, c := healthOf(3)
+		h, c := newHealth(3)
 		h.Heard(News{Instance: "i-1~b"})
 		assertLive(t, h, 2)
-		c.Advance(aliveTerm + 1)
+		c.Advance(aliveTimeout + 1)
 		assertLive(t, h, 1)
 		if h.Alive("i-1~b") || h.Gone("i-1~b") {
 			t.Fatal("silent, and not gone yet")
@@ -49,16 +49,16 @@
 		}
 	})
 	t.Run("a new life of an instance is not the old one", func(t *testing.T) {
-		h, c := healthOf(2)
+		h, c := newHealth(2)
 		h.Heard(News{Instance: "i-1~old"})
-		c.Advance(aliveTerm + 1)
+		c.Advance(aliveTimeout + 1)
 		h.Heard(News{Instance: "i-1~new"})
 		if h.Alive("i-1~old") || !h.Alive("i-1~new") {
 			t.Fatal("lives were mixed up")
 		}
 	})
 	t.Run("a suspect is not live, and keeps its state", func(t *testing.T) {
-		h, _ := healthOf(2)
+		h, _ := newHealth(2)
 		h.Heard(News{Instance: "i-1~b"})
 		h.Suspect("i-1~b")
 		assertLive(t, h, 1)
@@ -69,12 +69,12 @@
 		assertLive(t, h, 2)
 	})
 	t.Run("draining instances take no part", func(t *testing.T) {
-		h, _ := healthOf(2)
+		h, _ := newHealth(2)
 		h.Heard(News{Instance: "i-1~b", Draining: true})
 		assertLive(t, h, 1)
 	})
 	t.Run("most are reached only with more than half", func(t *testing.T) {
-		h, _ := healthOf(4)
+		h, _ := newHealth(4)
 		h.Heard(News{Instance: "i-1~b"})
 		if h.MostReached() {
 			t.Fatal("two of four are no majority")
@@ -87,12 +87,12 @@
 	t.Run("of two instances one pings, and many ping few", func(t *testing.T) {
 		for i := range 20 {
 			a, b := "x", fmt.Sprintf("y-%d", i)
-			if pings(a, b) == pings(b, a) {
+			if initiates(a, b) == initiates(b, a) {
 				t.Fatalf("%s and %s", a, b)
 			}
 		}
-		h, _ := healthOf(400)
-		if n := len(h.targets()); n > pingSome+4 {
+		h, _ := newHealth(400)
+		if n := len(h.chooseTargets()); n > randomPings+4 {
 			t.Fatalf("%d targets", n)
 		}
 	})
--- a/croftmoor/peers/peers_test.go
+++ b/croftmoor/peers/peers_test.go
@@ -19,23 +19,23 @@
 	"croftmoor.dev/kernel/steps"
 )
 
-// echo answers like an instance that leads nothing.
-type echo struct {
+// fakePeer answers like an instance that leads nothing.
+type fakePeer struct {
 	open Open
 }
 
-func (*echo) ClaimHere(_ context.Context, r once.Request) (once.Entry, error) {
+func (*fakePeer) ClaimHere(_ context.Context, r once.Request) (once.Entry, error) {
 	if r.ID == "refused" {
 		return once.Entry{}, fault.New("test", once.NotPrimary, "led by b")
 	}
 	return once.Entry{ID: r.ID, Status: once.Done, Runner: r.Runner, Attempt: r.Attempt, Answer: once.Answer{Status: 200, Body: []byte("x")}}, nil
 }
-func (*echo) RecordHere(Record) error                           { return fault.New("test", once.OldEpoch, "moved on") }
-func (*echo) InstallHere(Install) error                         { return nil }
-func (*echo) SettleHere(context.Context, once.Settlement) error { return nil }
-func (e *echo) OpenHere(_ context.Context, o Open) error        { e.open = o; return nil }
-func (*echo) PublishHere(Publication)                           {}
-func (*echo) PullHere(context.Context, Pull) (Pulled, error) {
+func (*fakePeer) RecordHere(Record) error                           { return fault.New("test", once.OldEpoch, "moved on") }
+func (*fakePeer) InstallHere(Install) error                         { return nil }
+func (*fakePeer) SettleHere(context.Context, once.Settlement) error { return nil }
+func (e *fakePeer) OpenHere(_ context.Context, o Open) error        { e.open = o; return nil }
+func (*fakePeer) PublishHere(Publication)                           {}
+func (*fakePeer) PullHere(context.Context, Pull) (Pulled, error) {
 	return Pulled{}, refuse.New("test", refuse.StepUnknown, "not open", "open it")
 }
 
@@ -67,8 +67,8 @@
 	return n, err
 }
 
-// pair starts a server and returns a client of it and the bytes between them.
-func pair(t testing.TB, e *echo) (*Client, *atomic.Int64) {
+// startPeer starts a server and returns a client of it and the bytes between them.
+func startPeer(t testing.TB, e *fakePeer) (*Client, *atomic.Int64) {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -95,8 +95,8 @@
 
 func TestCalls(t *testing.T) {
 	ctx := context.Background()
-	e := &echo{}
-	client, _ := pair(t, e)
+	e := &fakePeer{}
+	client, _ := startPeer(t, e)
 	t.Run("entries and errors keep their meaning", func(t *testing.T) {
 		entry, err := client.Claim(ctx, "b-1", once.Request{ID: "x", Runner: "a", Attempt: 7})
 		if err != nil || entry.Attempt != 7 || string(entry.Answer.Body) != "x" {
@@ -134,7 +134,7 @@
 }
 
 func BenchmarkPing(b *testing.B) {
-	client, bytes := pair(b, &echo{})
+	client, bytes := startPeer(b, &fakePeer{})
 	news := News{Instance: "a-1~12345678", UpTo: 123456, Revision: 123400}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/croftmoor/peers/server.go
+++ b/croftmoor/peers/server.go
@@ -77,14 +77,14 @@
 	handle(mux, settlePath, func(ctx context.Context, w *settleWire) (*emptyWire, error) {
 		return &emptyWire{}, s.Shards.SettleHere(ctx, settleFromWire(*w))
 	})
-	s.handleTrainers(mux)
+	s.handleTrainerCalls(mux)
 	if s.More != nil {
 		s.More(mux)
 	}
 	return mux
 }
 
-func (s *Server) handleTrainers(mux *http.ServeMux) {
+func (s *Server) handleTrainerCalls(mux *http.ServeMux) {
 	handle(mux, openPath, func(ctx context.Context, w *openWire) (*emptyWire, error) {
 		open, err := openFromWire(*w)
 		if err != nil {
@@ -101,8 +101,8 @@
 		answer := pulledToWire(pulled)
 		return &answer, err
 	})
-	handle(mux, notePath, func(_ context.Context, w *sightingWire) (*emptyWire, error) {
-		s.Noter.Note(sightingFromWire(*w))
+	handle(mux, notePath, func(_ context.Context, w *observedVersionWire) (*emptyWire, error) {
+		s.Noter.Note(observedVersionFromWire(*w))
 		return &emptyWire{}, nil
 	})
 	handle(mux, publishPath, func(_ context.Context, w *publicationWire) (*emptyWire, error) {
--- a/croftmoor/peers/wire.go
+++ b/croftmoor/peers/wire.go
@@ -124,18 +124,18 @@
 	Version int64
 }
 
-type sightingWire struct {
+type observedVersionWire struct {
 	Service string
 	Server  string
 	Trainer string
 	Version int64
 }
 
-func sightingToWire(s pool.ObservedVersion) sightingWire {
-	return sightingWire{Service: string(s.Service), Server: string(s.Server), Trainer: string(s.Trainer), Version: int64(s.Version)}
+func observedVersionToWire(s pool.ObservedVersion) observedVersionWire {
+	return observedVersionWire{Service: string(s.Service), Server: string(s.Server), Trainer: string(s.Trainer), Version: int64(s.Version)}
 }
 
-func sightingFromWire(w sightingWire) pool.ObservedVersion {
+func observedVersionFromWire(w observedVersionWire) pool.ObservedVersion {
 	return pool.ObservedVersion{
 		Service: ident.Service(w.Service), Server: ident.BackendName(w.Server),
 		Trainer: ident.Trainer(w.Trainer), Version: ident.Version(w.Version),
