Call what instances send in pings a heartbeat

News is a figure; heartbeat is the field's term. Type, fields, methods and the wire struct's Go name (its fields, which are the names on the wire, stay). Used by package serve only.

--- a/croftmoor/peers/client.go
+++ b/croftmoor/peers/client.go
@@ -47,13 +47,13 @@
 }
 
 // Ping tells this instance's news to a peer and returns the peer's.
-func (c *Client) Ping(ctx context.Context, to ident.InstanceName, news News) (News, error) {
-	message := newsToWire(news)
-	answer, err := call[newsWire, newsWire](ctx, c, to, pingPath, &message)
+func (c *Client) Ping(ctx context.Context, to ident.InstanceName, heartbeat Heartbeat) (Heartbeat, error) {
+	message := heartbeatToWire(heartbeat)
+	answer, err := call[heartbeatWire, heartbeatWire](ctx, c, to, pingPath, &message)
 	if err != nil {
-		return News{}, err
+		return Heartbeat{}, err
 	}
-	return newsFromWire(*answer), nil
+	return heartbeatFromWire(*answer), nil
 }
 
 // State fetches a peer's whole shared state.
--- a/croftmoor/peers/health.go
+++ b/croftmoor/peers/health.go
@@ -16,19 +16,19 @@
 // Health knows which instances answer. Set the exported fields before Run;
 // what was heard is guarded by mu.
 type Health struct {
-	Self   ident.InstanceName
-	Zone   ident.Zone
-	Client *Client
-	Fleet  *fleet.Table
-	Clock  *clock.Clock
-	News   func() News
+	Self      ident.InstanceName
+	Zone      ident.Zone
+	Client    *Client
+	Fleet     *fleet.Table
+	Clock     *clock.Clock
+	Heartbeat func() Heartbeat
 	// Behind is called when a peer has read more of the log than this instance.
 	Behind func(ctx context.Context, peer ident.InstanceName, upTo ident.Offset)
 	// Partners lists instances that must be pinged each time.
 	Partners func() []ident.InstanceName
 
 	mu           sync.Mutex
-	received     map[ident.InstanceName]receivedNews
+	received     map[ident.InstanceName]receivedHeartbeat
 	incarnations map[string]ident.InstanceName
 	// suspectedAt is when calls got no answer.
 	suspectedAt   map[ident.InstanceName]clock.Millis
@@ -37,9 +37,9 @@
 	liveChangedAt clock.Millis
 }
 
-type receivedNews struct {
-	at   clock.Millis
-	news News
+type receivedHeartbeat struct {
+	at        clock.Millis
+	heartbeat Heartbeat
 }
 
 const (
@@ -82,7 +82,7 @@
 	}
 	group.Wait()
 	h.updateLiveCount()
-	if peer, upTo := h.mostAdvanced(); upTo > h.News().UpTo {
+	if peer, upTo := h.mostAdvanced(); upTo > h.Heartbeat().UpTo {
 		h.Behind(ctx, peer, upTo)
 	}
 }
@@ -93,8 +93,8 @@
 	defer h.mu.Unlock()
 	now := h.Clock.Mono()
 	for name, seen := range h.received {
-		if now-seen.at <= aliveTimeout && seen.news.UpTo > upTo {
-			peer, upTo = name, seen.news.UpTo
+		if now-seen.at <= aliveTimeout && seen.heartbeat.UpTo > upTo {
+			peer, upTo = name, seen.heartbeat.UpTo
 		}
 	}
 	return peer, upTo
@@ -137,25 +137,25 @@
 
 func (h *Health) ping(ctx context.Context, name ident.InstanceName) {
 	pingCtx, cancel := context.WithTimeout(ctx, pingTimeout.Duration())
-	news, err := h.Client.Ping(pingCtx, name, h.News())
+	heartbeat, err := h.Client.Ping(pingCtx, name, h.Heartbeat())
 	cancel()
 	if err != nil {
 		return
 	}
-	h.Heard(news)
+	h.RecordHeartbeat(heartbeat)
 }
 
-// Heard notes news from a peer.
-func (h *Health) Heard(news News) {
+// RecordHeartbeat notes news from a peer.
+func (h *Health) RecordHeartbeat(heartbeat Heartbeat) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.received == nil {
-		h.received = map[ident.InstanceName]receivedNews{}
+		h.received = map[ident.InstanceName]receivedHeartbeat{}
 		h.incarnations = map[string]ident.InstanceName{}
 	}
-	delete(h.suspectedAt, news.Instance)
-	h.received[news.Instance] = receivedNews{at: h.Clock.Mono(), news: news}
-	h.incarnations[news.Instance.ListName()] = news.Instance
+	delete(h.suspectedAt, heartbeat.Instance)
+	h.received[heartbeat.Instance] = receivedHeartbeat{at: h.Clock.Mono(), heartbeat: heartbeat}
+	h.incarnations[heartbeat.Instance.ListName()] = heartbeat.Instance
 }
 
 func (h *Health) updateLiveCount() {
@@ -203,7 +203,7 @@
 // lately and not draining; self among them unless it is draining.
 func (h *Health) Live() []views.Member {
 	var live []views.Member
-	draining := h.News().Draining
+	draining := h.Heartbeat().Draining
 	for _, m := range h.Fleet.View().Entries {
 		if m.Name == h.Self.ListName() {
 			continue
@@ -230,7 +230,7 @@
 	if ok && suspected >= seen.at {
 		return "", false
 	}
-	return name, !seen.news.Draining && h.Clock.Mono()-seen.at <= h.timeout(aliveTimeout)
+	return name, !seen.heartbeat.Draining && h.Clock.Mono()-seen.at <= h.timeout(aliveTimeout)
 }
 
 // timeout returns for how long news counts: longer where few are pinged each round.
@@ -272,13 +272,13 @@
 }
 
 // Peers lists what was heard from each listed instance, for operators.
-func (h *Health) Peers() []News {
-	var list []News
+func (h *Health) Peers() []Heartbeat {
+	var list []Heartbeat
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, m := range h.Fleet.View().Entries {
 		if seen, ok := h.received[h.incarnations[m.Name]]; ok && h.Clock.Mono()-seen.at <= reachableTimeout {
-			list = append(list, seen.news)
+			list = append(list, seen.heartbeat)
 		}
 	}
 	return list
--- a/croftmoor/peers/health_test.go
+++ b/croftmoor/peers/health_test.go
@@ -19,7 +19,7 @@
 	}
 	table.Set(members)
 	h := &Health{
-		Self: "i-0~a", Fleet: table, Clock: c, News: func() News { return News{Instance: "i-0~a"} },
+		Self: "i-0~a", Fleet: table, Clock: c, Heartbeat: func() Heartbeat { return Heartbeat{Instance: "i-0~a"} },
 		Partners: func() []ident.InstanceName { return []ident.InstanceName{"i-1~b", "i-2~b", "i-3~b", "i-4~b"} },
 	}
 	h.startedAt = c.Mono()
@@ -36,7 +36,7 @@
 func TestHealth(t *testing.T) {
 	t.Run("silence ends liveness soon, and loses state late", func(t *testing.T) {
 		h, c := newHealth(3)
-		h.Heard(News{Instance: "i-1~b"})
+		h.RecordHeartbeat(Heartbeat{Instance: "i-1~b"})
 		assertLive(t, h, 2)
 		c.Advance(aliveTimeout + 1)
 		assertLive(t, h, 1)
@@ -50,36 +50,36 @@
 	})
 	t.Run("a new life of an instance is not the old one", func(t *testing.T) {
 		h, c := newHealth(2)
-		h.Heard(News{Instance: "i-1~old"})
+		h.RecordHeartbeat(Heartbeat{Instance: "i-1~old"})
 		c.Advance(aliveTimeout + 1)
-		h.Heard(News{Instance: "i-1~new"})
+		h.RecordHeartbeat(Heartbeat{Instance: "i-1~new"})
 		if h.Alive("i-1~old") || !h.Alive("i-1~new") {
 			t.Fatal("lives were mixed up")
 		}
 	})
 	t.Run("a suspect is not live, and keeps its state", func(t *testing.T) {
 		h, _ := newHealth(2)
-		h.Heard(News{Instance: "i-1~b"})
+		h.RecordHeartbeat(Heartbeat{Instance: "i-1~b"})
 		h.Suspect("i-1~b")
 		assertLive(t, h, 1)
 		if h.Gone("i-1~b") || !h.Alive("i-1~b") {
 			t.Fatal("a call without an answer is no lost state")
 		}
-		h.Heard(News{Instance: "i-1~b"})
+		h.RecordHeartbeat(Heartbeat{Instance: "i-1~b"})
 		assertLive(t, h, 2)
 	})
 	t.Run("draining instances take no part", func(t *testing.T) {
 		h, _ := newHealth(2)
-		h.Heard(News{Instance: "i-1~b", Draining: true})
+		h.RecordHeartbeat(Heartbeat{Instance: "i-1~b", Draining: true})
 		assertLive(t, h, 1)
 	})
 	t.Run("most are reached only with more than half", func(t *testing.T) {
 		h, _ := newHealth(4)
-		h.Heard(News{Instance: "i-1~b"})
+		h.RecordHeartbeat(Heartbeat{Instance: "i-1~b"})
 		if h.MostReached() {
 			t.Fatal("two of four are no majority")
 		}
-		h.Heard(News{Instance: "i-2~b"})
+		h.RecordHeartbeat(Heartbeat{Instance: "i-2~b"})
 		if !h.MostReached() {
 			t.Fatal("three of four are")
 		}
--- a/croftmoor/peers/peers.go
+++ b/croftmoor/peers/peers.go
@@ -29,8 +29,8 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-// News is what instances tell each other when they ping.
-type News struct {
+// Heartbeat is what instances tell each other when they ping.
+type Heartbeat struct {
 	Instance ident.InstanceName
 	// UpTo is the offset up to which the instance has read the log.
 	UpTo     ident.Offset
--- a/croftmoor/peers/peers_test.go
+++ b/croftmoor/peers/peers_test.go
@@ -74,8 +74,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	news := func() News { return News{Instance: "b-1~12345678", UpTo: 123456, Revision: 123400} }
-	server := &Server{Reader: &fold.Reader{}, Shards: e, Feeder: e, News: news, Heard: func(News) {}}
+	heartbeat := func() Heartbeat { return Heartbeat{Instance: "b-1~12345678", UpTo: 123456, Revision: 123400} }
+	server := &Server{Reader: &fold.Reader{}, Shards: e, Feeder: e, Heartbeat: heartbeat, OnHeartbeat: func(Heartbeat) {}}
 	ctx, stop := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	bytes := &atomic.Int64{}
@@ -125,7 +125,7 @@
 		}
 	})
 	t.Run("a peer that is not listed is unreachable", func(t *testing.T) {
-		_, err := client.Ping(ctx, "c-1", News{})
+		_, err := client.Ping(ctx, "c-1", Heartbeat{})
 		assertKind(t, err, Unreachable)
 		if !strings.Contains(err.Error(), "not on the platform's list") {
 			t.Fatal(err)
@@ -135,10 +135,10 @@
 
 func BenchmarkPing(b *testing.B) {
 	client, bytes := startPeer(b, &fakePeer{})
-	news := News{Instance: "a-1~12345678", UpTo: 123456, Revision: 123400}
+	heartbeat := Heartbeat{Instance: "a-1~12345678", UpTo: 123456, Revision: 123400}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := client.Ping(context.Background(), "b-1", news); err != nil {
+		if _, err := client.Ping(context.Background(), "b-1", heartbeat); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/croftmoor/peers/server.go
+++ b/croftmoor/peers/server.go
@@ -33,10 +33,10 @@
 	Shards Shards
 	Feeder Feeder
 	Noter  Noter
-	// News tells this instance's news.
-	News func() News
-	// Heard takes the news of a peer that pings.
-	Heard func(News)
+	// Heartbeat tells this instance's news.
+	Heartbeat func() Heartbeat
+	// OnHeartbeat takes the news of a peer that pings.
+	OnHeartbeat func(Heartbeat)
 	// More registers the procedures of other parts.
 	More func(*http.ServeMux)
 }
@@ -57,9 +57,9 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	handle(mux, pingPath, func(_ context.Context, w *newsWire) (*newsWire, error) {
-		s.Heard(newsFromWire(*w))
-		answer := newsToWire(s.News())
+	handle(mux, pingPath, func(_ context.Context, w *heartbeatWire) (*heartbeatWire, error) {
+		s.OnHeartbeat(heartbeatFromWire(*w))
+		answer := heartbeatToWire(s.Heartbeat())
 		return &answer, nil
 	})
 	handle(mux, statePath, func(context.Context, *emptyWire) (*stateWire, error) { return s.state() })
--- a/croftmoor/peers/wire.go
+++ b/croftmoor/peers/wire.go
@@ -9,7 +9,7 @@
 	"croftmoor.dev/kernel/views"
 )
 
-type newsWire struct {
+type heartbeatWire struct {
 	Instance string
 	UpTo     int64
 	Revision int64
@@ -142,12 +142,12 @@
 	}
 }
 
-func newsToWire(n News) newsWire {
-	return newsWire{Instance: string(n.Instance), UpTo: int64(n.UpTo), Revision: int64(n.Revision), Draining: n.Draining}
+func heartbeatToWire(h Heartbeat) heartbeatWire {
+	return heartbeatWire{Instance: string(h.Instance), UpTo: int64(h.UpTo), Revision: int64(h.Revision), Draining: h.Draining}
 }
 
-func newsFromWire(w newsWire) News {
-	return News{
+func heartbeatFromWire(w heartbeatWire) Heartbeat {
+	return Heartbeat{
 		Instance: ident.InstanceName(w.Instance), UpTo: ident.Offset(w.UpTo),
 		Revision: ident.Revision(w.Revision), Draining: w.Draining,
 	}
--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -160,7 +160,7 @@
 	run(i.watcher.Run)
 	run(i.guard.Run)
 	run(i.checkpoints)
-	server := &peers.Server{Reader: i.reader, Shards: i.home, Feeder: i.feed, Noter: i.pool, News: i.news, Heard: i.health.Heard, More: i.handleGuard}
+	server := &peers.Server{Reader: i.reader, Shards: i.home, Feeder: i.feed, Noter: i.pool, Heartbeat: i.heartbeat, OnHeartbeat: i.health.RecordHeartbeat, More: i.handleGuard}
 	run(func(ctx context.Context) { i.report("peer port", server.Run(ctx, ports.peers)) })
 	run(func(ctx context.Context) { i.report("caller port", serveApp(ctx, i.front.App(), ports.callers)) })
 	run(func(ctx context.Context) { i.report("admin port", serveApp(ctx, i.admin.App(), ports.admin)) })
@@ -238,7 +238,7 @@
 	i.client = peers.NewClient(i.fleet)
 	i.health = &peers.Health{
 		Self: i.self, Zone: c.Zone, Client: i.client, Fleet: i.fleet, Clock: i.clock,
-		News: i.news, Behind: i.catchUp, Partners: func() []ident.InstanceName { return i.home.Partners() },
+		Heartbeat: i.heartbeat, Behind: i.catchUp, Partners: func() []ident.InstanceName { return i.home.Partners() },
 	}
 	i.home = &home.Home{
 		Self: i.self, Reader: i.reader, Log: i.tail, Caller: i.client, Health: i.health, Clock: i.clock,
--- a/croftmoor/serve/shared.go
+++ b/croftmoor/serve/shared.go
@@ -28,9 +28,9 @@
 	i.home.OnState(state)
 }
 
-// news is what this instance tells its peers.
-func (i *Instance) news() peers.News {
-	n := peers.News{Instance: i.self, Draining: i.draining.Load()}
+// heartbeat is what this instance tells its peers.
+func (i *Instance) heartbeat() peers.Heartbeat {
+	n := peers.Heartbeat{Instance: i.self, Draining: i.draining.Load()}
 	if state := i.reader.Current(); state != nil {
 		n.UpTo = state.UpTo
 		n.Revision = state.Conf.Revision()
--- a/croftmoor/serve/status.go
+++ b/croftmoor/serve/status.go
@@ -71,10 +71,10 @@
 
 func (i *Instance) status() any {
 	leads, backs, ids := i.home.Counts()
-	news := i.news()
+	heartbeat := i.heartbeat()
 	w := statusWire{
 		Instance: string(i.self), Zone: string(i.Config.Zone), NotReady: i.notReady(),
-		Revision: int64(news.Revision), UpTo: int64(news.UpTo),
+		Revision: int64(heartbeat.Revision), UpTo: int64(heartbeat.UpTo),
 		LogSilenceMillis: int64(i.clock.Mono() - clock.Millis(i.logSeen.Load())),
 		InFlight:         i.front.InFlight(), ShardsLed: leads, ShardsBackedUp: backs, RememberedIDs: ids,
 	}
