--- a/croftmoor/peers/health.go
+++ b/croftmoor/peers/health.go
@@ -22,8 +22,8 @@
 	Fleet     *fleet.Table
 	Clock     *clock.Clock
 	Heartbeat func() Heartbeat
-	// Behind is called when a peer has read more of the log than this instance.
-	Behind func(ctx context.Context, peer ident.InstanceName, upTo ident.Offset)
+	// OnBehind is called when a peer has read more of the log than this instance.
+	OnBehind func(ctx context.Context, peer ident.InstanceName, upTo ident.Offset)
 	// Partners lists instances that must be pinged each time.
 	Partners func() []ident.InstanceName
 
@@ -83,7 +83,7 @@
 	group.Wait()
 	h.updateLiveCount()
 	if peer, upTo := h.mostAdvanced(); upTo > h.Heartbeat().UpTo {
-		h.Behind(ctx, peer, upTo)
+		h.OnBehind(ctx, peer, upTo)
 	}
 }
 
--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -238,7 +238,7 @@
 	i.client = peers.NewClient(i.fleet)
 	i.health = &peers.Health{
 		Self: i.self, Zone: c.Zone, Client: i.client, Fleet: i.fleet, Clock: i.clock,
-		Heartbeat: i.heartbeat, Behind: i.catchUp, Partners: func() []ident.InstanceName { return i.home.Partners() },
+		Heartbeat: i.heartbeat, OnBehind: i.catchUp, Partners: func() []ident.InstanceName { return i.home.Partners() },
 	}
 	i.home = &home.Home{
 		Self: i.self, Reader: i.reader, Log: i.tail, Caller: i.client, Health: i.health, Clock: i.clock,
