--- a/croftmoor/peers/server.go
+++ b/croftmoor/peers/server.go
@@ -37,8 +37,8 @@
 	Heartbeat func() Heartbeat
 	// OnHeartbeat takes the news of a peer that pings.
 	OnHeartbeat func(Heartbeat)
-	// More registers the procedures of other parts.
-	More func(*http.ServeMux)
+	// RegisterMore registers the procedures of other parts.
+	RegisterMore func(*http.ServeMux)
 }
 
 const headerTimeout = 5 * clock.Second
@@ -78,8 +78,8 @@
 		return &emptyWire{}, s.Shards.SettleHere(ctx, settleFromWire(*w))
 	})
 	s.handleTrainerCalls(mux)
-	if s.More != nil {
-		s.More(mux)
+	if s.RegisterMore != nil {
+		s.RegisterMore(mux)
 	}
 	return mux
 }
