--- a/croftmoor/peers/client.go
+++ b/croftmoor/peers/client.go
@@ -120,8 +120,8 @@
 	return err
 }
 
-// Note tells an instance of a sighting.
-func (c *Client) Note(ctx context.Context, to ident.InstanceName, s pool.ObservedVersion) error {
+// SendObservedVersion tells an instance of a sighting.
+func (c *Client) SendObservedVersion(ctx context.Context, to ident.InstanceName, s pool.ObservedVersion) error {
 	message := observedVersionToWire(s)
 	_, err := call[observedVersionWire, emptyWire](ctx, c, to, notePath, &message)
 	return err
--- a/croftmoor/serve/shared.go
+++ b/croftmoor/serve/shared.go
@@ -74,7 +74,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout.Duration())
 		defer cancel()
 		// The next sighting, a second later, makes good for one that is lost.
-		_ = i.client.Note(ctx, leader, s)
+		_ = i.client.SendObservedVersion(ctx, leader, s)
 	})
 }
 
