--- a/croftmoor/peers/peers.go
+++ b/croftmoor/peers/peers.go
@@ -92,8 +92,8 @@
 	Version ident.Version
 }
 
-// Noter takes over the sightings of other instances.
-type Noter interface {
+// VersionRecorder takes over the sightings of other instances.
+type VersionRecorder interface {
 	Note(s pool.ObservedVersion)
 }
 
--- a/croftmoor/peers/server.go
+++ b/croftmoor/peers/server.go
@@ -29,10 +29,10 @@
 
 // Server answers the calls of other instances. Set the fields before Run.
 type Server struct {
-	Reader *fold.Reader
-	Shards Shards
-	Feeder Feeder
-	Noter  Noter
+	Reader          *fold.Reader
+	Shards          Shards
+	Feeder          Feeder
+	VersionRecorder VersionRecorder
 	// Heartbeat tells this instance's news.
 	Heartbeat func() Heartbeat
 	// OnHeartbeat takes the news of a peer that pings.
@@ -102,7 +102,7 @@
 		return &answer, err
 	})
 	handle(mux, notePath, func(_ context.Context, w *observedVersionWire) (*emptyWire, error) {
-		s.Noter.Note(observedVersionFromWire(*w))
+		s.VersionRecorder.Note(observedVersionFromWire(*w))
 		return &emptyWire{}, nil
 	})
 	handle(mux, publishPath, func(_ context.Context, w *publicationWire) (*emptyWire, error) {
--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -160,7 +160,7 @@
 	run(i.watcher.Run)
 	run(i.guard.Run)
 	run(i.checkpoints)
-	server := &peers.Server{Reader: i.reader, Shards: i.home, Feeder: i.feed, Noter: i.pool, Heartbeat: i.heartbeat, OnHeartbeat: i.health.RecordHeartbeat, RegisterMore: i.handleGuard}
+	server := &peers.Server{Reader: i.reader, Shards: i.home, Feeder: i.feed, VersionRecorder: i.pool, Heartbeat: i.heartbeat, OnHeartbeat: i.health.RecordHeartbeat, RegisterMore: i.handleGuard}
 	run(func(ctx context.Context) { i.report("peer port", server.Run(ctx, ports.peers)) })
 	run(func(ctx context.Context) { i.report("caller port", serveApp(ctx, i.front.App(), ports.callers)) })
 	run(func(ctx context.Context) { i.report("admin port", serveApp(ctx, i.admin.App(), ports.admin)) })
