--- a/croftmoor/feed/book.go
+++ b/croftmoor/feed/book.go
@@ -163,7 +163,7 @@
 		s.tracker.SetStalenessBound(trainer.StalenessBound)
 	}
 	ts.publishLocked(pull.Version)
-	samples := s.tracker.HandOver(pull.Have, ts.newestVersion, pull.Most)
+	samples := s.tracker.HandOver(pull.Have, ts.newestVersion, pull.MaxSamples)
 	missing, running, ready, held := s.tracker.Counts()
 	for _, sample := range samples {
 		ts.feed.Trail.Add(trail.Decision{
--- a/croftmoor/front/train.go
+++ b/croftmoor/front/train.go
@@ -90,7 +90,7 @@
 	defer stop()
 	pulled, err := f.Feed.Pull(ctx, peers.Pull{
 		Trainer: ident.Trainer(copied(c.Params("trainer"))), Step: ident.Step(w.Step), PullID: w.PullID, Have: have,
-		Version: ident.Version(w.Version), Most: w.Most, Wait: clock.Millis(w.WaitMillis),
+		Version: ident.Version(w.Version), MaxSamples: w.Most, Wait: clock.Millis(w.WaitMillis),
 	})
 	if err != nil {
 		return err
--- a/croftmoor/peers/peers.go
+++ b/croftmoor/peers/peers.go
@@ -67,11 +67,11 @@
 	Trainer ident.Trainer
 	Step    ident.Step
 	// PullID is echoed, so that the trainer can tell a late answer from its own.
-	PullID  string
-	Have    steps.Set
-	Version ident.Version
-	Most    int
-	Wait    clock.Millis
+	PullID     string
+	Have       steps.Set
+	Version    ident.Version
+	MaxSamples int
+	Wait       clock.Millis
 }
 
 // Pulled answers a Pull.
--- a/croftmoor/peers/wire.go
+++ b/croftmoor/peers/wire.go
@@ -262,7 +262,7 @@
 func pullToWire(p Pull) pullWire {
 	return pullWire{
 		Trainer: string(p.Trainer), Step: int64(p.Step), PullID: p.PullID, Have: p.Have.Text(),
-		Version: int64(p.Version), Most: p.Most, Wait: int64(p.Wait),
+		Version: int64(p.Version), Most: p.MaxSamples, Wait: int64(p.Wait),
 	}
 }
 
@@ -270,7 +270,7 @@
 	have, err := steps.ParseSet(w.Have)
 	return Pull{
 		Trainer: ident.Trainer(w.Trainer), Step: ident.Step(w.Step), PullID: w.PullID, Have: have,
-		Version: ident.Version(w.Version), Most: w.Most, Wait: clock.Millis(w.Wait),
+		Version: ident.Version(w.Version), MaxSamples: w.Most, Wait: clock.Millis(w.Wait),
 	}, err
 }
 
