Open.HandedOn is HandedOver

The term of the field for a change of owner is handover. Used in package feed; the wire's field stays HandedOn.

--- a/croftmoor/feed/book.go
+++ b/croftmoor/feed/book.go
@@ -61,7 +61,7 @@
 		s.importSamples(open.Ready)
 		return
 	}
-	if open.HandedOn && number <= ts.lastOpened {
+	if open.HandedOver && number <= ts.lastOpened {
 		// The trainer has opened a later step on this instance; the previous owner is behind.
 		return
 	}
@@ -314,7 +314,7 @@
 			continue
 		}
 		have, samples := s.tracker.Export()
-		opens = append(opens, peers.Open{Spec: s.tracker.Spec, Have: have, Version: ts.newestVersion, HandedOn: true, Ready: samples})
+		opens = append(opens, peers.Open{Spec: s.tracker.Spec, Have: have, Version: ts.newestVersion, HandedOver: true, Ready: samples})
 	}
 	return opens
 }
--- a/croftmoor/feed/feed.go
+++ b/croftmoor/feed/feed.go
@@ -228,7 +228,7 @@
 	if f.isDraining() {
 		return refuse.After("feed.Open", refuse.NotRun, "this instance is stopping", retryAfter)
 	}
-	if open.HandedOn && f.owner(trainer.Name) != f.Self {
+	if open.HandedOver && f.owner(trainer.Name) != f.Self {
 		return refuse.After("feed.Open", refuse.NotRun, "this instance does not own the trainer's steps", retryAfter)
 	}
 	open.Spec.StalenessBound = trainer.StalenessBound
--- a/croftmoor/peers/peers.go
+++ b/croftmoor/peers/peers.go
@@ -56,10 +56,10 @@
 	Spec    steps.Spec
 	Have    steps.Set
 	Version ident.Version
-	// HandedOn tells that the owner before opens the step, not the trainer; Ready
+	// HandedOver tells that the owner before opens the step, not the trainer; Ready
 	// are the samples that it had ready.
-	HandedOn bool
-	Ready    []*steps.Sample
+	HandedOver bool
+	Ready      []*steps.Sample
 }
 
 // Pull asks for samples.
--- a/croftmoor/peers/wire.go
+++ b/croftmoor/peers/wire.go
@@ -236,7 +236,7 @@
 	w := openWire{
 		Trainer: string(o.Spec.Trainer), Step: int64(o.Spec.Step), Prompts: o.Spec.Prompts, GroupSize: o.Spec.GroupSize,
 		MaxTokens: int32(o.Spec.MaxTokens), Bound: int64(o.Spec.StalenessBound), Have: o.Have.Text(), Version: int64(o.Version),
-		HandedOn: o.HandedOn,
+		HandedOn: o.HandedOver,
 	}
 	for _, s := range o.Ready {
 		w.Ready = append(w.Ready, SampleToWire(s))
@@ -251,7 +251,7 @@
 			Trainer: ident.Trainer(w.Trainer), Step: ident.Step(w.Step), Prompts: w.Prompts, GroupSize: w.GroupSize,
 			MaxTokens: ident.Tokens(w.MaxTokens), StalenessBound: ident.Version(w.Bound),
 		},
-		Have: have, Version: ident.Version(w.Version), HandedOn: w.HandedOn,
+		Have: have, Version: ident.Version(w.Version), HandedOver: w.HandedOn,
 	}
 	for _, s := range w.Ready {
 		o.Ready = append(o.Ready, SampleFromWire(s))
