Comments of peers say what the code does

Comments, two error texts and failure texts of tests in plain terms; subtests are named after what they check, and check as much as before. Says what the maps of Health hold, which timeouts apply to which report, and which fields of Open and Pulled count what.

--- a/croftmoor/peers/client.go
+++ b/croftmoor/peers/client.go
@@ -13,14 +13,14 @@
 	"croftmoor.dev/kernel/once"
 )
 
-// Client calls other instances. Set Fleet before use.
+// Client calls other instances.
 type Client struct {
 	Fleet *fleet.Table
 
 	http *http.Client
 }
 
-// NewClient returns a client that finds peers in the fleet.
+// NewClient returns a client that looks up the peers' addresses in table.
 func NewClient(table *fleet.Table) *Client {
 	return &Client{Fleet: table, http: rpcs.NewClient()}
 }
@@ -33,7 +33,7 @@
 	return member.Peer, nil
 }
 
-// call does one procedure at a peer.
+// call calls one procedure of a peer.
 func call[Q, A any](ctx context.Context, c *Client, to ident.InstanceName, path string, message *Q) (*A, error) {
 	address, err := c.address(to)
 	if err != nil {
@@ -46,7 +46,7 @@
 	return answer, nil
 }
 
-// Ping tells this instance's news to a peer and returns the peer's.
+// Ping sends this instance's heartbeat to a peer and returns the peer's.
 func (c *Client) Ping(ctx context.Context, to ident.InstanceName, heartbeat Heartbeat) (Heartbeat, error) {
 	message := heartbeatToWire(heartbeat)
 	answer, err := call[heartbeatWire, heartbeatWire](ctx, c, to, pingPath, &message)
@@ -56,7 +56,7 @@
 	return heartbeatFromWire(*answer), nil
 }
 
-// State fetches a peer's whole shared state.
+// State fetches a peer's complete shared state.
 func (c *Client) State(ctx context.Context, to ident.InstanceName) (*fold.State, error) {
 	answer, err := call[emptyWire, stateWire](ctx, c, to, statePath, &emptyWire{})
 	if err != nil {
@@ -65,7 +65,7 @@
 	return fold.DecodeState(answer.State)
 }
 
-// Claim asks a shard's primary for a grant.
+// Claim asks a shard's primary for the right to run an id; see once.Shard.Claim.
 func (c *Client) Claim(ctx context.Context, to ident.InstanceName, request once.Request) (once.Entry, error) {
 	message := claimToWire(request)
 	answer, err := call[claimWire, entryWire](ctx, c, to, claimPath, &message)
@@ -75,21 +75,21 @@
 	return entryFromWire(*answer), nil
 }
 
-// Record passes a change to a shard's backup.
+// Record sends a change to a shard's backup.
 func (c *Client) Record(ctx context.Context, to ident.InstanceName, record Record) error {
 	message := recordToWire(record)
 	_, err := call[recordWire, emptyWire](ctx, c, to, recordPath, &message)
 	return err
 }
 
-// Install passes a shard's state to its backup.
+// Install sends a shard's complete state to its backup.
 func (c *Client) Install(ctx context.Context, to ident.InstanceName, install Install) error {
 	message := installToWire(install)
 	_, err := call[installWire, emptyWire](ctx, c, to, installPath, &message)
 	return err
 }
 
-// Settle tells a shard's primary how a grant ended.
+// Settle reports to a shard's primary how a grant ended.
 func (c *Client) Settle(ctx context.Context, to ident.InstanceName, settlement once.Settlement) error {
 	message := settleToWire(settlement)
 	_, err := call[settleWire, emptyWire](ctx, c, to, settlePath, &message)
@@ -113,14 +113,14 @@
 	return pulledFromWire(*answer), nil
 }
 
-// Publish tells a step's owner of published weights.
+// Publish notifies a step's owner of published weights.
 func (c *Client) Publish(ctx context.Context, to ident.InstanceName, p Publication) error {
 	message := publicationWire{Trainer: string(p.Trainer), Version: int64(p.Version)}
 	_, err := call[publicationWire, emptyWire](ctx, c, to, publishPath, &message)
 	return err
 }
 
-// SendObservedVersion tells an instance of a sighting.
+// SendObservedVersion sends an observed weights version to another instance.
 func (c *Client) SendObservedVersion(ctx context.Context, to ident.InstanceName, s pool.ObservedVersion) error {
 	message := observedVersionToWire(s)
 	_, err := call[observedVersionWire, emptyWire](ctx, c, to, notePath, &message)
--- a/croftmoor/peers/codec.go
+++ b/croftmoor/peers/codec.go
@@ -16,8 +16,8 @@
 	retryHeader  = "Croft-Retry-Millis"
 )
 
-// toConnect maps an error to the wire; fromConnect maps it back. All kinds
-// that cross between instances are listed here.
+// toConnect converts an error to its form on the wire. Its kind survives the call only if
+// fromConnect lists it.
 func toConnect(err error) error {
 	if err == nil {
 		return nil
@@ -44,6 +44,8 @@
 	return e
 }
 
+// fromConnect converts an error of a call back. Errors of kinds that it does not list
+// become Unreachable.
 func fromConnect(op string, err error) error {
 	var e *connect.Error
 	if !eris.As(err, &e) {
@@ -59,4 +61,5 @@
 	}
 }
 
+// retryDelay is the RetryAfter of refusals from peers: the wire form has none.
 const retryDelay = 200 * clock.Millis(1)
--- a/croftmoor/peers/health.go
+++ b/croftmoor/peers/health.go
@@ -13,24 +13,27 @@
 	"croftmoor.dev/kernel/views"
 )
 
-// Health knows which instances answer. Set the exported fields before Run;
-// what was heard is guarded by mu.
+// Health exchanges heartbeats with other instances and reports which of them can be
+// reached. Set the exported fields before Run.
 type Health struct {
-	Self      ident.InstanceName
-	Zone      ident.Zone
-	Client    *Client
-	Fleet     *fleet.Table
-	Clock     *clock.Clock
+	Self   ident.InstanceName
+	Zone   ident.Zone
+	Client *Client
+	Fleet  *fleet.Table
+	Clock  *clock.Clock
+	// Heartbeat returns this instance's heartbeat.
 	Heartbeat func() Heartbeat
 	// OnBehind is called when a peer has read more of the log than this instance.
 	OnBehind func(ctx context.Context, peer ident.InstanceName, upTo ident.Offset)
-	// Partners lists instances that must be pinged each time.
+	// Partners returns the instances to ping in each round.
 	Partners func() []ident.InstanceName
 
-	mu           sync.Mutex
-	received     map[ident.InstanceName]receivedHeartbeat
+	// mu guards the fields below.
+	mu       sync.Mutex
+	received map[ident.InstanceName]receivedHeartbeat
+	// incarnations maps a listed name to the incarnation that last sent a heartbeat.
 	incarnations map[string]ident.InstanceName
-	// suspectedAt is when calls got no answer.
+	// suspectedAt is when a call to an instance last got no answer.
 	suspectedAt   map[ident.InstanceName]clock.Millis
 	startedAt     clock.Millis
 	liveCount     int
@@ -45,24 +48,28 @@
 const (
 	pingPeriod  = 500 * clock.Millis(1)
 	pingTimeout = 900 * clock.Millis(1)
-	// aliveTimeout is how long a peer counts as reachable after it was heard.
+	// aliveTimeout is how long a peer counts as alive after its last heartbeat.
 	aliveTimeout = 1800 * clock.Millis(1)
-	// reachableTimeout is the same for counting most of the instances.
+	// reachableTimeout is how long a peer counts towards MostReached, and is listed by
+	// Peers, after its last heartbeat.
 	reachableTimeout = 3 * clock.Second
 	// LostAfter is how long a peer must be silent before its state counts as lost.
 	LostAfter = 15 * clock.Second
-	// stableTime is how long the set of live instances must stay the same
-	// before shards move without need.
+	// stableTime is how long the number of live instances must be unchanged before
+	// Settled reports true.
 	stableTime = 2 * clock.Second
-	// fullMeshLimit is the number of instances up to which all ping each other.
+	// fullMeshLimit is the number of listed instances up to which each pair exchanges
+	// heartbeats in every round.
 	fullMeshLimit = 16
-	// randomPings is how many at random an instance pings beyond that, besides its
-	// partners, and manyTerm how long one then counts as live without news.
-	randomPings   = 2
+	// randomPings is the number of random instances pinged in a round, besides the
+	// partners, when more than fullMeshLimit are listed.
+	randomPings = 2
+	// sparseTimeout replaces aliveTimeout in Live, and reachableTimeout in MostReached,
+	// when more than fullMeshLimit are listed.
 	sparseTimeout = 60 * clock.Second
 )
 
-// Run pings until ctx ends.
+// Run pings other instances periodically until ctx ends.
 func (h *Health) Run(ctx context.Context) {
 	h.mu.Lock()
 	h.startedAt = h.Clock.Mono()
@@ -75,6 +82,8 @@
 	}
 }
 
+// pingTargets pings one round of instances and waits for the answers, then calls OnBehind
+// if a peer has read more of the log.
 func (h *Health) pingTargets(ctx context.Context) {
 	var group conc.WaitGroup
 	for _, name := range h.chooseTargets() {
@@ -87,7 +96,8 @@
 	}
 }
 
-// mostAdvanced returns the peer that has read the most of the log, of those heard lately.
+// mostAdvanced returns the peer that has read the most of the log, among those that sent
+// a heartbeat within aliveTimeout.
 func (h *Health) mostAdvanced() (peer ident.InstanceName, upTo ident.Offset) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -100,9 +110,10 @@
 	return peer, upTo
 }
 
-// chooseTargets returns whom to ping: all while there are few, else the partners
-// and a random few, so that the cost of an instance does not grow. A ping
-// carries news both ways, so that of two instances one pings the other.
+// chooseTargets returns the instances to ping in a round: all listed ones up to
+// fullMeshLimit, beyond it the partners and a few random ones, so that the cost per
+// instance stays constant. A ping carries heartbeats both ways, so only one instance of
+// a pair initiates it; random pings do not depend on that.
 func (h *Health) chooseTargets() []ident.InstanceName {
 	var names []ident.InstanceName
 	self := h.Self.ListName()
@@ -128,7 +139,7 @@
 	return names
 }
 
-// initiates tells whether a is the one of the two that initiates.
+// initiates reports whether a, and not b, initiates the pings between the two.
 func initiates(a, b string) bool {
 	first, second := min(a, b), max(a, b)
 	even := ident.Hash(first, second)%2 == 0
@@ -145,7 +156,7 @@
 	h.RecordHeartbeat(heartbeat)
 }
 
-// RecordHeartbeat notes news from a peer.
+// RecordHeartbeat records a heartbeat received from a peer.
 func (h *Health) RecordHeartbeat(heartbeat Heartbeat) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -158,6 +169,7 @@
 	h.incarnations[heartbeat.Instance.ListName()] = heartbeat.Instance
 }
 
+// updateLiveCount records when the number of live instances last changed.
 func (h *Health) updateLiveCount() {
 	live := len(h.Live())
 	h.mu.Lock()
@@ -168,24 +180,26 @@
 	}
 }
 
-// Settled tells whether the set of live instances has not changed lately.
+// Settled reports whether the number of live instances has been unchanged for stableTime.
 func (h *Health) Settled() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.Clock.Mono()-h.liveChangedAt >= stableTime
 }
 
-// Alive tells whether the instance was heard of lately.
+// Alive reports whether the instance is self or sent a heartbeat within aliveTimeout.
 func (h *Health) Alive(name ident.InstanceName) bool {
 	return name == h.Self || h.silence(name) <= aliveTimeout
 }
 
-// Gone tells whether the instance has been silent for so long that its state
+// Gone reports whether the instance has been silent for LostAfter, so that its state
 // counts as lost.
 func (h *Health) Gone(name ident.InstanceName) bool {
 	return name != h.Self && h.silence(name) >= LostAfter
 }
 
+// silence returns the time since the instance's last heartbeat, or since the start of Run
+// if there was none.
 func (h *Health) silence(name ident.InstanceName) clock.Millis {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -193,14 +207,15 @@
 	if seen, ok := h.received[name]; ok {
 		since = seen.at
 	} else if h.Clock.Mono()-h.startedAt < LostAfter {
-		// Nobody has had the time to be heard of yet.
+		// Health has not run for long enough to call a peer lost: not alive, not gone.
 		return aliveTimeout + 1
 	}
 	return h.Clock.Mono() - since
 }
 
-// Live returns the instances that take part: on the list as live, heard of
-// lately and not draining; self among them unless it is draining.
+// Live returns the instances that can hold shards: those listed as live that sent a
+// recent heartbeat, are not suspected and are not draining. Self is included unless it
+// is draining.
 func (h *Health) Live() []views.Member {
 	var live []views.Member
 	draining := h.Heartbeat().Draining
@@ -218,6 +233,7 @@
 	return live
 }
 
+// liveInstance returns the incarnation of a listed instance, and whether Live includes it.
 func (h *Health) liveInstance(m fleet.Member) (ident.InstanceName, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -233,7 +249,8 @@
 	return name, !seen.heartbeat.Draining && h.Clock.Mono()-seen.at <= h.timeout(aliveTimeout)
 }
 
-// timeout returns for how long news counts: longer where few are pinged each round.
+// timeout returns how long a heartbeat is valid: sparseTimeout if instances ping only some
+// of the others in a round, else fullMeshTimeout.
 func (h *Health) timeout(fullMeshTimeout clock.Millis) clock.Millis {
 	if len(h.Fleet.View().Entries) > fullMeshLimit {
 		return sparseTimeout
@@ -241,8 +258,8 @@
 	return fullMeshTimeout
 }
 
-// Suspect notes that a call to the instance got no answer: it does not count as
-// live until it is heard of again. That says nothing of its state being lost.
+// Suspect records that a call to the instance got no answer. It is excluded from Live
+// until its next heartbeat; Alive and Gone are unaffected.
 func (h *Health) Suspect(name ident.InstanceName) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -252,8 +269,8 @@
 	h.suspectedAt[name] = h.Clock.Mono()
 }
 
-// MostReached tells whether more than half of the listed instances, self
-// included, were heard of lately.
+// MostReached reports whether this instance and those that sent a recent heartbeat are
+// more than half of the listed instances.
 func (h *Health) MostReached() bool {
 	entries := h.Fleet.View().Entries
 	reached, all := 1, 1
@@ -271,7 +288,8 @@
 	return 2*reached > all
 }
 
-// Peers lists what was heard from each listed instance, for operators.
+// Peers returns the latest heartbeat of each listed instance that sent one within
+// reachableTimeout, for operators.
 func (h *Health) Peers() []Heartbeat {
 	var list []Heartbeat
 	h.mu.Lock()
--- a/croftmoor/peers/health_test.go
+++ b/croftmoor/peers/health_test.go
@@ -9,7 +9,8 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// newHealth makes the health of instance i-0 among many.
+// newHealth returns the Health of i-0 with a manual clock and a list of the given number of
+// instances.
 func newHealth(instances int) (*Health, *clock.Clock) {
 	c := clock.NewManual(clock.Minute)
 	table := &fleet.Table{Clock: c}
@@ -34,61 +35,61 @@
 }
 
 func TestHealth(t *testing.T) {
-	t.Run("silence ends liveness soon, and loses state late", func(t *testing.T) {
+	t.Run("a silent peer is not alive after aliveTimeout, and gone after LostAfter", func(t *testing.T) {
 		h, c := newHealth(3)
 		h.RecordHeartbeat(Heartbeat{Instance: "i-1~b"})
 		assertLive(t, h, 2)
 		c.Advance(aliveTimeout + 1)
 		assertLive(t, h, 1)
 		if h.Alive("i-1~b") || h.Gone("i-1~b") {
-			t.Fatal("silent, and not gone yet")
+			t.Fatal("the peer is alive after aliveTimeout, or gone before LostAfter")
 		}
 		c.Advance(LostAfter)
 		if !h.Gone("i-1~b") {
-			t.Fatal("gone by now")
+			t.Fatal("the peer is not gone after LostAfter")
 		}
 	})
-	t.Run("a new life of an instance is not the old one", func(t *testing.T) {
+	t.Run("a restarted instance does not keep the old incarnation alive", func(t *testing.T) {
 		h, c := newHealth(2)
 		h.RecordHeartbeat(Heartbeat{Instance: "i-1~old"})
 		c.Advance(aliveTimeout + 1)
 		h.RecordHeartbeat(Heartbeat{Instance: "i-1~new"})
 		if h.Alive("i-1~old") || !h.Alive("i-1~new") {
-			t.Fatal("lives were mixed up")
+			t.Fatal("the old incarnation is alive, or the new one is not")
 		}
 	})
-	t.Run("a suspect is not live, and keeps its state", func(t *testing.T) {
+	t.Run("a suspected peer is not live, but alive and not gone", func(t *testing.T) {
 		h, _ := newHealth(2)
 		h.RecordHeartbeat(Heartbeat{Instance: "i-1~b"})
 		h.Suspect("i-1~b")
 		assertLive(t, h, 1)
 		if h.Gone("i-1~b") || !h.Alive("i-1~b") {
-			t.Fatal("a call without an answer is no lost state")
+			t.Fatal("a suspected peer is gone or not alive")
 		}
 		h.RecordHeartbeat(Heartbeat{Instance: "i-1~b"})
 		assertLive(t, h, 2)
 	})
-	t.Run("draining instances take no part", func(t *testing.T) {
+	t.Run("draining instances are not live", func(t *testing.T) {
 		h, _ := newHealth(2)
 		h.RecordHeartbeat(Heartbeat{Instance: "i-1~b", Draining: true})
 		assertLive(t, h, 1)
 	})
-	t.Run("most are reached only with more than half", func(t *testing.T) {
+	t.Run("MostReached needs more than half of the instances", func(t *testing.T) {
 		h, _ := newHealth(4)
 		h.RecordHeartbeat(Heartbeat{Instance: "i-1~b"})
 		if h.MostReached() {
-			t.Fatal("two of four are no majority")
+			t.Fatal("MostReached is true with two of four")
 		}
 		h.RecordHeartbeat(Heartbeat{Instance: "i-2~b"})
 		if !h.MostReached() {
-			t.Fatal("three of four are")
+			t.Fatal("MostReached is false with three of four")
 		}
 	})
-	t.Run("of two instances one pings, and many ping few", func(t *testing.T) {
+	t.Run("one instance of a pair initiates pings, and the targets are few among many instances", func(t *testing.T) {
 		for i := range 20 {
 			a, b := "x", fmt.Sprintf("y-%d", i)
 			if initiates(a, b) == initiates(b, a) {
-				t.Fatalf("%s and %s", a, b)
+				t.Fatalf("both or neither of %s and %s initiate", a, b)
 			}
 		}
 		h, _ := newHealth(400)
--- a/croftmoor/peers/peers.go
+++ b/croftmoor/peers/peers.go
@@ -1,6 +1,6 @@
-// Package peers is the calls between entry instances: liveness and news, the
-// at-most-once shards, and trainers' steps. The calls go over connect-go with
-// a MessagePack codec; wire types stand in wire.go and are mapped by hand.
+// Package peers implements the calls between entry instances: heartbeats, the shards of
+// at-most-once calls, and trainers' steps. The calls use connect-go with a MessagePack
+// codec; wire.go has the wire types and their conversions.
 package peers
 
 import (
@@ -20,7 +20,7 @@
 
 // Kinds of errors.
 const (
-	// Unreachable means that the peer gave no answer; the call may have worked.
+	// Unreachable means that the peer gave no answer; the call may have had its effect.
 	Unreachable Kind = "Unreachable"
 	// Unreadable means that a message could not be read.
 	Unreadable Kind = "Unreadable"
@@ -29,7 +29,7 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-// Heartbeat is what instances tell each other when they ping.
+// Heartbeat is the state of an instance that pings exchange.
 type Heartbeat struct {
 	Instance ident.InstanceName
 	// UpTo is the offset up to which the instance has read the log.
@@ -38,43 +38,46 @@
 	Draining bool
 }
 
-// Install carries a shard's state to its backup.
+// Install is a request to a shard's backup to replace its state with Snapshot.
 type Install struct {
 	From     ident.InstanceName
 	Snapshot once.Snapshot
 }
 
-// Record carries one change of a shard to its backup.
+// Record is a request to a shard's backup to apply one change.
 type Record struct {
 	Shard views.Shard
 	From  ident.InstanceName
 	Op    once.Op
 }
 
-// Open opens a trainer's step.
+// Open is a request to open a trainer's step. Have is the set of slots whose samples the
+// trainer already holds, and Version the newest version that the sender knows.
 type Open struct {
 	Spec    steps.Spec
 	Have    steps.Set
 	Version ident.Version
-	// HandedOver tells that the owner before opens the step, not the trainer; Ready
-	// are the samples that it had ready.
+	// HandedOver means that the step's previous owner sends the request, not the trainer.
+	// Ready are the finished samples that the previous owner had not delivered.
 	HandedOver bool
 	Ready      []*steps.Sample
 }
 
-// Pull asks for samples.
+// Pull is a request for samples of a step.
 type Pull struct {
 	Trainer ident.Trainer
 	Step    ident.Step
-	// PullID is echoed, so that the trainer can tell a late answer from its own.
+	// PullID is returned in the answer, so that the trainer can discard the answer to an
+	// earlier pull.
 	PullID     string
 	Have       steps.Set
 	Version    ident.Version
 	MaxSamples int
-	Wait       clock.Millis
+	// Wait bounds the time that the owner waits for samples if none are ready.
+	Wait clock.Millis
 }
 
-// Pulled answers a Pull.
+// Pulled is the answer to a Pull. Missing, Running, Ready and Held count the step's slots.
 type Pulled struct {
 	PullID  string
 	Step    ident.Step
@@ -86,18 +89,18 @@
 	Held    int
 }
 
-// Publication says that a trainer has published weights.
+// Publication is a notification that a trainer has published weights.
 type Publication struct {
 	Trainer ident.Trainer
 	Version ident.Version
 }
 
-// VersionRecorder takes over the sightings of other instances.
+// VersionRecorder records weights versions that other instances observed.
 type VersionRecorder interface {
 	Note(s pool.ObservedVersion)
 }
 
-// Shards is the at-most-once part of an instance as its peers use it.
+// Shards handles the peers' calls to the shards of at-most-once calls on this instance.
 type Shards interface {
 	ClaimHere(ctx context.Context, request once.Request) (once.Entry, error)
 	RecordHere(record Record) error
@@ -105,7 +108,7 @@
 	SettleHere(ctx context.Context, settlement once.Settlement) error
 }
 
-// Feeder is the trainers' part of an instance as its peers use it.
+// Feeder handles the peers' calls to the trainers' steps on this instance.
 type Feeder interface {
 	OpenHere(ctx context.Context, open Open) error
 	PullHere(ctx context.Context, pull Pull) (Pulled, error)
--- a/croftmoor/peers/peers_test.go
+++ b/croftmoor/peers/peers_test.go
@@ -19,18 +19,21 @@
 	"croftmoor.dev/kernel/steps"
 )
 
-// fakePeer answers like an instance that leads nothing.
+// fakePeer answers claims with a done entry, except for the id "refused", and refuses records
+// and pulls.
 type fakePeer struct {
 	open Open
 }
 
 func (*fakePeer) ClaimHere(_ context.Context, r once.Request) (once.Entry, error) {
 	if r.ID == "refused" {
-		return once.Entry{}, fault.New("test", once.NotPrimary, "led by b")
+		return once.Entry{}, fault.New("test", once.NotPrimary, "the primary is b")
 	}
 	return once.Entry{ID: r.ID, Status: once.Done, Runner: r.Runner, Attempt: r.Attempt, Answer: once.Answer{Status: 200, Body: []byte("x")}}, nil
 }
-func (*fakePeer) RecordHere(Record) error                           { return fault.New("test", once.OldEpoch, "moved on") }
+func (*fakePeer) RecordHere(Record) error {
+	return fault.New("test", once.OldEpoch, "the epoch is over")
+}
 func (*fakePeer) InstallHere(Install) error                         { return nil }
 func (*fakePeer) SettleHere(context.Context, once.Settlement) error { return nil }
 func (e *fakePeer) OpenHere(_ context.Context, o Open) error        { e.open = o; return nil }
@@ -67,7 +70,8 @@
 	return n, err
 }
 
-// startPeer starts a server and returns a client of it and the bytes between them.
+// startPeer starts a server and returns a client for it and the number of bytes that the
+// server has read and written.
 func startPeer(t testing.TB, e *fakePeer) (*Client, *atomic.Int64) {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -97,7 +101,7 @@
 	ctx := context.Background()
 	e := &fakePeer{}
 	client, _ := startPeer(t, e)
-	t.Run("entries and errors keep their meaning", func(t *testing.T) {
+	t.Run("entries and kinds of errors are preserved", func(t *testing.T) {
 		entry, err := client.Claim(ctx, "b-1", once.Request{ID: "x", Runner: "a", Attempt: 7})
 		if err != nil || entry.Attempt != 7 || string(entry.Answer.Body) != "x" {
 			t.Fatalf("%+v %v", entry, err)
@@ -106,13 +110,13 @@
 		assertKind(t, err, once.NotPrimary)
 		assertKind(t, client.Record(ctx, "b-1", Record{}), once.OldEpoch)
 	})
-	t.Run("refusals to trainers cross", func(t *testing.T) {
+	t.Run("refusals to trainers keep their kind and remedy", func(t *testing.T) {
 		_, err := client.Pull(ctx, "b-1", Pull{})
 		if r := refuse.Of(err); r.Kind != refuse.StepUnknown || r.Do != "open it" {
 			t.Fatalf("%+v", r)
 		}
 	})
-	t.Run("steps cross with their samples", func(t *testing.T) {
+	t.Run("steps keep their samples", func(t *testing.T) {
 		var have steps.Set
 		have.Add(9)
 		spans := []steps.Span{{Version: 2, Tokens: 5}, {Version: 3, Tokens: 1}}
--- a/croftmoor/peers/server.go
+++ b/croftmoor/peers/server.go
@@ -33,11 +33,11 @@
 	Shards          Shards
 	Feeder          Feeder
 	VersionRecorder VersionRecorder
-	// Heartbeat tells this instance's news.
+	// Heartbeat returns this instance's heartbeat.
 	Heartbeat func() Heartbeat
-	// OnHeartbeat takes the news of a peer that pings.
+	// OnHeartbeat is called with the heartbeat of a peer that pings.
 	OnHeartbeat func(Heartbeat)
-	// RegisterMore registers the procedures of other parts.
+	// RegisterMore registers the procedures of other packages; it may be nil.
 	RegisterMore func(*http.ServeMux)
 }
 
@@ -52,7 +52,7 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	return fault.Wrap("peers.Run", Unreachable, err, "the peer port ended")
+	return fault.Wrap("peers.Run", Unreachable, err, "the peer port's server stopped")
 }
 
 func (s *Server) handler() http.Handler {
@@ -114,13 +114,13 @@
 func (s *Server) state() (*stateWire, error) {
 	current := s.Reader.Current()
 	if current == nil {
-		return nil, connect.NewError(connect.CodeUnavailable, fault.New("peers.State", Unreachable, "no state yet"))
+		return nil, connect.NewError(connect.CodeUnavailable, fault.New("peers.State", Unreachable, "this instance has no shared state yet"))
 	}
 	data, err := fold.EncodeState(current)
 	return &stateWire{State: data}, err
 }
 
-// handle registers one procedure with the errors mapped for the wire.
+// handle registers one procedure; its errors are converted by toConnect.
 func handle[Q, A any](mux *http.ServeMux, path string, do func(context.Context, *Q) (*A, error)) {
 	rpcs.Handle(mux, path, toConnect, do)
 }
--- a/croftmoor/peers/wire.go
+++ b/croftmoor/peers/wire.go
@@ -103,7 +103,7 @@
 	Held    int
 }
 
-// SampleWire is the JSON form of a sample, also towards trainers.
+// SampleWire is the wire form of a sample between instances and, as JSON, to trainers.
 type SampleWire struct {
 	ID     string
 	Slot   int32
@@ -113,7 +113,7 @@
 	Reward float64
 }
 
-// SpanWire is the JSON form of a run of tokens of one version.
+// SpanWire is the wire form of a run of tokens made by one version of the weights.
 type SpanWire struct {
 	Version int64
 	Tokens  int32
@@ -296,7 +296,7 @@
 	return p
 }
 
-// SampleToWire converts a sample to its JSON form.
+// SampleToWire converts a sample to its wire form.
 func SampleToWire(s *steps.Sample) SampleWire {
 	w := SampleWire{ID: s.ID, Slot: int32(s.Slot), Prompt: s.Prompt, Text: s.Text, Reward: s.Reward}
 	for _, span := range s.Spans {
@@ -305,7 +305,7 @@
 	return w
 }
 
-// SampleFromWire converts the JSON form of a sample.
+// SampleFromWire converts a sample from its wire form.
 func SampleFromWire(w SampleWire) *steps.Sample {
 	s := &steps.Sample{ID: w.ID, Slot: ident.Slot(w.Slot), Prompt: w.Prompt, Text: w.Text, Reward: w.Reward}
 	for _, span := range w.Spans {
