Names of croftctl say what the values are

gopls rename -w croftctl/client/client.go:46:7 callTimeout (was callTerm) gopls rename -w croftctl/client/client.go:113:6 decode (was read) gopls rename -w croftctl/cmds/cmds.go:93:6 writeRow (was line) gopls rename -w croftctl/cmds/cmds.go:102:6 instanceStatus (was instance) gopls rename -w croftctl/cmds/cmds.go:110:16 fetchStatuses (was everyone) gopls rename -w croftctl/cmds/cmds.go:118:3 status (was one) gopls rename -w croftctl/cmds/config.go:32:2 BaseRevision (was Edited) gopls rename -w croftctl/cmds/config.go:38:6 fileHeader (was head) gopls rename -w croftctl/cmds/config.go:47:6 header (was h) gopls rename -w croftctl/cmds/config.go:97:16 showVerdict (was show) gopls rename -w croftctl/cmds/config.go:116:6 indentJSON (was pretty) gopls rename -w croftctl/cmds/config.go:125:8 contextLines (was around) gopls rename -w croftctl/cmds/status.go:25:18 showOnce (was once) gopls rename -w croftctl/cmds/status.go:41:6 writeInstances (was instances) gopls rename -w croftctl/cmds/status.go:57:6 writeBackends (was backends) gopls rename -w croftctl/cmds/status.go:71:6 writeSteps (was openSteps) gopls rename -w croftctl/cmds/status.go:91:2 watchInterval (was watchPause) gopls rename -w croftctl/cmds/status.go:151:6 instanceDecision (was located) gopls rename -w croftctl/cmds/status.go:127:6 decisions (was trail) gopls rename -w croftctl/cmds/status.go:120:7 w (was y)

--- a/croftctl/client/client.go
+++ b/croftctl/client/client.go
@@ -43,7 +43,7 @@
 	http httpc.Client
 }
 
-const callTerm = 12 * clock.Second
+const callTimeout = 12 * clock.Second
 
 // refusalWire is the API's refusal.
 type refusalWire struct {
@@ -86,7 +86,7 @@
 }
 
 func (c *Client) call(ctx context.Context, call *httpc.Call, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTerm.Duration())
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 	if c.Token != "" {
 		call.Headers = append(call.Headers, httpc.Header{Name: "Authorization", Value: "Bearer " + c.Token})
@@ -101,7 +101,7 @@
 		return fault.Wrap("client.call", OutcomeUnknown, err, "the answer of "+string(call.Address)+" was lost")
 	}
 	if answer.Status < http.StatusMultipleChoices {
-		return read(answer.Body, into)
+		return decode(answer.Body, into)
 	}
 	var w refusalWire
 	if json.Unmarshal(answer.Body, &w) != nil || w.Kind == "" {
@@ -110,7 +110,7 @@
 	return &Error{Op: "croftctl", Kind: Kind(w.Kind), What: w.What, Do: w.Do}
 }
 
-func read(body []byte, into any) error {
+func decode(body []byte, into any) error {
 	if into == nil {
 		return nil
 	}
--- a/croftctl/cmds/cmds.go
+++ b/croftctl/cmds/cmds.go
@@ -90,7 +90,7 @@
 	return table.Flush()
 }
 
-func line(w io.Writer, cells ...any) {
+func writeRow(w io.Writer, cells ...any) {
 	texts := make([]string, len(cells))
 	for i, cell := range cells {
 		texts[i] = fmt.Sprint(cell)
@@ -98,31 +98,31 @@
 	_, _ = fmt.Fprintln(w, strings.Join(texts, "\t"))
 }
 
-// instance is one instance's status, or why there is none.
-type instance struct {
+// instanceStatus is one instanceStatus's status, or why there is none.
+type instanceStatus struct {
 	Name   string
 	Zone   string
 	Status *client.Status
 	Error  string
 }
 
-// everyone asks each listed instance for its status.
-func (b *Base) everyone(ctx context.Context) ([]instance, error) {
+// fetchStatuses asks each listed instance for its status.
+func (b *Base) fetchStatuses(ctx context.Context) ([]instanceStatus, error) {
 	c := b.client()
 	var first client.Status
 	if err := c.Get(ctx, "/v1/status", &first); err != nil {
 		return nil, err
 	}
-	var list []instance
+	var list []instanceStatus
 	for _, entry := range first.Entries {
-		one := instance{Name: entry.Name, Zone: entry.Zone}
+		status := instanceStatus{Name: entry.Name, Zone: entry.Zone}
 		var s client.Status
 		if err := c.GetFrom(ctx, ident.Address(entry.Admin), "/v1/status", &s); err != nil {
-			one.Error = err.Error()
+			status.Error = err.Error()
 		} else {
-			one.Status = &s
+			status.Status = &s
 		}
-		list = append(list, one)
+		list = append(list, status)
 	}
 	return list, nil
 }
--- a/croftctl/cmds/config.go
+++ b/croftctl/cmds/config.go
@@ -27,15 +27,15 @@
 // Apply applies a file as a whole.
 type Apply struct {
 	Base
-	Args   fileArg `positional-args:"true"`
-	DryRun bool    `long:"dry-run" description:"only show what would change, and whether the file is valid"`
-	Edited int64   `long:"base" default:"-1" description:"revision that the file was edited from; the one in force if not given"`
-	ID     string  `long:"id" description:"id of the change; the same id is judged only once"`
-	By     string  `long:"by" description:"who makes the change"`
+	Args         fileArg `positional-args:"true"`
+	DryRun       bool    `long:"dry-run" description:"only show what would change, and whether the file is valid"`
+	BaseRevision int64   `long:"base" default:"-1" description:"revision that the file was edited from; the one in force if not given"`
+	ID           string  `long:"id" description:"id of the change; the same id is judged only once"`
+	By           string  `long:"by" description:"who makes the change"`
 }
 
-// head is the part of a file that croftctl itself reads.
-type head struct {
+// fileHeader is the part of a file that croftctl itself reads.
+type fileHeader struct {
 	Team string
 }
 
@@ -44,13 +44,13 @@
 	if err != nil {
 		return "", nil, fault.Wrap("cmds.readFile", client.Invalid, err, path)
 	}
-	var h head
-	if err := json.Unmarshal(data, &h); err != nil || h.Team == "" {
+	var header fileHeader
+	if err := json.Unmarshal(data, &header); err != nil || header.Team == "" {
 		e := fault.New("cmds.readFile", client.Invalid, path+" is not a JSON object with a Team")
 		e.Do = "correct the file"
 		return "", nil, e
 	}
-	return h.Team, data, nil
+	return header.Team, data, nil
 }
 
 // Execute applies the file.
@@ -70,7 +70,7 @@
 			return err
 		}
 	}
-	change := client.Change{ID: a.ID, Base: a.Edited, By: a.By, DryRun: a.DryRun, Text: text}
+	change := client.Change{ID: a.ID, Base: a.BaseRevision, By: a.By, DryRun: a.DryRun, Text: text}
 	if change.ID == "" {
 		change.ID = ident.NewRandom()
 	}
@@ -81,7 +81,7 @@
 	if err := c.Post(ctx, "/v1/teams/"+team+"/config", change, &v); err != nil {
 		return withRemedy(err, change.ID)
 	}
-	return a.show(v, a.DryRun)
+	return a.showVerdict(v, a.DryRun)
 }
 
 // withRemedy adds the command that finds out how a change ended.
@@ -94,7 +94,7 @@
 	return e
 }
 
-func (b *Base) show(v client.Verdict, dryRun bool) error {
+func (b *Base) showVerdict(v client.Verdict, dryRun bool) error {
 	if v.Outcome != "Accepted" {
 		kind := client.Invalid
 		remedy := "correct the file and apply it again; nothing was changed"
@@ -106,14 +106,14 @@
 	}
 	return b.print(v, func(w io.Writer) {
 		if dryRun {
-			line(w, "the file is valid; nothing was changed")
+			writeRow(w, "the file is valid; nothing was changed")
 			return
 		}
-		line(w, fmt.Sprintf("accepted: team %s is at revision %d (change %s)", v.Team, v.Revision, v.ID))
+		writeRow(w, fmt.Sprintf("accepted: team %s is at revision %d (change %s)", v.Team, v.Revision, v.ID))
 	})
 }
 
-func pretty(text []byte) string {
+func indentJSON(text []byte) string {
 	var out bytes.Buffer
 	if len(text) == 0 || json.Indent(&out, text, "", "  ") != nil {
 		return ""
@@ -122,10 +122,10 @@
 }
 
 func showDiff(out io.Writer, current client.Team, text []byte) error {
-	const around = 3
+	const contextLines = 3
 	diff, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
-		A: difflib.SplitLines(pretty(current.Text)), B: difflib.SplitLines(pretty(text)),
-		FromFile: fmt.Sprintf("revision %d", current.Revision), ToFile: "file", Context: around,
+		A: difflib.SplitLines(indentJSON(current.Text)), B: difflib.SplitLines(indentJSON(text)),
+		FromFile: fmt.Sprintf("revision %d", current.Revision), ToFile: "file", Context: contextLines,
 	})
 	if err != nil {
 		return fault.Wrap("cmds.showDiff", client.Invalid, err, "")
@@ -168,7 +168,7 @@
 	if err := g.client().Get(context.Background(), "/v1/teams/"+g.Args.Team, &current); err != nil {
 		return err
 	}
-	return g.print(current, func(w io.Writer) { line(w, pretty(current.Text)) })
+	return g.print(current, func(w io.Writer) { writeRow(w, indentJSON(current.Text)) })
 }
 
 // Teams lists the teams and their revisions.
@@ -183,9 +183,9 @@
 		return err
 	}
 	return t.print(list, func(w io.Writer) {
-		line(w, "TEAM", "REVISION", "BY")
+		writeRow(w, "TEAM", "REVISION", "BY")
 		for _, team := range list {
-			line(w, team.Team, team.Revision, team.By)
+			writeRow(w, team.Team, team.Revision, team.By)
 		}
 	})
 }
@@ -202,9 +202,9 @@
 		return err
 	}
 	return h.print(list, func(w io.Writer) {
-		line(w, "REVISION", "TEAM", "OUTCOME", "BY", "ID", "REASON")
+		writeRow(w, "REVISION", "TEAM", "OUTCOME", "BY", "ID", "REASON")
 		for _, v := range list {
-			line(w, v.Revision, v.Team, v.Outcome, v.By, v.ID, v.Reason)
+			writeRow(w, v.Revision, v.Team, v.Outcome, v.By, v.ID, v.Reason)
 		}
 	})
 }
@@ -225,5 +225,5 @@
 	if err := o.client().Get(context.Background(), "/v1/verdicts/"+o.Args.ID, &v); err != nil {
 		return err
 	}
-	return o.show(v, false)
+	return o.showVerdict(v, false)
 }
--- a/croftctl/cmds/status.go
+++ b/croftctl/cmds/status.go
@@ -19,30 +19,30 @@
 
 // Execute shows the status once.
 func (s *Status) Execute([]string) error {
-	return s.once(context.Background())
+	return s.showOnce(context.Background())
 }
 
-func (s *Status) once(ctx context.Context) error {
-	list, err := s.everyone(ctx)
+func (s *Status) showOnce(ctx context.Context) error {
+	list, err := s.fetchStatuses(ctx)
 	if err != nil {
 		return err
 	}
 	return s.print(list, func(w io.Writer) {
-		instances(w, list)
+		writeInstances(w, list)
 		if s.Backends {
-			backends(w, list)
+			writeBackends(w, list)
 		}
 		if s.Steps {
-			openSteps(w, list)
+			writeSteps(w, list)
 		}
 	})
 }
 
-func instances(w io.Writer, list []instance) {
-	line(w, "INSTANCE", "ZONE", "REVISION", "LOG SILENT MS", "IN FLIGHT", "LEADS", "BACKS UP", "STATE")
+func writeInstances(w io.Writer, list []instanceStatus) {
+	writeRow(w, "INSTANCE", "ZONE", "REVISION", "LOG SILENT MS", "IN FLIGHT", "LEADS", "BACKS UP", "STATE")
 	for _, one := range list {
 		if one.Status == nil {
-			line(w, one.Name, one.Zone, "-", "-", "-", "-", "-", "no answer: "+one.Error)
+			writeRow(w, one.Name, one.Zone, "-", "-", "-", "-", "-", "no answer: "+one.Error)
 			continue
 		}
 		state := "ready"
@@ -50,33 +50,33 @@
 			state = one.Status.NotReady
 		}
 		s := one.Status
-		line(w, s.Instance, s.Zone, s.Revision, s.LogSilenceMillis, s.InFlight, s.ShardsLed, s.ShardsBackedUp, state)
+		writeRow(w, s.Instance, s.Zone, s.Revision, s.LogSilenceMillis, s.InFlight, s.ShardsLed, s.ShardsBackedUp, state)
 	}
 }
 
-func backends(w io.Writer, list []instance) {
-	line(w)
-	line(w, "BACKEND SERVER", "SERVICE", "ZONE", "STATE", "IN FLIGHT", "BELIEVED", "REPORTED", "VERSIONS")
+func writeBackends(w io.Writer, list []instanceStatus) {
+	writeRow(w)
+	writeRow(w, "BACKEND SERVER", "SERVICE", "ZONE", "STATE", "IN FLIGHT", "BELIEVED", "REPORTED", "VERSIONS")
 	for _, one := range list {
 		if one.Status == nil {
 			continue
 		}
 		for _, b := range one.Status.Backends {
-			line(w, b.Name, b.Service, b.Zone, b.State, b.InFlight, b.BelievedLoad, b.ReportedLoad, b.Versions)
+			writeRow(w, b.Name, b.Service, b.Zone, b.State, b.InFlight, b.BelievedLoad, b.ReportedLoad, b.Versions)
 		}
 		return
 	}
 }
 
-func openSteps(w io.Writer, list []instance) {
-	line(w)
-	line(w, "TRAINER", "STEP", "NEWEST", "MISSING", "RUNNING", "READY", "HELD", "DROPPED STALE", "OWNER")
+func writeSteps(w io.Writer, list []instanceStatus) {
+	writeRow(w)
+	writeRow(w, "TRAINER", "STEP", "NEWEST", "MISSING", "RUNNING", "READY", "HELD", "DROPPED STALE", "OWNER")
 	for _, one := range list {
 		if one.Status == nil {
 			continue
 		}
 		for _, s := range one.Status.Steps {
-			line(w, s.Trainer, s.Step, s.Newest, s.Missing, s.Running, s.Ready, s.Held, s.Stale, one.Name)
+			writeRow(w, s.Trainer, s.Step, s.Newest, s.Missing, s.Running, s.Ready, s.Held, s.Stale, one.Name)
 		}
 	}
 }
@@ -88,8 +88,8 @@
 }
 
 const (
-	watchPause  = 1 * clock.Second
-	clearScreen = "\x1b[H\x1b[2J"
+	watchInterval = 1 * clock.Second
+	clearScreen   = "\x1b[H\x1b[2J"
 )
 
 // Execute shows the status each second.
@@ -99,11 +99,11 @@
 		if w.Options.Output == "text" && w.Times == 0 {
 			_, _ = io.WriteString(w.Out, clearScreen)
 		}
-		if err := w.once(ctx); err != nil {
+		if err := w.showOnce(ctx); err != nil {
 			return err
 		}
 		if w.Times != n+1 {
-			w.Clock.Sleep(ctx, watchPause)
+			w.Clock.Sleep(ctx, watchInterval)
 		}
 	}
 	return nil
@@ -117,38 +117,38 @@
 }
 
 // Execute shows the trail.
-func (y *Why) Execute([]string) error {
+func (w *Why) Execute([]string) error {
 	ctx := context.Background()
-	c := y.client()
+	c := w.client()
 	var first client.Status
 	if err := c.Get(ctx, "/v1/status", &first); err != nil {
 		return err
 	}
-	var trail []located
+	var decisions []instanceDecision
 	for _, entry := range first.Entries {
 		var list []client.Decision
 		// An instance that does not answer has nothing to add.
-		_ = c.GetFrom(ctx, ident.Address(entry.Admin), "/v1/why/"+y.Args.ID, &list)
+		_ = c.GetFrom(ctx, ident.Address(entry.Admin), "/v1/why/"+w.Args.ID, &list)
 		for _, d := range list {
-			trail = append(trail, located{Instance: entry.Name, Decision: d})
+			decisions = append(decisions, instanceDecision{Instance: entry.Name, Decision: d})
 		}
 	}
-	if len(trail) == 0 {
-		return &client.Error{Op: "croftctl why", Kind: client.Invalid, What: "no instance remembers a decision about " + y.Args.ID,
+	if len(decisions) == 0 {
+		return &client.Error{Op: "croftctl why", Kind: client.Invalid, What: "no instance remembers a decision about " + w.Args.ID,
 			Do: "check the id; instances remember the latest decisions only"}
 	}
-	slices.SortStableFunc(trail, func(a, b located) int { return int(a.Decision.At - b.Decision.At) })
-	return y.print(trail, func(w io.Writer) {
-		line(w, "TIME", "INSTANCE", "ACTION", "CHOICE", "RUNNER-UP", "REASON")
-		for _, d := range trail {
+	slices.SortStableFunc(decisions, func(a, b instanceDecision) int { return int(a.Decision.At - b.Decision.At) })
+	return w.print(decisions, func(w io.Writer) {
+		writeRow(w, "TIME", "INSTANCE", "ACTION", "CHOICE", "RUNNER-UP", "REASON")
+		for _, d := range decisions {
 			at := clock.Millis(d.Decision.At).Time().UTC().Format("15:04:05.000")
-			line(w, at, d.Instance, d.Decision.Action, d.Decision.Choice, d.Decision.RunnerUp, d.Decision.Reason)
+			writeRow(w, at, d.Instance, d.Decision.Action, d.Decision.Choice, d.Decision.RunnerUp, d.Decision.Reason)
 		}
 	})
 }
 
-// located is a decision and where it was made.
-type located struct {
+// instanceDecision is a decision and where it was made.
+type instanceDecision struct {
 	Instance string
 	Decision client.Decision
 }
@@ -163,7 +163,7 @@
 	if err := d.client().Post(context.Background(), "/v1/drain", struct{}{}, nil); err != nil {
 		return err
 	}
-	return d.print(struct{ Draining bool }{true}, func(w io.Writer) { line(w, "the instance is stopping; it ends once nothing is in flight") })
+	return d.print(struct{ Draining bool }{true}, func(w io.Writer) { writeRow(w, "the instance is stopping; it ends once nothing is in flight") })
 }
 
 // Restore starts the shared state anew when the log has lost it.
@@ -177,6 +177,6 @@
 		return err
 	}
 	return r.print(struct{ Restored bool }{true}, func(w io.Writer) {
-		line(w, "the shared state starts anew, without any team's file; apply the files again")
+		writeRow(w, "the shared state starts anew, without any team's file; apply the files again")
 	})
 }
