Help, messages and comments of croftctl in plain terms

Help lines, error texts and comments only: commands, flags, columns and exit codes are as before, and no test or page matches the texts that changed.

--- a/croftctl/client/client.go
+++ b/croftctl/client/client.go
@@ -1,4 +1,4 @@
-// Package client speaks to the administration API of entry instances.
+// Package client is an HTTP client for the administration API of entry instances.
 package client
 
 import (
@@ -12,30 +12,32 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// Kind classifies the errors of this package. The kinds are those of the
-// API's refusals and Unreachable.
+// Kind classifies the errors of this package: Unreachable and the kinds of the API's
+// refusals.
 type Kind string
 
 // Kinds of errors.
 const (
 	// Unreachable means that no instance answered.
 	Unreachable Kind = "Unreachable"
-	// NotRun means that the request certainly had no effect.
+	// NotRun means that the request had no effect.
 	NotRun Kind = "NotRun"
 	// OutcomeUnknown means that the request may have had its effect.
 	OutcomeUnknown Kind = "OutcomeUnknown"
-	// Invalid means that the request was at fault.
+	// Invalid means that the request or its answer is not valid.
 	Invalid Kind = "Invalid"
 	// Denied means that the token does not allow the request.
 	Denied Kind = "Denied"
-	// Conflict means that another change came first.
+	// Conflict means that another change was made since the revision that the request is
+	// based on.
 	Conflict Kind = "Conflict"
 )
 
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-// Client asks the first of its instances that answers. Set the fields before use.
+// Client sends requests to the instances in Admins, in this order, until one can be
+// connected to. Set the fields before use.
 type Client struct {
 	Admins []ident.Address
 	Token  string
@@ -45,14 +47,14 @@
 
 const callTimeout = 12 * clock.Second
 
-// refusalWire is the API's refusal.
+// refusalWire is the JSON form of a refusal.
 type refusalWire struct {
 	Kind string
 	What string
 	Do   string
 }
 
-// Get reads JSON from the first instance that answers.
+// Get reads JSON from the first instance that can be connected to.
 func (c *Client) Get(ctx context.Context, path string, into any) error {
 	var last error
 	for _, admin := range c.Admins {
@@ -68,8 +70,9 @@
 	return c.call(ctx, &httpc.Call{Address: admin, Method: http.MethodGet, Path: path}, into)
 }
 
-// Post sends JSON to the first instance that can be connected to. A request
-// whose answer was lost is not sent elsewhere: its outcome is unknown.
+// Post sends JSON to the first instance that can be connected to. A request whose answer
+// was lost is not sent to another instance, as it may have had its effect; Post returns
+// OutcomeUnknown.
 func (c *Client) Post(ctx context.Context, path string, body, into any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -93,12 +96,12 @@
 	}
 	answer, err := c.http.Do(ctx, call)
 	if fault.KindOf[httpc.Kind](err) == httpc.NotSent {
-		e := fault.Wrap("client.call", Unreachable, err, "no instance at "+string(call.Address))
-		e.Do = "check --admin, and that the instance runs"
+		e := fault.Wrap("client.call", Unreachable, err, "cannot connect to the instance at "+string(call.Address))
+		e.Do = "check --admin and that the instance is running"
 		return e
 	}
 	if err != nil {
-		return fault.Wrap("client.call", OutcomeUnknown, err, "the answer of "+string(call.Address)+" was lost")
+		return fault.Wrap("client.call", OutcomeUnknown, err, "the answer from "+string(call.Address)+" was not received completely")
 	}
 	if answer.Status < http.StatusMultipleChoices {
 		return decode(answer.Body, into)
@@ -115,7 +118,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(body, into); err != nil {
-		return fault.Wrap("client.read", Invalid, err, "the answer is not the JSON that is expected")
+		return fault.Wrap("client.read", Invalid, err, "the answer is not valid JSON of the expected form")
 	}
 	return nil
 }
--- a/croftctl/client/types.go
+++ b/croftctl/client/types.go
@@ -12,7 +12,7 @@
 	Text     json.RawMessage
 }
 
-// Change is a file to apply.
+// Change is a file to apply. Base is the revision that it was edited from.
 type Change struct {
 	ID     string
 	Base   int64
@@ -21,7 +21,7 @@
 	Text   json.RawMessage
 }
 
-// Verdict is the judgement on a change.
+// Verdict is the outcome of a change.
 type Verdict struct {
 	ID       string
 	Team     string
@@ -32,7 +32,7 @@
 	Reason   string
 }
 
-// Decision is one line of a trail.
+// Decision is one logged decision about a request, sample or step.
 type Decision struct {
 	At       int64
 	ID       string
--- a/croftctl/cmds/cmds.go
+++ b/croftctl/cmds/cmds.go
@@ -1,5 +1,5 @@
-// Package cmds is croftctl's commands. Each prints text or JSON; the exit code
-// tells how it ended (see ExitCode).
+// Package cmds implements the commands of croftctl. Each prints text or JSON; ExitCode
+// maps its error to the exit code.
 package cmds
 
 import (
@@ -57,10 +57,10 @@
 type Options struct {
 	Admin  []string `long:"admin" env:"CROFT_ADMIN" env-delim:"," required:"true" description:"administration address of an instance; may be given several times"`
 	Token  string   `long:"token" env:"CROFT_TOKEN" description:"operator's token"`
-	Output string   `long:"output" choice:"text" choice:"json" default:"text" description:"form of what is printed"` //nolint:staticcheck // go-flags takes repeated choices
+	Output string   `long:"output" choice:"text" choice:"json" default:"text" description:"output format"` //nolint:staticcheck // go-flags takes repeated choices
 }
 
-// Base is what every command embeds. Out takes what it prints.
+// Base has what all commands need. Commands print to Out.
 type Base struct {
 	Options *Options     `no-flag:"true"`
 	Out     io.Writer    `no-flag:"true"`
@@ -75,12 +75,13 @@
 	return c
 }
 
-// print writes value as JSON, or calls text.
+// print writes value as JSON, or calls text with a writer that aligns tab-separated
+// columns, as Options.Output says.
 func (b *Base) print(value any, text func(w io.Writer)) error {
 	if b.Options.Output == "json" {
 		data, err := json.MarshalIndent(value, "", "  ")
 		if err != nil {
-			return fault.Wrap("cmds.print", client.Invalid, err, "unprintable")
+			return fault.Wrap("cmds.print", client.Invalid, err, "cannot encode the output as JSON")
 		}
 		_, err = fmt.Fprintln(b.Out, string(data))
 		return err
@@ -90,6 +91,7 @@
 	return table.Flush()
 }
 
+// writeRow writes cells as one tab-separated row.
 func writeRow(w io.Writer, cells ...any) {
 	texts := make([]string, len(cells))
 	for i, cell := range cells {
@@ -98,7 +100,7 @@
 	_, _ = fmt.Fprintln(w, strings.Join(texts, "\t"))
 }
 
-// instanceStatus is one instanceStatus's status, or why there is none.
+// instanceStatus is the status of one instance, or the error of the request for it.
 type instanceStatus struct {
 	Name   string
 	Zone   string
@@ -106,7 +108,7 @@
 	Error  string
 }
 
-// fetchStatuses asks each listed instance for its status.
+// fetchStatuses requests the status of each instance on the list of the first that answers.
 func (b *Base) fetchStatuses(ctx context.Context) ([]instanceStatus, error) {
 	c := b.client()
 	var first client.Status
--- a/croftctl/cmds/config.go
+++ b/croftctl/cmds/config.go
@@ -24,17 +24,17 @@
 	Team string `positional-arg-name:"TEAM" required:"true"`
 }
 
-// Apply applies a file as a whole.
+// Apply replaces a team's configuration with a file.
 type Apply struct {
 	Base
 	Args         fileArg `positional-args:"true"`
 	DryRun       bool    `long:"dry-run" description:"only show what would change, and whether the file is valid"`
 	BaseRevision int64   `long:"base" default:"-1" description:"revision that the file was edited from; the one in force if not given"`
-	ID           string  `long:"id" description:"id of the change; the same id is judged only once"`
-	By           string  `long:"by" description:"who makes the change"`
+	ID           string  `long:"id" description:"id of the change; a repeated id returns the first verdict"`
+	By           string  `long:"by" description:"author of the change"`
 }
 
-// fileHeader is the part of a file that croftctl itself reads.
+// fileHeader is the only part of a file that croftctl reads; the instance checks the rest.
 type fileHeader struct {
 	Team string
 }
@@ -53,7 +53,7 @@
 	return header.Team, data, nil
 }
 
-// Execute applies the file.
+// Execute sends the change and prints its verdict.
 func (a *Apply) Execute([]string) error {
 	ctx := context.Background()
 	team, text, err := readFile(a.Args.File)
@@ -84,23 +84,24 @@
 	return a.showVerdict(v, a.DryRun)
 }
 
-// withRemedy adds the command that finds out how a change ended.
+// withRemedy adds to an OutcomeUnknown error the command that shows the change's verdict.
 func withRemedy(err error, id string) error {
 	if fault.KindOf[client.Kind](err) != client.OutcomeUnknown {
 		return err
 	}
-	e := fault.Wrap("croftctl apply", client.OutcomeUnknown, err, "the change may have been made")
-	e.Do = "find out with: croftctl outcome " + id
+	e := fault.Wrap("croftctl apply", client.OutcomeUnknown, err, "the change may have been applied")
+	e.Do = "show the verdict with: croftctl outcome " + id
 	return e
 }
 
+// showVerdict prints an accepted verdict and returns an error for any other.
 func (b *Base) showVerdict(v client.Verdict, dryRun bool) error {
 	if v.Outcome != "Accepted" {
 		kind := client.Invalid
 		remedy := "correct the file and apply it again; nothing was changed"
 		if v.Outcome == "Conflict" {
 			kind = client.Conflict
-			remedy = "look at what is in force with croftctl get " + v.Team + ", edit that, and apply again"
+			remedy = "fetch the configuration in force with croftctl get " + v.Team + ", edit that, and apply again"
 		}
 		return &client.Error{Op: "croftctl apply", Kind: kind, What: v.Reason, Do: remedy}
 	}
@@ -113,6 +114,7 @@
 	})
 }
 
+// indentJSON returns text indented, or "" if it is empty or not JSON.
 func indentJSON(text []byte) string {
 	var out bytes.Buffer
 	if len(text) == 0 || json.Indent(&out, text, "", "  ") != nil {
@@ -137,13 +139,13 @@
 	return err
 }
 
-// Diff shows how a file differs from what is in force.
+// Diff shows the difference between a file and its team's configuration in force.
 type Diff struct {
 	Base
 	Args fileArg `positional-args:"true"`
 }
 
-// Execute shows the difference.
+// Execute prints the difference as a unified diff.
 func (d *Diff) Execute([]string) error {
 	team, text, err := readFile(d.Args.File)
 	if err != nil {
@@ -156,7 +158,7 @@
 	return showDiff(d.Out, current, text)
 }
 
-// Get prints a team's file in force.
+// Get prints a team's configuration in force.
 type Get struct {
 	Base
 	Args teamArg `positional-args:"true"`
@@ -209,7 +211,7 @@
 	})
 }
 
-// Outcome tells how a change ended whose answer was lost.
+// Outcome shows the verdict on a change, for instance after the answer to apply was lost.
 type Outcome struct {
 	Base
 	Args idArg `positional-args:"true"`
@@ -219,7 +221,7 @@
 	ID string `positional-arg-name:"ID" required:"true"`
 }
 
-// Execute tells the verdict.
+// Execute prints the verdict; a change that was not accepted is an error, as in Apply.
 func (o *Outcome) Execute([]string) error {
 	var v client.Verdict
 	if err := o.client().Get(context.Background(), "/v1/verdicts/"+o.Args.ID, &v); err != nil {
--- a/croftctl/cmds/status.go
+++ b/croftctl/cmds/status.go
@@ -10,14 +10,14 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// Status shows every instance.
+// Status shows the status of every instance.
 type Status struct {
 	Base
-	Backends bool `long:"backends" description:"show the backend servers as the first instance sees them"`
+	Backends bool `long:"backends" description:"show the backend servers as seen by the first instance that answers"`
 	Steps    bool `long:"steps" description:"show the trainers' open steps"`
 }
 
-// Execute shows the status once.
+// Execute prints the status once.
 func (s *Status) Execute([]string) error {
 	return s.showOnce(context.Background())
 }
@@ -40,16 +40,16 @@
 
 func writeInstances(w io.Writer, list []instanceStatus) {
 	writeRow(w, "INSTANCE", "ZONE", "REVISION", "LOG SILENT MS", "IN FLIGHT", "LEADS", "BACKS UP", "STATE")
-	for _, one := range list {
-		if one.Status == nil {
-			writeRow(w, one.Name, one.Zone, "-", "-", "-", "-", "-", "no answer: "+one.Error)
+	for _, instance := range list {
+		if instance.Status == nil {
+			writeRow(w, instance.Name, instance.Zone, "-", "-", "-", "-", "-", "no answer: "+instance.Error)
 			continue
 		}
 		state := "ready"
-		if one.Status.NotReady != "" {
-			state = one.Status.NotReady
+		if instance.Status.NotReady != "" {
+			state = instance.Status.NotReady
 		}
-		s := one.Status
+		s := instance.Status
 		writeRow(w, s.Instance, s.Zone, s.Revision, s.LogSilenceMillis, s.InFlight, s.ShardsLed, s.ShardsBackedUp, state)
 	}
 }
@@ -57,11 +57,11 @@
 func writeBackends(w io.Writer, list []instanceStatus) {
 	writeRow(w)
 	writeRow(w, "BACKEND SERVER", "SERVICE", "ZONE", "STATE", "IN FLIGHT", "BELIEVED", "REPORTED", "VERSIONS")
-	for _, one := range list {
-		if one.Status == nil {
+	for _, instance := range list {
+		if instance.Status == nil {
 			continue
 		}
-		for _, b := range one.Status.Backends {
+		for _, b := range instance.Status.Backends {
 			writeRow(w, b.Name, b.Service, b.Zone, b.State, b.InFlight, b.BelievedLoad, b.ReportedLoad, b.Versions)
 		}
 		return
@@ -71,20 +71,20 @@
 func writeSteps(w io.Writer, list []instanceStatus) {
 	writeRow(w)
 	writeRow(w, "TRAINER", "STEP", "NEWEST", "MISSING", "RUNNING", "READY", "HELD", "DROPPED STALE", "OWNER")
-	for _, one := range list {
-		if one.Status == nil {
+	for _, instance := range list {
+		if instance.Status == nil {
 			continue
 		}
-		for _, s := range one.Status.Steps {
-			writeRow(w, s.Trainer, s.Step, s.Newest, s.Missing, s.Running, s.Ready, s.Held, s.Stale, one.Name)
+		for _, s := range instance.Status.Steps {
+			writeRow(w, s.Trainer, s.Step, s.Newest, s.Missing, s.Running, s.Ready, s.Held, s.Stale, instance.Name)
 		}
 	}
 }
 
-// Watch shows the status again and again.
+// Watch shows the status every watchInterval.
 type Watch struct {
 	Status
-	Times int `long:"times" description:"how often; 0 goes on until interrupted"`
+	Times int `long:"times" description:"how many times; 0 repeats until interrupted"`
 }
 
 const (
@@ -92,7 +92,7 @@
 	clearScreen   = "\x1b[H\x1b[2J"
 )
 
-// Execute shows the status each second.
+// Execute prints the status until it has done so Times times or is interrupted.
 func (w *Watch) Execute([]string) error {
 	ctx := context.Background()
 	for n := 0; w.Times == 0 || n < w.Times; n++ {
@@ -109,14 +109,14 @@
 	return nil
 }
 
-// Why shows the decisions about a request, a sample or a step, as all
-// instances remember them.
+// Why shows the decisions about a request, a sample or a step that the instances have in
+// memory.
 type Why struct {
 	Base
 	Args idArg `positional-args:"true"`
 }
 
-// Execute shows the trail.
+// Execute prints the decisions of all instances, ordered by time.
 func (w *Why) Execute([]string) error {
 	ctx := context.Background()
 	c := w.client()
@@ -127,56 +127,56 @@
 	var decisions []instanceDecision
 	for _, entry := range first.Entries {
 		var list []client.Decision
-		// An instance that does not answer has nothing to add.
+		// Instances that do not answer are left out.
 		_ = c.GetFrom(ctx, ident.Address(entry.Admin), "/v1/why/"+w.Args.ID, &list)
 		for _, d := range list {
 			decisions = append(decisions, instanceDecision{Instance: entry.Name, Decision: d})
 		}
 	}
 	if len(decisions) == 0 {
-		return &client.Error{Op: "croftctl why", Kind: client.Invalid, What: "no instance remembers a decision about " + w.Args.ID,
-			Do: "check the id; instances remember the latest decisions only"}
+		return &client.Error{Op: "croftctl why", Kind: client.Invalid, What: "no instance has in memory a decision about " + w.Args.ID,
+			Do: "check the id; instances keep only the latest decisions"}
 	}
 	slices.SortStableFunc(decisions, func(a, b instanceDecision) int { return int(a.Decision.At - b.Decision.At) })
-	return w.print(decisions, func(w io.Writer) {
-		writeRow(w, "TIME", "INSTANCE", "ACTION", "CHOICE", "RUNNER-UP", "REASON")
+	return w.print(decisions, func(out io.Writer) {
+		writeRow(out, "TIME", "INSTANCE", "ACTION", "CHOICE", "RUNNER-UP", "REASON")
 		for _, d := range decisions {
 			at := clock.Millis(d.Decision.At).Time().UTC().Format("15:04:05.000")
-			writeRow(w, at, d.Instance, d.Decision.Action, d.Decision.Choice, d.Decision.RunnerUp, d.Decision.Reason)
+			writeRow(out, at, d.Instance, d.Decision.Action, d.Decision.Choice, d.Decision.RunnerUp, d.Decision.Reason)
 		}
 	})
 }
 
-// instanceDecision is a decision and where it was made.
+// instanceDecision is a decision and the name of the instance that made it.
 type instanceDecision struct {
 	Instance string
 	Decision client.Decision
 }
 
-// Drain starts the planned stop of the instance at --admin.
+// Drain starts the graceful shutdown of the instance at --admin.
 type Drain struct {
 	Base
 }
 
-// Execute starts the stop.
+// Execute sends the request; the shutdown continues after it returns.
 func (d *Drain) Execute([]string) error {
 	if err := d.client().Post(context.Background(), "/v1/drain", struct{}{}, nil); err != nil {
 		return err
 	}
-	return d.print(struct{ Draining bool }{true}, func(w io.Writer) { writeRow(w, "the instance is stopping; it ends once nothing is in flight") })
+	return d.print(struct{ Draining bool }{true}, func(w io.Writer) { writeRow(w, "the instance is draining; it exits once nothing is in flight") })
 }
 
-// Restore starts the shared state anew when the log has lost it.
+// Restore resets the shared state when the log has lost it.
 type Restore struct {
 	Base
 }
 
-// Execute asks an instance for it.
+// Execute sends the request to an instance.
 func (r *Restore) Execute([]string) error {
 	if err := r.client().Post(context.Background(), "/v1/restore", struct{}{}, nil); err != nil {
 		return err
 	}
 	return r.print(struct{ Restored bool }{true}, func(w io.Writer) {
-		writeRow(w, "the shared state starts anew, without any team's file; apply the files again")
+		writeRow(w, "the shared state was reset and contains no team's file; apply the files again")
 	})
 }
