Names of serve say what the values are

Package serve's own names and the two uses in main.go; settings, log keys, metrics and the status's JSON fields are as before.

--- a/croftmoor/main.go
+++ b/croftmoor/main.go
@@ -29,7 +29,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	instance := serve.Instance{Config: config, Out: os.Stdout, LogTo: os.Stderr}
+	instance := serve.Instance{Config: config, Out: os.Stdout, LogOutput: os.Stderr}
 	return instance.Run(ctx)
 }
 
--- a/croftmoor/serve/guard.go
+++ b/croftmoor/serve/guard.go
@@ -14,8 +14,8 @@
 // handleGuard takes what other instances tell of requests that end servers.
 func (i *Instance) handleGuard(mux *http.ServeMux) { guard.Handle(mux, i.guard) }
 
-// otherPeers returns where the other listed instances take calls.
-func (i *Instance) otherPeers() []ident.Address {
+// peerAddresses returns where the other listed instances take calls.
+func (i *Instance) peerAddresses() []ident.Address {
 	var addresses []ident.Address
 	for _, m := range i.fleet.View().Entries {
 		if m.Name != string(i.self) {
@@ -25,8 +25,8 @@
 	return addresses
 }
 
-// appendPause is the pause after an append that failed.
-const appendPause = 300 * clock.Millis(1)
+// appendRetryDelay is the pause after an append that failed.
+const appendRetryDelay = 300 * clock.Millis(1)
 
 // logWriter appends records until the log has them; one that is there twice does no
 // harm to who reads them.
@@ -45,7 +45,7 @@
 				last = offset
 				break
 			}
-			if !w.clock.Sleep(ctx, appendPause) {
+			if !w.clock.Sleep(ctx, appendRetryDelay) {
 				return 0, fault.Wrap("serve.Write", tail.Unknown, err, string(stream))
 			}
 		}
--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -39,32 +39,32 @@
 type Instance struct {
 	Config *Config
 	// Out gets the line that tells the addresses; LogTo gets the log.
-	Out   io.Writer
-	LogTo io.Writer
+	Out       io.Writer
+	LogOutput io.Writer
 
-	self     ident.InstanceName
-	clock    *clock.Clock
-	log      zerolog.Logger
-	tail     tail.Client
-	reader   *fold.Reader
-	tailer   *tail.Tailer
-	logSeen  atomic.Int64
-	fleet    *fleet.Table
-	client   *peers.Client
-	health   *peers.Health
-	home     *home.Home
-	pool     *pool.Pool
-	calls    *calls.Caller
-	guard    *guard.Guard
-	feed     *feed.Feed
-	keeper   *keeper.Keeper
-	front    *front.Front
-	admin    *admin.Admin
-	metrics  *metric.Set
-	watcher  *gone.Watcher
-	draining atomic.Bool
-	drain    chan struct{}
-	telling  conc.WaitGroup
+	self          ident.InstanceName
+	clock         *clock.Clock
+	log           zerolog.Logger
+	tail          tail.Client
+	reader        *fold.Reader
+	tailer        *tail.Tailer
+	logReadAt     atomic.Int64
+	fleet         *fleet.Table
+	client        *peers.Client
+	health        *peers.Health
+	home          *home.Home
+	pool          *pool.Pool
+	calls         *calls.Caller
+	guard         *guard.Guard
+	feed          *feed.Feed
+	keeper        *keeper.Keeper
+	front         *front.Front
+	admin         *admin.Admin
+	metrics       *metric.Set
+	watcher       *gone.Watcher
+	draining      atomic.Bool
+	drain         chan struct{}
+	notifications conc.WaitGroup
 }
 
 // addressesWire is the line that tells where the instance listens.
@@ -91,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	if err := i.announce(ports); err != nil {
+	if err := i.printAddresses(ports); err != nil {
 		return err
 	}
 	work, stop := context.WithCancel(context.Background())
@@ -102,9 +102,9 @@
 	case <-ctx.Done():
 	case <-i.drain:
 	}
-	i.stopInOrder()
+	i.shutDown()
 	i.calls.Wait()
-	i.telling.Wait()
+	i.notifications.Wait()
 	stop()
 	i.feed.Stop()
 	group.Wait()
@@ -134,7 +134,7 @@
 	return ports, nil
 }
 
-func (i *Instance) announce(ports listeners) error {
+func (i *Instance) printAddresses(ports listeners) error {
 	line, err := json.Marshal(addressesWire{
 		Instance: string(i.self), Callers: ports.callers.Addr().String(),
 		Peers: ports.peers.Addr().String(), Admin: ports.admin.Addr().String(),
@@ -159,23 +159,23 @@
 	run(i.keeper.Run)
 	run(i.watcher.Run)
 	run(i.guard.Run)
-	run(i.checkpoints)
+	run(i.runCheckpoints)
 	server := &peers.Server{Reader: i.reader, Shards: i.home, Feeder: i.feed, VersionRecorder: i.pool, Heartbeat: i.heartbeat, OnHeartbeat: i.health.RecordHeartbeat, RegisterMore: i.handleGuard}
-	run(func(ctx context.Context) { i.report("peer port", server.Run(ctx, ports.peers)) })
-	run(func(ctx context.Context) { i.report("caller port", serveApp(ctx, i.front.App(), ports.callers)) })
-	run(func(ctx context.Context) { i.report("admin port", serveApp(ctx, i.admin.App(), ports.admin)) })
+	run(func(ctx context.Context) { i.logExit("peer port", server.Run(ctx, ports.peers)) })
+	run(func(ctx context.Context) { i.logExit("caller port", serveApp(ctx, i.front.App(), ports.callers)) })
+	run(func(ctx context.Context) { i.logExit("admin port", serveApp(ctx, i.admin.App(), ports.admin)) })
 }
 
-func (i *Instance) report(what string, err error) {
+func (i *Instance) logExit(what string, err error) {
 	if err != nil {
 		i.log.Error().Err(err).Str("Part", what).Msg("ended")
 	}
 }
 
-const closeTerm = 3 * clock.Second
+const closeTimeout = 3 * clock.Second
 
 func serveApp(ctx context.Context, app *fiber.App, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = app.ShutdownWithTimeout(closeTerm.Duration()) })
+	stop := context.AfterFunc(ctx, func() { _ = app.ShutdownWithTimeout(closeTimeout.Duration()) })
 	defer stop()
 	err := app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
 	if ctx.Err() != nil || err == nil {
@@ -191,12 +191,12 @@
 	if err != nil {
 		return fault.Wrap("serve.build", Settings, err, "LogLevel")
 	}
-	if i.LogTo == nil {
-		i.LogTo = os.Stderr
+	if i.LogOutput == nil {
+		i.LogOutput = os.Stderr
 	}
 	i.clock = clock.New()
 	i.self = ident.NewInstance(c.Instance)
-	i.log = zerolog.New(i.LogTo).Level(level).With().Timestamp().Str("Instance", string(i.self)).Str("Zone", string(c.Zone)).Logger()
+	i.log = zerolog.New(i.LogOutput).Level(level).With().Timestamp().Str("Instance", string(i.self)).Str("Zone", string(c.Zone)).Logger()
 	i.drain = make(chan struct{}, 1)
 	i.metrics = metric.New()
 	i.watcher = &gone.Watcher{Clock: i.clock}
@@ -226,7 +226,7 @@
 	}
 	directory.Connect(c.List.Address)
 	i.tail = log
-	i.logSeen.Store(-int64(clock.Minute))
+	i.logReadAt.Store(-int64(clock.Minute))
 	i.reader = &fold.Reader{OnChange: i.onState}
 	i.tailer = &tail.Tailer{Source: log, Stream: fold.Stream, Clock: i.clock, Apply: i.onBatch, OnError: i.onLogFailure}
 	i.fleet = &fleet.Table{Directory: directory, Clock: i.clock, Period: c.ListPeriod}
@@ -242,7 +242,7 @@
 	}
 	i.home = &home.Home{
 		Self: i.self, Reader: i.reader, Log: i.tail, Caller: i.client, Health: i.health, Clock: i.clock,
-		RepeatWindow: c.RepeatWindow, LogSeen: func() clock.Millis { return clock.Millis(i.logSeen.Load()) },
+		RepeatWindow: c.RepeatWindow, LogSeen: func() clock.Millis { return clock.Millis(i.logReadAt.Load()) },
 	}
 	i.home.Setup()
 }
@@ -252,12 +252,12 @@
 	decisions := &trail.Trail{Log: i.log, Clock: i.clock, SampleAbove: c.SampleAbove}
 	i.pool = &pool.Pool{
 		Fleet: i.fleet, Reporter: protocol, Clock: i.clock, Self: c.Instance, Zone: c.Zone,
-		ZoneLatency: c.Crossing, PollInterval: c.LoadPeriod, Subset: c.Subset,
+		ZoneLatency: c.ZoneLatency, PollInterval: c.LoadPeriod, Subset: c.Subset,
 	}
-	i.guard = &guard.Guard{Self: i.self, Clock: i.clock, Log: i.log, Reader: i.tail, Writer: &logWriter{log: i.tail, clock: i.clock}, Peers: i.otherPeers}
+	i.guard = &guard.Guard{Self: i.self, Clock: i.clock, Log: i.log, Reader: i.tail, Writer: &logWriter{log: i.tail, clock: i.clock}, Peers: i.peerAddresses}
 	i.guard.Setup()
 	i.calls = &calls.Caller{Self: i.self, Pool: i.pool, Claimer: i.home, Clock: i.clock, Trail: decisions, Guard: i.guard}
-	gen := &gener.Generator{Pool: i.pool, Engine: protocol, Clock: i.clock, Trail: decisions, Mismatch: i.tellKeeper}
+	gen := &gener.Generator{Pool: i.pool, Engine: protocol, Clock: i.clock, Trail: decisions, Mismatch: i.sendObservedVersion}
 	i.feed = &feed.Feed{
 		Self: i.self, Reader: i.reader, Health: i.health, Caller: i.client, Pool: i.pool, Gen: gen,
 		Calls: i.calls, Clock: i.clock, Trail: decisions,
@@ -275,7 +275,7 @@
 func (i *Instance) buildPorts() {
 	i.admin = &admin.Admin{
 		Reader: i.reader, Log: i.tail, Clock: i.clock, Trail: i.front.Trail, Operators: i.Config.Operators,
-		Metrics: i.metrics.Handler(), Status: i.status, Ready: i.notReady, Drain: i.startDrain,
+		Metrics: i.metrics.Handler(), Status: i.status, Ready: i.notReadyReason, Drain: i.startDrain,
 	}
 	i.metrics.Gauge("croftmoor_configuration_revision", "Newest configuration revision in force.", func() float64 {
 		if state := i.reader.Current(); state != nil {
@@ -284,7 +284,7 @@
 		return 0
 	})
 	i.metrics.Gauge("croftmoor_log_silence_seconds", "Time since the platform's log was last read.", func() float64 {
-		return (i.clock.Mono() - clock.Millis(i.logSeen.Load())).Duration().Seconds()
+		return (i.clock.Mono() - clock.Millis(i.logReadAt.Load())).Duration().Seconds()
 	})
 	i.metrics.Gauge("croftmoor_remembered_ids", "Ids of unrepeatable calls that this instance remembers.", func() float64 {
 		_, _, ids := i.home.Counts()
--- a/croftmoor/serve/settings.go
+++ b/croftmoor/serve/settings.go
@@ -49,14 +49,14 @@
 	List     Platform
 	Weights  ident.Address
 	Engines  string
-	// Crossing is the one-way latency to another availability zone.
-	Crossing clock.Millis
-	// Checkpoint is the pause between checkpoints of the shared state.
-	Checkpoint clock.Millis
+	// ZoneLatency is the one-way latency to another availability zone.
+	ZoneLatency clock.Millis
+	// CheckpointInterval is the pause between checkpoints of the shared state.
+	CheckpointInterval clock.Millis
 	// RepeatWindow is how long ids of unrepeatable calls are remembered.
 	RepeatWindow clock.Millis
-	// DrainTerm bounds a planned stop.
-	DrainTerm clock.Millis
+	// DrainTimeout bounds a planned stop.
+	DrainTimeout clock.Millis
 	// ListPeriod and LoadPeriod are the pauses between two reads.
 	ListPeriod clock.Millis
 	LoadPeriod clock.Millis
@@ -69,18 +69,18 @@
 
 // Bounds and defaults of the settings.
 const (
-	defaultCrossing     = 1
-	defaultCheckpoint   = int64(clock.Minute)
-	defaultRepeatWindow = int64(2 * clock.Minute)
-	defaultDrainTerm    = int64(30 * clock.Second)
-	defaultListPeriod   = 500
-	defaultLoadPeriod   = 250
-	defaultSubset       = 32
-	defaultSampleAbove  = 1000
-	hourMillis          = int64(60 * clock.Minute)
-	maxSubset           = 10_000
-	maxSample           = 1_000_000
-	tokenHashLength     = 64
+	defaultZoneLatency        = 1
+	defaultCheckpointInterval = int64(clock.Minute)
+	defaultRepeatWindow       = int64(2 * clock.Minute)
+	defaultDrainTimeout       = int64(30 * clock.Second)
+	defaultListPeriod         = 500
+	defaultLoadPeriod         = 250
+	defaultSubset             = 32
+	defaultSampleAbove        = 1000
+	hourMillis                = int64(60 * clock.Minute)
+	maxSubset                 = 10_000
+	maxSampleAbove            = 1_000_000
+	tokenHashLength           = 64
 )
 
 // ReadSettings reads and checks a settings file.
@@ -105,24 +105,24 @@
 	listen := root.Object("Listen")
 	platform := root.Object("Platform")
 	c := &Config{
-		Instance:     root.String("Instance", true),
-		Zone:         ident.Zone(root.String("Zone", true)),
-		Callers:      listen.String("Callers", true),
-		Peers:        listen.String("Peers", true),
-		Admin:        listen.String("Admin", true),
-		Log:          parsePlatform(platform.Object("Log"), tail.Clients.Names()),
-		List:         parsePlatform(platform.Object("List"), fleet.Directories.Names()),
-		Weights:      ident.Address(platform.String("Weights", false)),
-		Engines:      root.Choice("EngineProtocol", "Sse", engine.Protocols.Names()...),
-		Crossing:     clock.Millis(root.Int("CrossingMillis", defaultCrossing, 0, hourMillis)),
-		Checkpoint:   clock.Millis(root.Int("CheckpointMillis", defaultCheckpoint, 100, hourMillis)),
-		RepeatWindow: clock.Millis(root.Int("RepeatWindowMillis", defaultRepeatWindow, 1000, hourMillis)),
-		DrainTerm:    clock.Millis(root.Int("DrainMillis", defaultDrainTerm, 0, hourMillis)),
-		ListPeriod:   clock.Millis(root.Int("ListPeriodMillis", defaultListPeriod, 50, hourMillis)),
-		LoadPeriod:   clock.Millis(root.Int("LoadPeriodMillis", defaultLoadPeriod, 50, hourMillis)),
-		Subset:       int(root.Int("Subset", defaultSubset, 1, maxSubset)),
-		LogLevel:     root.Choice("LogLevel", zerolog.LevelInfoValue, zerolog.LevelDebugValue, zerolog.LevelInfoValue, zerolog.LevelWarnValue, zerolog.LevelErrorValue),
-		SampleAbove:  root.Int("DecisionsPerSecond", defaultSampleAbove, 0, maxSample),
+		Instance:           root.String("Instance", true),
+		Zone:               ident.Zone(root.String("Zone", true)),
+		Callers:            listen.String("Callers", true),
+		Peers:              listen.String("Peers", true),
+		Admin:              listen.String("Admin", true),
+		Log:                parsePlatform(platform.Object("Log"), tail.Clients.Names()),
+		List:               parsePlatform(platform.Object("List"), fleet.Directories.Names()),
+		Weights:            ident.Address(platform.String("Weights", false)),
+		Engines:            root.Choice("EngineProtocol", "Sse", engine.Protocols.Names()...),
+		ZoneLatency:        clock.Millis(root.Int("CrossingMillis", defaultZoneLatency, 0, hourMillis)),
+		CheckpointInterval: clock.Millis(root.Int("CheckpointMillis", defaultCheckpointInterval, 100, hourMillis)),
+		RepeatWindow:       clock.Millis(root.Int("RepeatWindowMillis", defaultRepeatWindow, 1000, hourMillis)),
+		DrainTimeout:       clock.Millis(root.Int("DrainMillis", defaultDrainTimeout, 0, hourMillis)),
+		ListPeriod:         clock.Millis(root.Int("ListPeriodMillis", defaultListPeriod, 50, hourMillis)),
+		LoadPeriod:         clock.Millis(root.Int("LoadPeriodMillis", defaultLoadPeriod, 50, hourMillis)),
+		Subset:             int(root.Int("Subset", defaultSubset, 1, maxSubset)),
+		LogLevel:           root.Choice("LogLevel", zerolog.LevelInfoValue, zerolog.LevelDebugValue, zerolog.LevelInfoValue, zerolog.LevelWarnValue, zerolog.LevelErrorValue),
+		SampleAbove:        root.Int("DecisionsPerSecond", defaultSampleAbove, 0, maxSampleAbove),
 	}
 	for _, o := range root.Objects("Operators") {
 		c.Operators = append(c.Operators, parseOperator(problems, o))
--- a/croftmoor/serve/shared.go
+++ b/croftmoor/serve/shared.go
@@ -16,7 +16,7 @@
 // onBatch takes what the log returned. Each batch, also an empty one, is a
 // sign of life of the log.
 func (i *Instance) onBatch(batch tail.Batch) {
-	i.logSeen.Store(int64(i.clock.Mono()))
+	i.logReadAt.Store(int64(i.clock.Mono()))
 	i.reader.Apply(batch)
 }
 
@@ -39,16 +39,16 @@
 }
 
 const (
-	// behindTerm is how long the log must have been silent before a peer's
+	// maxLogSilence is how long the log must have been silent before a peer's
 	// state is fetched in its place.
-	behindTerm   = 1 * clock.Second
-	fetchTimeout = 5 * clock.Second
+	maxLogSilence = 1 * clock.Second
+	fetchTimeout  = 5 * clock.Second
 )
 
 // catchUp takes the state of a peer that has read more of the log, when the
 // log itself does not answer here.
 func (i *Instance) catchUp(ctx context.Context, peer ident.InstanceName, upTo ident.Offset) {
-	fresh := i.clock.Mono()-clock.Millis(i.logSeen.Load()) < behindTerm
+	fresh := i.clock.Mono()-clock.Millis(i.logReadAt.Load()) < maxLogSilence
 	if fresh && i.reader.CaughtUp() {
 		return
 	}
@@ -63,14 +63,14 @@
 	}
 }
 
-// tellKeeper passes a sighting on to the instance that orders the service's
+// sendObservedVersion passes a sighting on to the instance that orders the service's
 // weights: it can't know otherwise that an engine's report is wrong.
-func (i *Instance) tellKeeper(s pool.ObservedVersion) {
+func (i *Instance) sendObservedVersion(s pool.ObservedVersion) {
 	leader := i.home.PrimaryOf(keeper.Role(s.Service))
 	if leader == i.self || leader == "" {
 		return
 	}
-	i.telling.Go(func() {
+	i.notifications.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout.Duration())
 		defer cancel()
 		// The next sighting, a second later, makes good for one that is lost.
@@ -78,28 +78,28 @@
 	})
 }
 
-// checkpoints appends the shared state now and then, so that it outlives the
+// runCheckpoints appends the shared state now and then, so that it outlives the
 // log's retention. Whoever comes first resets the others' clocks; a random
 // part of the pause keeps them from appending at once.
-func (i *Instance) checkpoints(ctx context.Context) {
-	pause := i.Config.Checkpoint
-	seen := clock.Millis(0)
-	due := i.clock.Mono() + i.jittered(pause)
-	i.clock.Every(ctx, min(pause/4, clock.Second), func() {
-		if last := i.reader.LastCheckpoint(); last != seen {
-			seen = last
-			due = i.clock.Mono() + i.jittered(pause)
+func (i *Instance) runCheckpoints(ctx context.Context) {
+	interval := i.Config.CheckpointInterval
+	lastSeen := clock.Millis(0)
+	due := i.clock.Mono() + i.withJitter(interval)
+	i.clock.Every(ctx, min(interval/4, clock.Second), func() {
+		if last := i.reader.LastCheckpoint(); last != lastSeen {
+			lastSeen = last
+			due = i.clock.Mono() + i.withJitter(interval)
 		}
 		if i.clock.Mono() < due || !i.reader.CaughtUp() {
 			return
 		}
 		i.checkpoint(ctx)
-		due = i.clock.Mono() + i.jittered(pause)
+		due = i.clock.Mono() + i.withJitter(interval)
 	})
 }
 
-func (i *Instance) jittered(pause clock.Millis) clock.Millis {
-	return pause + clock.Millis(rand.Int64N(int64(pause)))/2
+func (i *Instance) withJitter(interval clock.Millis) clock.Millis {
+	return interval + clock.Millis(rand.Int64N(int64(interval)))/2
 }
 
 func (i *Instance) checkpoint(ctx context.Context) {
--- a/croftmoor/serve/status.go
+++ b/croftmoor/serve/status.go
@@ -70,13 +70,13 @@
 }
 
 func (i *Instance) status() any {
-	leads, backs, ids := i.home.Counts()
+	primaries, backups, ids := i.home.Counts()
 	heartbeat := i.heartbeat()
 	w := statusWire{
-		Instance: string(i.self), Zone: string(i.Config.Zone), NotReady: i.notReady(),
+		Instance: string(i.self), Zone: string(i.Config.Zone), NotReady: i.notReadyReason(),
 		Revision: int64(heartbeat.Revision), UpTo: int64(heartbeat.UpTo),
-		LogSilenceMillis: int64(i.clock.Mono() - clock.Millis(i.logSeen.Load())),
-		InFlight:         i.front.InFlight(), ShardsLed: leads, ShardsBackedUp: backs, RememberedIDs: ids,
+		LogSilenceMillis: int64(i.clock.Mono() - clock.Millis(i.logReadAt.Load())),
+		InFlight:         i.front.InFlight(), ShardsLed: primaries, ShardsBackedUp: backups, RememberedIDs: ids,
 	}
 	for _, p := range i.health.Peers() {
 		w.Peers = append(w.Peers, peerWire{
--- a/croftmoor/serve/stop.go
+++ b/croftmoor/serve/stop.go
@@ -6,10 +6,10 @@
 	"croftmoor.dev/kernel/clock"
 )
 
-const stopCheck = 50 * clock.Millis(1)
+const drainPollInterval = 50 * clock.Millis(1)
 
-// notReady says why the instance should get no traffic; "" if it should.
-func (i *Instance) notReady() string {
+// notReadyReason says why the instance should get no traffic; "" if it should.
+func (i *Instance) notReadyReason() string {
 	switch {
 	case i.draining.Load():
 		return "stopping"
@@ -27,17 +27,17 @@
 	}
 }
 
-// stopInOrder ends a planned stop once nothing is in flight, no samples wait
+// shutDown ends a planned stop once nothing is in flight, no samples wait
 // for their trainer and the shards are handed on, or DrainTerm has passed.
-func (i *Instance) stopInOrder() {
+func (i *Instance) shutDown() {
 	i.log.Info().Msg("stopping: no new work from now on")
 	i.draining.Store(true)
 	i.front.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), i.Config.DrainTerm.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), i.Config.DrainTimeout.Duration())
 	defer cancel()
 	i.feed.Drain(ctx)
 	for i.busy() {
-		if !i.clock.Sleep(ctx, stopCheck) {
+		if !i.clock.Sleep(ctx, drainPollInterval) {
 			i.log.Warn().Int64("InFlight", i.front.InFlight()).Msg("the drain term has passed with work in flight")
 			return
 		}
@@ -48,6 +48,6 @@
 	if i.front.InFlight() > 0 {
 		return true
 	}
-	leads, backs, _ := i.home.Counts()
-	return leads+backs > 0 && len(i.health.Live()) > 0
+	primaries, backups, _ := i.home.Counts()
+	return primaries+backups > 0 && len(i.health.Live()) > 0
 }
