Comments and log messages of serve say what the code does

Comments, log messages and error texts, none of which a test or docs/OPERATIONS.md matches; the reasons of notReadyReason are in the status and /readyz and stay. The warning at the end of DrainTimeout names shards too, since busy waits for them. Failure texts of the settings tests name what failed; checks are as before.

--- a/croftmoor/main.go
+++ b/croftmoor/main.go
@@ -14,14 +14,13 @@
 	"croftmoor.dev/kernel/start"
 )
 
-// version is the program's version.
 const version = "0.1.0"
 
 type serveCommand struct {
 	Settings string `long:"settings" required:"true" description:"settings file"`
 }
 
-// Execute runs the instance until SIGTERM or SIGINT.
+// Execute runs the instance until SIGTERM, SIGINT or a requested drain.
 func (c *serveCommand) Execute([]string) error {
 	config, err := serve.ReadSettings(c.Settings)
 	if err != nil {
@@ -37,7 +36,7 @@
 	Settings string `long:"settings" required:"true" description:"settings file"`
 }
 
-// Execute checks the settings.
+// Execute reads the settings file and returns its problems as an error.
 func (c *checkCommand) Execute([]string) error {
 	if _, err := serve.ReadSettings(c.Settings); err != nil {
 		return err
@@ -48,7 +47,7 @@
 
 type versionCommand struct{}
 
-// Execute prints the version.
+// Execute prints the program's name and version.
 func (*versionCommand) Execute([]string) error {
 	fmt.Println("croftmoor " + version)
 	return nil
--- a/croftmoor/serve/guard.go
+++ b/croftmoor/serve/guard.go
@@ -11,10 +11,10 @@
 	"croftmoor.dev/kernel/tail"
 )
 
-// handleGuard takes what other instances tell of requests that end servers.
+// handleGuard registers the handler for the guard records that other instances send.
 func (i *Instance) handleGuard(mux *http.ServeMux) { guard.Handle(mux, i.guard) }
 
-// peerAddresses returns where the other listed instances take calls.
+// peerAddresses returns the peer addresses of the other listed instances.
 func (i *Instance) peerAddresses() []ident.Address {
 	var addresses []ident.Address
 	for _, m := range i.fleet.View().Entries {
@@ -25,17 +25,18 @@
 	return addresses
 }
 
-// appendRetryDelay is the pause after an append that failed.
+// appendRetryDelay is the delay before a failed append is retried.
 const appendRetryDelay = 300 * clock.Millis(1)
 
-// logWriter appends records until the log has them; one that is there twice does no
-// harm to who reads them.
+// logWriter appends records to the log and retries failed appends. An append whose outcome is
+// unknown may be repeated, so readers must tolerate duplicate records.
 type logWriter struct {
 	log   tail.Log
 	clock *clock.Clock
 }
 
-// Write appends records one after the other, and returns the offset of the last one.
+// Write appends records in order and returns the offset of the last one. It retries until
+// ctx ends.
 func (w *logWriter) Write(ctx context.Context, stream ident.Stream, records ...[]byte) (ident.Offset, error) {
 	var last ident.Offset
 	for _, record := range records {
--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -38,36 +38,38 @@
 // Instance is one entry instance. Set Config and Out before Run.
 type Instance struct {
 	Config *Config
-	// Out gets the line that tells the addresses; LogTo gets the log.
+	// Out receives one JSON line with the listen addresses; LogOutput receives the log.
 	Out       io.Writer
 	LogOutput io.Writer
 
-	self          ident.InstanceName
-	clock         *clock.Clock
-	log           zerolog.Logger
-	tail          tail.Client
-	reader        *fold.Reader
-	tailer        *tail.Tailer
-	logReadAt     atomic.Int64
-	fleet         *fleet.Table
-	client        *peers.Client
-	health        *peers.Health
-	home          *home.Home
-	pool          *pool.Pool
-	calls         *calls.Caller
-	guard         *guard.Guard
-	feed          *feed.Feed
-	keeper        *keeper.Keeper
-	front         *front.Front
-	admin         *admin.Admin
-	metrics       *metric.Set
-	watcher       *gone.Watcher
-	draining      atomic.Bool
-	drain         chan struct{}
+	self   ident.InstanceName
+	clock  *clock.Clock
+	log    zerolog.Logger
+	tail   tail.Client
+	reader *fold.Reader
+	tailer *tail.Tailer
+	// logReadAt is when the log last answered, in milliseconds of the monotonic clock.
+	logReadAt atomic.Int64
+	fleet     *fleet.Table
+	client    *peers.Client
+	health    *peers.Health
+	home      *home.Home
+	pool      *pool.Pool
+	calls     *calls.Caller
+	guard     *guard.Guard
+	feed      *feed.Feed
+	keeper    *keeper.Keeper
+	front     *front.Front
+	admin     *admin.Admin
+	metrics   *metric.Set
+	watcher   *gone.Watcher
+	draining  atomic.Bool
+	drain     chan struct{}
+	// notifications waits for the calls that sendObservedVersion starts.
 	notifications conc.WaitGroup
 }
 
-// addressesWire is the line that tells where the instance listens.
+// addressesWire is the JSON line with the listen addresses.
 type addressesWire struct {
 	Instance string
 	Callers  string
@@ -81,8 +83,8 @@
 	admin   net.Listener
 }
 
-// Run serves until ctx ends, then stops in order: no new work, everything in
-// flight finished, roles handed on.
+// Run serves until ctx ends or a drain is requested, then shuts down gracefully: it takes no
+// new work, finishes what is in flight and hands over its shards.
 func (i *Instance) Run(ctx context.Context) error {
 	if err := i.build(); err != nil {
 		return err
@@ -125,7 +127,7 @@
 	} {
 		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", p.address)
 		if err != nil {
-			wrapped := fault.Wrap("serve.listen", Startup, err, p.name+" "+p.address+" can't be listened on")
+			wrapped := fault.Wrap("serve.listen", Startup, err, p.name+" "+p.address+" cannot be listened on")
 			wrapped.Do = "free the port or change the setting"
 			return ports, wrapped
 		}
@@ -134,6 +136,7 @@
 	return ports, nil
 }
 
+// printAddresses writes the listen addresses to Out.
 func (i *Instance) printAddresses(ports listeners) error {
 	line, err := json.Marshal(addressesWire{
 		Instance: string(i.self), Callers: ports.callers.Addr().String(),
@@ -143,7 +146,7 @@
 		_, err = fmt.Fprintln(i.Out, string(line))
 	}
 	if err != nil {
-		return fault.Wrap("serve.announce", Startup, err, "the addresses could not be told")
+		return fault.Wrap("serve.announce", Startup, err, "cannot write the listen addresses to standard output")
 	}
 	return nil
 }
@@ -166,12 +169,14 @@
 	run(func(ctx context.Context) { i.logExit("admin port", serveApp(ctx, i.admin.App(), ports.admin)) })
 }
 
+// logExit logs the error with which a server stopped, if any.
 func (i *Instance) logExit(what string, err error) {
 	if err != nil {
-		i.log.Error().Err(err).Str("Part", what).Msg("ended")
+		i.log.Error().Err(err).Str("Part", what).Msg("server stopped unexpectedly")
 	}
 }
 
+// closeTimeout bounds the wait for open connections when a server shuts down.
 const closeTimeout = 3 * clock.Second
 
 func serveApp(ctx context.Context, app *fiber.App, listener net.Listener) error {
@@ -181,10 +186,10 @@
 	if ctx.Err() != nil || err == nil {
 		return nil
 	}
-	return fault.Wrap("serve.serveApp", Startup, err, "the server ended")
+	return fault.Wrap("serve.serveApp", Startup, err, "the server stopped")
 }
 
-// build puts the parts together.
+// build constructs the components and connects them.
 func (i *Instance) build() error {
 	c := i.Config
 	level, err := zerolog.ParseLevel(c.LogLevel)
--- a/croftmoor/serve/settings.go
+++ b/croftmoor/serve/settings.go
@@ -1,5 +1,5 @@
-// Package serve is one entry instance: it reads the settings, puts the parts
-// together, runs them and stops them in order.
+// Package serve implements one entry instance: it reads the settings, and builds, runs and
+// shuts down the instance's components.
 package serve
 
 import (
@@ -22,7 +22,7 @@
 
 // Kinds of errors.
 const (
-	// Settings means that the settings file was refused.
+	// Settings means that the settings file cannot be read or is invalid.
 	Settings Kind = "Settings"
 	// Startup means that the instance could not start.
 	Startup Kind = "Startup"
@@ -31,14 +31,15 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-// Platform is one of the platform's services: the plug-in that speaks to it
-// and where it is.
+// Platform is the connection to one of the platform's services. Kind selects the client.
 type Platform struct {
 	Kind    string
 	Address ident.Address
 }
 
-// Config is an instance's settings.
+// Config is an instance's settings. Callers, Peers and Admin are listen addresses; Weights
+// is the address of the weight store, empty if there is none; Engines is the name of the
+// engine protocol.
 type Config struct {
 	Instance string
 	Zone     ident.Zone
@@ -51,23 +52,25 @@
 	Engines  string
 	// ZoneLatency is the one-way latency to another availability zone.
 	ZoneLatency clock.Millis
-	// CheckpointInterval is the pause between checkpoints of the shared state.
+	// CheckpointInterval is the shortest time between checkpoints of the shared state.
 	CheckpointInterval clock.Millis
 	// RepeatWindow is how long ids of unrepeatable calls are remembered.
 	RepeatWindow clock.Millis
-	// DrainTimeout bounds a planned stop.
+	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout clock.Millis
-	// ListPeriod and LoadPeriod are the pauses between two reads.
+	// ListPeriod and LoadPeriod are the intervals between reads of the platform's list and
+	// of load reports.
 	ListPeriod clock.Millis
 	LoadPeriod clock.Millis
 	// Subset is how many backend servers of a service the instance uses.
-	Subset      int
-	LogLevel    string
+	Subset   int
+	LogLevel string
+	// SampleAbove is the number of decisions per second above which the log samples them.
 	SampleAbove int64
 	Operators   []admin.Operator
 }
 
-// Bounds and defaults of the settings.
+// Bounds and defaults of the settings; times are in milliseconds.
 const (
 	defaultZoneLatency        = 1
 	defaultCheckpointInterval = int64(clock.Minute)
@@ -87,7 +90,7 @@
 func ReadSettings(path string) (*Config, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fault.Wrap("serve.ReadSettings", Settings, err, "cannot read "+path)
+		return nil, fault.Wrap("serve.ReadSettings", Settings, err, "cannot read the settings file "+path)
 	}
 	config, err := ParseSettings(data)
 	if err != nil {
@@ -96,7 +99,7 @@
 	return config, nil
 }
 
-// ParseSettings checks settings and fills in defaults.
+// ParseSettings parses settings and fills in defaults. It returns all problems in one error.
 func ParseSettings(data []byte) (*Config, error) {
 	problems, root, err := strict.Parse(data)
 	if err != nil {
--- a/croftmoor/serve/settings_test.go
+++ b/croftmoor/serve/settings_test.go
@@ -20,11 +20,11 @@
 	t.Helper()
 	_, err := ParseSettings([]byte(text))
 	if err == nil {
-		t.Fatal("accepted")
+		t.Fatal("invalid settings were accepted")
 	}
 	for _, want := range wants {
 		if !strings.Contains(err.Error(), want) {
-			t.Errorf("the error does not say %q: %v", want, err)
+			t.Errorf("the error does not contain %q: %v", want, err)
 		}
 	}
 }
@@ -50,7 +50,7 @@
 	})
 }
 
-// TestSettingsAreOnThePage keeps docs/OPERATIONS.md and the settings together.
+// TestSettingsAreOnThePage checks that docs/OPERATIONS.md lists every setting.
 func TestSettingsAreOnThePage(t *testing.T) {
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	if err != nil {
@@ -62,7 +62,7 @@
 	}
 	for name := range settings {
 		if !strings.Contains(string(page), "`"+name) {
-			t.Errorf("%s is not on the page", name)
+			t.Errorf("setting %s is not in docs/OPERATIONS.md", name)
 		}
 	}
 }
--- a/croftmoor/serve/shared.go
+++ b/croftmoor/serve/shared.go
@@ -13,74 +13,73 @@
 	"croftmoor.dev/kernel/tail"
 )
 
-// onBatch takes what the log returned. Each batch, also an empty one, is a
-// sign of life of the log.
+// onBatch applies a batch read from the log. An empty batch also shows that the log answers.
 func (i *Instance) onBatch(batch tail.Batch) {
 	i.logReadAt.Store(int64(i.clock.Mono()))
 	i.reader.Apply(batch)
 }
 
 func (i *Instance) onLogFailure(err error) {
-	i.log.Warn().Err(err).Msg("the platform's log can't be read")
+	i.log.Warn().Err(err).Msg("cannot read the platform's log")
 }
 
 func (i *Instance) onState(state *fold.State) {
 	i.home.OnState(state)
 }
 
-// heartbeat is what this instance tells its peers.
+// heartbeat returns this instance's heartbeat.
 func (i *Instance) heartbeat() peers.Heartbeat {
-	n := peers.Heartbeat{Instance: i.self, Draining: i.draining.Load()}
+	h := peers.Heartbeat{Instance: i.self, Draining: i.draining.Load()}
 	if state := i.reader.Current(); state != nil {
-		n.UpTo = state.UpTo
-		n.Revision = state.Conf.Revision()
+		h.UpTo = state.UpTo
+		h.Revision = state.Conf.Revision()
 	}
-	return n
+	return h
 }
 
 const (
-	// maxLogSilence is how long the log must have been silent before a peer's
-	// state is fetched in its place.
-	maxLogSilence = 1 * clock.Second
-	fetchTimeout  = 5 * clock.Second
+	// maxLogSilence is how long the log may give no answer before the state is fetched
+	// from a peer.
+	maxLogSilence  = 1 * clock.Second
+	requestTimeout = 5 * clock.Second
 )
 
-// catchUp takes the state of a peer that has read more of the log, when the
-// log itself does not answer here.
+// catchUp fetches the shared state from a peer that has read the log up to upTo, unless this
+// instance has caught up and the log still answers it.
 func (i *Instance) catchUp(ctx context.Context, peer ident.InstanceName, upTo ident.Offset) {
 	fresh := i.clock.Mono()-clock.Millis(i.logReadAt.Load()) < maxLogSilence
 	if fresh && i.reader.CaughtUp() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout.Duration())
 	defer cancel()
 	state, err := i.client.State(ctx, peer)
 	if err != nil {
 		return
 	}
 	if i.reader.Adopt(state) {
-		i.log.Info().Str("Peer", string(peer)).Int64("UpTo", int64(upTo)).Msg("took the shared state from a peer")
+		i.log.Info().Str("Peer", string(peer)).Int64("UpTo", int64(upTo)).Msg("adopted the shared state of a peer")
 	}
 }
 
-// sendObservedVersion passes a sighting on to the instance that orders the service's
-// weights: it can't know otherwise that an engine's report is wrong.
-func (i *Instance) sendObservedVersion(s pool.ObservedVersion) {
-	leader := i.home.PrimaryOf(keeper.Role(s.Service))
-	if leader == i.self || leader == "" {
+// sendObservedVersion notifies the instance that orders the service's weights that an engine
+// runs an older version than its load report says.
+func (i *Instance) sendObservedVersion(observed pool.ObservedVersion) {
+	primary := i.home.PrimaryOf(keeper.Role(observed.Service))
+	if primary == i.self || primary == "" {
 		return
 	}
 	i.notifications.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout.Duration())
+		ctx, cancel := context.WithTimeout(context.Background(), requestTimeout.Duration())
 		defer cancel()
-		// The next sighting, a second later, makes good for one that is lost.
-		_ = i.client.SendObservedVersion(ctx, leader, s)
+		// A lost notification is not retried: the mismatch is observed again.
+		_ = i.client.SendObservedVersion(ctx, primary, observed)
 	})
 }
 
-// runCheckpoints appends the shared state now and then, so that it outlives the
-// log's retention. Whoever comes first resets the others' clocks; a random
-// part of the pause keeps them from appending at once.
+// runCheckpoints appends the shared state to the log periodically, so that it survives the
+// log's retention. A checkpoint of any instance restarts the interval of all; the jitter
+// prevents instances from appending at the same time.
 func (i *Instance) runCheckpoints(ctx context.Context) {
 	interval := i.Config.CheckpointInterval
 	lastSeen := clock.Millis(0)
@@ -98,19 +97,21 @@
 	})
 }
 
+// withJitter returns interval prolonged by a random part of up to a half.
 func (i *Instance) withJitter(interval clock.Millis) clock.Millis {
 	return interval + clock.Millis(rand.Int64N(int64(interval)))/2
 }
 
+// checkpoint appends the shared state to the log.
 func (i *Instance) checkpoint(ctx context.Context) {
 	record, err := fold.CheckpointRecord(i.reader.Current())
 	if err != nil {
-		i.log.Error().Err(err).Msg("the checkpoint can't be encoded")
+		i.log.Error().Err(err).Msg("cannot encode the checkpoint")
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout.Duration())
 	defer cancel()
 	if _, err := i.tail.Append(ctx, fold.Stream, record); err != nil {
-		i.log.Warn().Err(err).Msg("the checkpoint was not appended")
+		i.log.Warn().Err(err).Msg("cannot append the checkpoint to the log")
 	}
 }
--- a/croftmoor/serve/status.go
+++ b/croftmoor/serve/status.go
@@ -8,7 +8,7 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// statusWire is an instance's status for operators.
+// statusWire is the JSON form of an instance's status in the administration API.
 type statusWire struct {
 	Instance         string
 	Zone             string
@@ -33,7 +33,7 @@
 	Draining bool
 }
 
-// entryWire is an entry instance as the platform lists it.
+// entryWire is an entry instance on the platform's list.
 type entryWire struct {
 	Name  string
 	Zone  string
@@ -96,6 +96,7 @@
 	return w
 }
 
+// backends returns the servers of all services, ordered by name.
 func (i *Instance) backends() []backendWire {
 	var list []backendWire
 	state := i.reader.Current()
--- a/croftmoor/serve/stop.go
+++ b/croftmoor/serve/stop.go
@@ -6,9 +6,10 @@
 	"croftmoor.dev/kernel/clock"
 )
 
+// drainPollInterval is the interval between checks for work in flight during a shutdown.
 const drainPollInterval = 50 * clock.Millis(1)
 
-// notReadyReason says why the instance should get no traffic; "" if it should.
+// notReadyReason returns why the instance must get no traffic, or "" if it is ready.
 func (i *Instance) notReadyReason() string {
 	switch {
 	case i.draining.Load():
@@ -20,6 +21,7 @@
 	}
 }
 
+// startDrain makes Run shut down; it does not wait for that.
 func (i *Instance) startDrain() {
 	select {
 	case i.drain <- struct{}{}:
@@ -27,10 +29,10 @@
 	}
 }
 
-// shutDown ends a planned stop once nothing is in flight, no samples wait
-// for their trainer and the shards are handed on, or DrainTerm has passed.
+// shutDown rejects new work, then waits until nothing is in flight, no samples wait for their
+// trainer and the shards are handed over, or until DrainTimeout has passed.
 func (i *Instance) shutDown() {
-	i.log.Info().Msg("stopping: no new work from now on")
+	i.log.Info().Msg("shutting down: no new work is accepted")
 	i.draining.Store(true)
 	i.front.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), i.Config.DrainTimeout.Duration())
@@ -38,12 +40,14 @@
 	i.feed.Drain(ctx)
 	for i.busy() {
 		if !i.clock.Sleep(ctx, drainPollInterval) {
-			i.log.Warn().Int64("InFlight", i.front.InFlight()).Msg("the drain term has passed with work in flight")
+			i.log.Warn().Int64("InFlight", i.front.InFlight()).Msg("drain timeout expired with requests in flight or shards not handed over")
 			return
 		}
 	}
 }
 
+// busy reports whether requests are in flight, or shards remain here that a live peer could
+// take over.
 func (i *Instance) busy() bool {
 	if i.front.InFlight() > 0 {
 		return true
