Second reading of peers, serve and croftctl

Comments that differed from the code: a drain transfers the trainers' steps and does not wait for their samples; Unreachable of croftctl's client means that nothing was sent; CheckpointInterval is prolonged by jitter.

--- a/croftctl/client/client.go
+++ b/croftctl/client/client.go
@@ -18,7 +18,7 @@
 
 // Kinds of errors.
 const (
-	// Unreachable means that no instance answered.
+	// Unreachable means that no instance could be connected to; the request was not sent.
 	Unreachable Kind = "Unreachable"
 	// NotRun means that the request had no effect.
 	NotRun Kind = "NotRun"
@@ -118,7 +118,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(body, into); err != nil {
-		return fault.Wrap("client.read", Invalid, err, "the answer is not valid JSON of the expected form")
+		return fault.Wrap("client.decode", Invalid, err, "the answer is not valid JSON of the expected form")
 	}
 	return nil
 }
--- a/croftmoor/peers/client.go
+++ b/croftmoor/peers/client.go
@@ -121,8 +121,8 @@
 }
 
 // SendObservedVersion sends an observed weights version to another instance.
-func (c *Client) SendObservedVersion(ctx context.Context, to ident.InstanceName, s pool.ObservedVersion) error {
-	message := observedVersionToWire(s)
+func (c *Client) SendObservedVersion(ctx context.Context, to ident.InstanceName, observed pool.ObservedVersion) error {
+	message := observedVersionToWire(observed)
 	_, err := call[observedVersionWire, emptyWire](ctx, c, to, notePath, &message)
 	return err
 }
--- a/croftmoor/peers/peers.go
+++ b/croftmoor/peers/peers.go
@@ -97,7 +97,7 @@
 
 // VersionRecorder records weights versions that other instances observed.
 type VersionRecorder interface {
-	Note(s pool.ObservedVersion)
+	Note(observed pool.ObservedVersion)
 }
 
 // Shards handles the peers' calls to the shards of at-most-once calls on this instance.
--- a/croftmoor/peers/peers_test.go
+++ b/croftmoor/peers/peers_test.go
@@ -36,7 +36,7 @@
 }
 func (*fakePeer) InstallHere(Install) error                         { return nil }
 func (*fakePeer) SettleHere(context.Context, once.Settlement) error { return nil }
-func (e *fakePeer) OpenHere(_ context.Context, o Open) error        { e.open = o; return nil }
+func (p *fakePeer) OpenHere(_ context.Context, o Open) error        { p.open = o; return nil }
 func (*fakePeer) PublishHere(Publication)                           {}
 func (*fakePeer) PullHere(context.Context, Pull) (Pulled, error) {
 	return Pulled{}, refuse.New("test", refuse.StepUnknown, "not open", "open it")
@@ -72,14 +72,14 @@
 
 // startPeer starts a server and returns a client for it and the number of bytes that the
 // server has read and written.
-func startPeer(t testing.TB, e *fakePeer) (*Client, *atomic.Int64) {
+func startPeer(t testing.TB, peer *fakePeer) (*Client, *atomic.Int64) {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	heartbeat := func() Heartbeat { return Heartbeat{Instance: "b-1~12345678", UpTo: 123456, Revision: 123400} }
-	server := &Server{Reader: &fold.Reader{}, Shards: e, Feeder: e, Heartbeat: heartbeat, OnHeartbeat: func(Heartbeat) {}}
+	server := &Server{Reader: &fold.Reader{}, Shards: peer, Feeder: peer, Heartbeat: heartbeat, OnHeartbeat: func(Heartbeat) {}}
 	ctx, stop := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	bytes := &atomic.Int64{}
@@ -99,8 +99,8 @@
 
 func TestCalls(t *testing.T) {
 	ctx := context.Background()
-	e := &fakePeer{}
-	client, _ := startPeer(t, e)
+	peer := &fakePeer{}
+	client, _ := startPeer(t, peer)
 	t.Run("entries and kinds of errors are preserved", func(t *testing.T) {
 		entry, err := client.Claim(ctx, "b-1", once.Request{ID: "x", Runner: "a", Attempt: 7})
 		if err != nil || entry.Attempt != 7 || string(entry.Answer.Body) != "x" {
@@ -124,8 +124,8 @@
 		if err := client.Open(ctx, "b-1", open); err != nil {
 			t.Fatal(err)
 		}
-		if !e.open.Have.Has(9) || e.open.Ready[0].Spans[1].Version != 3 {
-			t.Fatalf("%+v", e.open)
+		if !peer.open.Have.Has(9) || peer.open.Ready[0].Spans[1].Version != 3 {
+			t.Fatalf("%+v", peer.open)
 		}
 	})
 	t.Run("a peer that is not listed is unreachable", func(t *testing.T) {
--- a/croftmoor/peers/wire.go
+++ b/croftmoor/peers/wire.go
@@ -131,8 +131,8 @@
 	Version int64
 }
 
-func observedVersionToWire(s pool.ObservedVersion) observedVersionWire {
-	return observedVersionWire{Service: string(s.Service), Server: string(s.Server), Trainer: string(s.Trainer), Version: int64(s.Version)}
+func observedVersionToWire(observed pool.ObservedVersion) observedVersionWire {
+	return observedVersionWire{Service: string(observed.Service), Server: string(observed.Server), Trainer: string(observed.Trainer), Version: int64(observed.Version)}
 }
 
 func observedVersionFromWire(w observedVersionWire) pool.ObservedVersion {
--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -146,7 +146,7 @@
 		_, err = fmt.Fprintln(i.Out, string(line))
 	}
 	if err != nil {
-		return fault.Wrap("serve.announce", Startup, err, "cannot write the listen addresses to standard output")
+		return fault.Wrap("serve.printAddresses", Startup, err, "cannot write the listen addresses to standard output")
 	}
 	return nil
 }
--- a/croftmoor/serve/settings.go
+++ b/croftmoor/serve/settings.go
@@ -52,7 +52,7 @@
 	Engines  string
 	// ZoneLatency is the one-way latency to another availability zone.
 	ZoneLatency clock.Millis
-	// CheckpointInterval is the shortest time between checkpoints of the shared state.
+	// CheckpointInterval is the time between checkpoints of the shared state, before jitter.
 	CheckpointInterval clock.Millis
 	// RepeatWindow is how long ids of unrepeatable calls are remembered.
 	RepeatWindow clock.Millis
@@ -99,7 +99,7 @@
 	return config, nil
 }
 
-// ParseSettings parses settings and fills in defaults. It returns all problems in one error.
+// ParseSettings parses settings and fills in defaults. One error lists all invalid fields.
 func ParseSettings(data []byte) (*Config, error) {
 	problems, root, err := strict.Parse(data)
 	if err != nil {
--- a/croftmoor/serve/stop.go
+++ b/croftmoor/serve/stop.go
@@ -29,8 +29,9 @@
 	}
 }
 
-// shutDown rejects new work, then waits until nothing is in flight, no samples wait for their
-// trainer and the shards are handed over, or until DrainTimeout has passed.
+// shutDown rejects new work, transfers the trainers' steps to other instances, then waits
+// until no request is in flight and the shards are handed over, or until DrainTimeout has
+// passed.
 func (i *Instance) shutDown() {
 	i.log.Info().Msg("shutting down: no new work is accepted")
 	i.draining.Store(true)
