--- a/croftctl/cmds/config.go
+++ b/croftctl/cmds/config.go
@@ -24,18 +24,18 @@
 	Team string `positional-arg-name:"TEAM" required:"true"`
 }
 
-// Apply applies a file as a whole.
+// Apply replaces a team's configuration with a file.
 type Apply struct {
 	Base
-	Args   fileArg `positional-args:"true"`
-	DryRun bool    `long:"dry-run" description:"only show what would change, and whether the file is valid"`
-	Edited int64   `long:"base" default:"-1" description:"revision that the file was edited from; the one in force if not given"`
-	ID     string  `long:"id" description:"id of the change; the same id is judged only once"`
-	By     string  `long:"by" description:"who makes the change"`
+	Args         fileArg `positional-args:"true"`
+	DryRun       bool    `long:"dry-run" description:"only show what would change, and whether the file is valid"`
+	BaseRevision int64   `long:"base" default:"-1" description:"revision that the file was edited from; the one in force if not given"`
+	ID           string  `long:"id" description:"id of the change; a repeated id returns the first verdict"`
+	By           string  `long:"by" description:"author of the change"`
 }
 
-// head is the part of a file that croftctl itself reads.
-type head struct {
+// fileHeader is the only part of a file that croftctl reads; the instance checks the rest.
+type fileHeader struct {
 	Team string
 }
 
@@ -44,16 +44,16 @@
 	if err != nil {
 		return "", nil, fault.Wrap("cmds.readFile", client.Invalid, err, path)
 	}
-	var h head
-	if err := json.Unmarshal(data, &h); err != nil || h.Team == "" {
+	var header fileHeader
+	if err := json.Unmarshal(data, &header); err != nil || header.Team == "" {
 		e := fault.New("cmds.readFile", client.Invalid, path+" is not a JSON object with a Team")
 		e.Do = "correct the file"
 		return "", nil, e
 	}
-	return h.Team, data, nil
+	return header.Team, data, nil
 }
 
-// Execute applies the file.
+// Execute sends the change and prints its verdict.
 func (a *Apply) Execute([]string) error {
 	ctx := context.Background()
 	team, text, err := readFile(a.Args.File)
@@ -70,7 +70,7 @@
 			return err
 		}
 	}
-	change := client.Change{ID: a.ID, Base: a.Edited, By: a.By, DryRun: a.DryRun, Text: text}
+	change := client.Change{ID: a.ID, Base: a.BaseRevision, By: a.By, DryRun: a.DryRun, Text: text}
 	if change.ID == "" {
 		change.ID = ident.NewRandom()
 	}
@@ -81,39 +81,41 @@
 	if err := c.Post(ctx, "/v1/teams/"+team+"/config", change, &v); err != nil {
 		return withRemedy(err, change.ID)
 	}
-	return a.show(v, a.DryRun)
+	return a.showVerdict(v, a.DryRun)
 }
 
-// withRemedy adds the command that finds out how a change ended.
+// withRemedy adds to an OutcomeUnknown error the command that shows the change's verdict.
 func withRemedy(err error, id string) error {
 	if fault.KindOf[client.Kind](err) != client.OutcomeUnknown {
 		return err
 	}
-	e := fault.Wrap("croftctl apply", client.OutcomeUnknown, err, "the change may have been made")
-	e.Do = "find out with: croftctl outcome " + id
+	e := fault.Wrap("croftctl apply", client.OutcomeUnknown, err, "the change may have been applied")
+	e.Do = "show the verdict with: croftctl outcome " + id
 	return e
 }
 
-func (b *Base) show(v client.Verdict, dryRun bool) error {
+// showVerdict prints an accepted verdict and returns an error for any other.
+func (b *Base) showVerdict(v client.Verdict, dryRun bool) error {
 	if v.Outcome != "Accepted" {
 		kind := client.Invalid
 		remedy := "correct the file and apply it again; nothing was changed"
 		if v.Outcome == "Conflict" {
 			kind = client.Conflict
-			remedy = "look at what is in force with croftctl get " + v.Team + ", edit that, and apply again"
+			remedy = "fetch the configuration in force with croftctl get " + v.Team + ", edit that, and apply again"
 		}
 		return &client.Error{Op: "croftctl apply", Kind: kind, What: v.Reason, Do: remedy}
 	}
 	return b.print(v, func(w io.Writer) {
 		if dryRun {
-			line(w, "the file is valid; nothing was changed")
+			writeRow(w, "the file is valid; nothing was changed")
 			return
 		}
-		line(w, fmt.Sprintf("accepted: team %s is at revision %d (change %s)", v.Team, v.Revision, v.ID))
+		writeRow(w, fmt.Sprintf("accepted: team %s is at revision %d (change %s)", v.Team, v.Revision, v.ID))
 	})
 }
 
-func pretty(text []byte) string {
+// indentJSON returns text indented, or "" if it is empty or not JSON.
+func indentJSON(text []byte) string {
 	var out bytes.Buffer
 	if len(text) == 0 || json.Indent(&out, text, "", "  ") != nil {
 		return ""
@@ -122,10 +124,10 @@
 }
 
 func showDiff(out io.Writer, current client.Team, text []byte) error {
-	const around = 3
+	const contextLines = 3
 	diff, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
-		A: difflib.SplitLines(pretty(current.Text)), B: difflib.SplitLines(pretty(text)),
-		FromFile: fmt.Sprintf("revision %d", current.Revision), ToFile: "file", Context: around,
+		A: difflib.SplitLines(indentJSON(current.Text)), B: difflib.SplitLines(indentJSON(text)),
+		FromFile: fmt.Sprintf("revision %d", current.Revision), ToFile: "file", Context: contextLines,
 	})
 	if err != nil {
 		return fault.Wrap("cmds.showDiff", client.Invalid, err, "")
@@ -137,13 +139,13 @@
 	return err
 }
 
-// Diff shows how a file differs from what is in force.
+// Diff shows the difference between a file and its team's configuration in force.
 type Diff struct {
 	Base
 	Args fileArg `positional-args:"true"`
 }
 
-// Execute shows the difference.
+// Execute prints the difference as a unified diff.
 func (d *Diff) Execute([]string) error {
 	team, text, err := readFile(d.Args.File)
 	if err != nil {
@@ -156,7 +158,7 @@
 	return showDiff(d.Out, current, text)
 }
 
-// Get prints a team's file in force.
+// Get prints a team's configuration in force.
 type Get struct {
 	Base
 	Args teamArg `positional-args:"true"`
@@ -168,7 +170,7 @@
 	if err := g.client().Get(context.Background(), "/v1/teams/"+g.Args.Team, &current); err != nil {
 		return err
 	}
-	return g.print(current, func(w io.Writer) { line(w, pretty(current.Text)) })
+	return g.print(current, func(w io.Writer) { writeRow(w, indentJSON(current.Text)) })
 }
 
 // Teams lists the teams and their revisions.
@@ -183,9 +185,9 @@
 		return err
 	}
 	return t.print(list, func(w io.Writer) {
-		line(w, "TEAM", "REVISION", "BY")
+		writeRow(w, "TEAM", "REVISION", "BY")
 		for _, team := range list {
-			line(w, team.Team, team.Revision, team.By)
+			writeRow(w, team.Team, team.Revision, team.By)
 		}
 	})
 }
@@ -202,14 +204,14 @@
 		return err
 	}
 	return h.print(list, func(w io.Writer) {
-		line(w, "REVISION", "TEAM", "OUTCOME", "BY", "ID", "REASON")
+		writeRow(w, "REVISION", "TEAM", "OUTCOME", "BY", "ID", "REASON")
 		for _, v := range list {
-			line(w, v.Revision, v.Team, v.Outcome, v.By, v.ID, v.Reason)
+			writeRow(w, v.Revision, v.Team, v.Outcome, v.By, v.ID, v.Reason)
 		}
 	})
 }
 
-// Outcome tells how a change ended whose answer was lost.
+// Outcome shows the verdict on a change, for instance after the answer to apply was lost.
 type Outcome struct {
 	Base
 	Args idArg `positional-args:"true"`
@@ -219,11 +221,11 @@
 	ID string `positional-arg-name:"ID" required:"true"`
 }
 
-// Execute tells the verdict.
+// Execute prints the verdict; a change that was not accepted is an error, as in Apply.
 func (o *Outcome) Execute([]string) error {
 	var v client.Verdict
 	if err := o.client().Get(context.Background(), "/v1/verdicts/"+o.Args.ID, &v); err != nil {
 		return err
 	}
-	return o.show(v, false)
+	return o.showVerdict(v, false)
 }
--- a/croftmoor/feed/book.go
+++ b/croftmoor/feed/book.go
@@ -61,7 +61,7 @@
 		s.importSamples(open.Ready)
 		return
 	}
-	if open.HandedOn && number <= ts.lastOpened {
+	if open.HandedOver && number <= ts.lastOpened {
 		// The trainer has opened a later step on this instance; the previous owner is behind.
 		return
 	}
@@ -163,7 +163,7 @@
 		s.tracker.SetStalenessBound(trainer.StalenessBound)
 	}
 	ts.publishLocked(pull.Version)
-	samples := s.tracker.HandOver(pull.Have, ts.newestVersion, pull.Most)
+	samples := s.tracker.HandOver(pull.Have, ts.newestVersion, pull.MaxSamples)
 	missing, running, ready, held := s.tracker.Counts()
 	for _, sample := range samples {
 		ts.feed.Trail.Add(trail.Decision{
@@ -314,7 +314,7 @@
 			continue
 		}
 		have, samples := s.tracker.Export()
-		opens = append(opens, peers.Open{Spec: s.tracker.Spec, Have: have, Version: ts.newestVersion, HandedOn: true, Ready: samples})
+		opens = append(opens, peers.Open{Spec: s.tracker.Spec, Have: have, Version: ts.newestVersion, HandedOver: true, Ready: samples})
 	}
 	return opens
 }
--- a/croftmoor/peers/health.go
+++ b/croftmoor/peers/health.go
@@ -13,123 +13,134 @@
 	"croftmoor.dev/kernel/views"
 )
 
-// Health knows which instances answer. Set the exported fields before Run;
-// what was heard is guarded by mu.
+// Health exchanges heartbeats with other instances and reports which of them can be
+// reached. Set the exported fields before Run.
 type Health struct {
 	Self   ident.InstanceName
 	Zone   ident.Zone
 	Client *Client
 	Fleet  *fleet.Table
 	Clock  *clock.Clock
-	News   func() News
-	// Behind is called when a peer has read more of the log than this instance.
-	Behind func(ctx context.Context, peer ident.InstanceName, upTo ident.Offset)
-	// Partners lists instances that must be pinged each time.
+	// Heartbeat returns this instance's heartbeat.
+	Heartbeat func() Heartbeat
+	// OnBehind is called when a peer has read more of the log than this instance.
+	OnBehind func(ctx context.Context, peer ident.InstanceName, upTo ident.Offset)
+	// Partners returns the instances to ping in each round.
 	Partners func() []ident.InstanceName
 
-	mu    sync.Mutex
-	heard map[ident.InstanceName]heard
-	lives map[string]ident.InstanceName
-	// suspects is when calls got no answer.
-	suspects map[ident.InstanceName]clock.Millis
-	started  clock.Millis
-	members  int
-	changed  clock.Millis
+	// mu guards the fields below.
+	mu       sync.Mutex
+	received map[ident.InstanceName]receivedHeartbeat
+	// incarnations maps a listed name to the incarnation that last sent a heartbeat.
+	incarnations map[string]ident.InstanceName
+	// suspectedAt is when a call to an instance last got no answer.
+	suspectedAt   map[ident.InstanceName]clock.Millis
+	startedAt     clock.Millis
+	liveCount     int
+	liveChangedAt clock.Millis
 }
 
-type heard struct {
-	at   clock.Millis
-	news News
+type receivedHeartbeat struct {
+	at        clock.Millis
+	heartbeat Heartbeat
 }
 
 const (
 	pingPeriod  = 500 * clock.Millis(1)
 	pingTimeout = 900 * clock.Millis(1)
-	// aliveTerm is how long a peer counts as reachable after it was heard.
-	aliveTerm = 1800 * clock.Millis(1)
-	// reachTerm is the same for counting most of the instances.
-	reachTerm = 3 * clock.Second
+	// aliveTimeout is how long a peer counts as alive after its last heartbeat.
+	aliveTimeout = 1800 * clock.Millis(1)
+	// reachableTimeout is how long a peer counts towards MostReached, and is listed by
+	// Peers, after its last heartbeat.
+	reachableTimeout = 3 * clock.Second
 	// LostAfter is how long a peer must be silent before its state counts as lost.
 	LostAfter = 15 * clock.Second
-	// settleTerm is how long the set of live instances must stay the same
-	// before shards move without need.
-	settleTerm = 2 * clock.Second
-	// pingAll is the number of instances up to which all ping each other.
-	pingAll = 16
-	// pingSome is how many at random an instance pings beyond that, besides its
-	// partners, and manyTerm how long one then counts as live without news.
-	pingSome = 2
-	manyTerm = 60 * clock.Second
+	// stableTime is how long the number of live instances must be unchanged before
+	// Settled reports true.
+	stableTime = 2 * clock.Second
+	// fullMeshLimit is the number of listed instances up to which each pair exchanges
+	// heartbeats in every round.
+	fullMeshLimit = 16
+	// randomPings is the number of random instances pinged in a round, besides the
+	// partners, when more than fullMeshLimit are listed.
+	randomPings = 2
+	// sparseTimeout replaces aliveTimeout in Live, and reachableTimeout in MostReached,
+	// when more than fullMeshLimit are listed.
+	sparseTimeout = 60 * clock.Second
 )
 
-// Run pings until ctx ends.
+// Run pings other instances periodically until ctx ends.
 func (h *Health) Run(ctx context.Context) {
 	h.mu.Lock()
-	h.started = h.Clock.Mono()
+	h.startedAt = h.Clock.Mono()
 	h.mu.Unlock()
 	for {
-		h.round(ctx)
+		h.pingTargets(ctx)
 		if !h.Clock.Sleep(ctx, pingPeriod) {
 			return
 		}
 	}
 }
 
-func (h *Health) round(ctx context.Context) {
+// pingTargets pings one round of instances and waits for the answers, then calls OnBehind
+// if a peer has read more of the log.
+func (h *Health) pingTargets(ctx context.Context) {
 	var group conc.WaitGroup
-	for _, name := range h.targets() {
+	for _, name := range h.chooseTargets() {
 		group.Go(func() { h.ping(ctx, name) })
 	}
 	group.Wait()
-	h.noteChange()
-	if peer, upTo := h.ahead(); upTo > h.News().UpTo {
-		h.Behind(ctx, peer, upTo)
+	h.updateLiveCount()
+	if peer, upTo := h.mostAdvanced(); upTo > h.Heartbeat().UpTo {
+		h.OnBehind(ctx, peer, upTo)
 	}
 }
 
-// ahead returns the peer that has read the most of the log, of those heard lately.
-func (h *Health) ahead() (peer ident.InstanceName, upTo ident.Offset) {
+// mostAdvanced returns the peer that has read the most of the log, among those that sent
+// a heartbeat within aliveTimeout.
+func (h *Health) mostAdvanced() (peer ident.InstanceName, upTo ident.Offset) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Clock.Mono()
-	for name, seen := range h.heard {
-		if now-seen.at <= aliveTerm && seen.news.UpTo > upTo {
-			peer, upTo = name, seen.news.UpTo
+	for name, seen := range h.received {
+		if now-seen.at <= aliveTimeout && seen.heartbeat.UpTo > upTo {
+			peer, upTo = name, seen.heartbeat.UpTo
 		}
 	}
 	return peer, upTo
 }
 
-// targets returns whom to ping: all while there are few, else the partners
-// and a random few, so that the cost of an instance does not grow. A ping
-// carries news both ways, so that of two instances one pings the other.
-func (h *Health) targets() []ident.InstanceName {
+// chooseTargets returns the instances to ping in a round: all listed ones up to
+// fullMeshLimit, beyond it the partners and a few random ones, so that the cost per
+// instance stays constant. A ping carries heartbeats both ways, so only one instance of
+// a pair initiates it; random pings do not depend on that.
+func (h *Health) chooseTargets() []ident.InstanceName {
 	var names []ident.InstanceName
 	self := h.Self.ListName()
 	entries := h.Fleet.View().Entries
-	if len(entries) <= pingAll {
+	if len(entries) <= fullMeshLimit {
 		for _, m := range entries {
-			if m.Name != self && pings(self, m.Name) {
+			if m.Name != self && initiates(self, m.Name) {
 				names = append(names, ident.InstanceName(m.Name))
 			}
 		}
 		return names
 	}
-	for range pingSome {
+	for range randomPings {
 		if m := entries[rand.IntN(len(entries))]; m.Name != self {
 			names = append(names, ident.InstanceName(m.Name))
 		}
 	}
 	for _, partner := range h.Partners() {
-		if pings(self, partner.ListName()) {
+		if initiates(self, partner.ListName()) {
 			names = append(names, partner)
 		}
 	}
 	return names
 }
 
-// pings tells whether a is the one of the two that pings.
-func pings(a, b string) bool {
+// initiates reports whether a, and not b, initiates the pings between the two.
+func initiates(a, b string) bool {
 	first, second := min(a, b), max(a, b)
 	even := ident.Hash(first, second)%2 == 0
 	return (a == first) == even
@@ -137,78 +148,82 @@
 
 func (h *Health) ping(ctx context.Context, name ident.InstanceName) {
 	pingCtx, cancel := context.WithTimeout(ctx, pingTimeout.Duration())
-	news, err := h.Client.Ping(pingCtx, name, h.News())
+	heartbeat, err := h.Client.Ping(pingCtx, name, h.Heartbeat())
 	cancel()
 	if err != nil {
 		return
 	}
-	h.Heard(news)
+	h.RecordHeartbeat(heartbeat)
 }
 
-// Heard notes news from a peer.
-func (h *Health) Heard(news News) {
+// RecordHeartbeat records a heartbeat received from a peer.
+func (h *Health) RecordHeartbeat(heartbeat Heartbeat) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.heard == nil {
-		h.heard = map[ident.InstanceName]heard{}
-		h.lives = map[string]ident.InstanceName{}
+	if h.received == nil {
+		h.received = map[ident.InstanceName]receivedHeartbeat{}
+		h.incarnations = map[string]ident.InstanceName{}
 	}
-	delete(h.suspects, news.Instance)
-	h.heard[news.Instance] = heard{at: h.Clock.Mono(), news: news}
-	h.lives[news.Instance.ListName()] = news.Instance
+	delete(h.suspectedAt, heartbeat.Instance)
+	h.received[heartbeat.Instance] = receivedHeartbeat{at: h.Clock.Mono(), heartbeat: heartbeat}
+	h.incarnations[heartbeat.Instance.ListName()] = heartbeat.Instance
 }
 
-func (h *Health) noteChange() {
+// updateLiveCount records when the number of live instances last changed.
+func (h *Health) updateLiveCount() {
 	live := len(h.Live())
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if live != h.members {
-		h.members = live
-		h.changed = h.Clock.Mono()
+	if live != h.liveCount {
+		h.liveCount = live
+		h.liveChangedAt = h.Clock.Mono()
 	}
 }
 
-// Settled tells whether the set of live instances has not changed lately.
+// Settled reports whether the number of live instances has been unchanged for stableTime.
 func (h *Health) Settled() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.Clock.Mono()-h.changed >= settleTerm
+	return h.Clock.Mono()-h.liveChangedAt >= stableTime
 }
 
-// Alive tells whether the instance was heard of lately.
+// Alive reports whether the instance is self or sent a heartbeat within aliveTimeout.
 func (h *Health) Alive(name ident.InstanceName) bool {
-	return name == h.Self || h.silent(name) <= aliveTerm
+	return name == h.Self || h.silence(name) <= aliveTimeout
 }
 
-// Gone tells whether the instance has been silent for so long that its state
+// Gone reports whether the instance has been silent for LostAfter, so that its state
 // counts as lost.
 func (h *Health) Gone(name ident.InstanceName) bool {
-	return name != h.Self && h.silent(name) >= LostAfter
+	return name != h.Self && h.silence(name) >= LostAfter
 }
 
-func (h *Health) silent(name ident.InstanceName) clock.Millis {
+// silence returns the time since the instance's last heartbeat, or since the start of Run
+// if there was none.
+func (h *Health) silence(name ident.InstanceName) clock.Millis {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	since := h.started
-	if seen, ok := h.heard[name]; ok {
+	since := h.startedAt
+	if seen, ok := h.received[name]; ok {
 		since = seen.at
-	} else if h.Clock.Mono()-h.started < LostAfter {
-		// Nobody has had the time to be heard of yet.
-		return aliveTerm + 1
+	} else if h.Clock.Mono()-h.startedAt < LostAfter {
+		// Health has not run for long enough to call a peer lost: not alive, not gone.
+		return aliveTimeout + 1
 	}
 	return h.Clock.Mono() - since
 }
 
-// Live returns the instances that take part: on the list as live, heard of
-// lately and not draining; self among them unless it is draining.
+// Live returns the instances that can hold shards: those listed as live that sent a
+// recent heartbeat, are not suspected and are not draining. Self is included unless it
+// is draining.
 func (h *Health) Live() []views.Member {
 	var live []views.Member
-	draining := h.News().Draining
+	draining := h.Heartbeat().Draining
 	for _, m := range h.Fleet.View().Entries {
 		if m.Name == h.Self.ListName() {
 			continue
 		}
-		if name, ok := h.active(m); ok {
+		if name, ok := h.liveInstance(m); ok {
 			live = append(live, views.Member{Name: name, Zone: m.Zone})
 		}
 	}
@@ -218,42 +233,44 @@
 	return live
 }
 
-func (h *Health) active(m fleet.Member) (ident.InstanceName, bool) {
+// liveInstance returns the incarnation of a listed instance, and whether Live includes it.
+func (h *Health) liveInstance(m fleet.Member) (ident.InstanceName, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	name, ok := h.lives[m.Name]
+	name, ok := h.incarnations[m.Name]
 	if !ok || m.State != fleet.Live {
 		return "", false
 	}
-	seen := h.heard[name]
-	suspected, ok := h.suspects[name]
+	seen := h.received[name]
+	suspected, ok := h.suspectedAt[name]
 	if ok && suspected >= seen.at {
 		return "", false
 	}
-	return name, !seen.news.Draining && h.Clock.Mono()-seen.at <= h.term(aliveTerm)
+	return name, !seen.heartbeat.Draining && h.Clock.Mono()-seen.at <= h.timeout(aliveTimeout)
 }
 
-// term returns for how long news counts: longer where few are pinged each round.
-func (h *Health) term(few clock.Millis) clock.Millis {
-	if len(h.Fleet.View().Entries) > pingAll {
-		return manyTerm
+// timeout returns how long a heartbeat is valid: sparseTimeout if instances ping only some
+// of the others in a round, else fullMeshTimeout.
+func (h *Health) timeout(fullMeshTimeout clock.Millis) clock.Millis {
+	if len(h.Fleet.View().Entries) > fullMeshLimit {
+		return sparseTimeout
 	}
-	return few
+	return fullMeshTimeout
 }
 
-// Suspect notes that a call to the instance got no answer: it does not count as
-// live until it is heard of again. That says nothing of its state being lost.
+// Suspect records that a call to the instance got no answer. It is excluded from Live
+// until its next heartbeat; Alive and Gone are unaffected.
 func (h *Health) Suspect(name ident.InstanceName) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.suspects == nil {
-		h.suspects = map[ident.InstanceName]clock.Millis{}
+	if h.suspectedAt == nil {
+		h.suspectedAt = map[ident.InstanceName]clock.Millis{}
 	}
-	h.suspects[name] = h.Clock.Mono()
+	h.suspectedAt[name] = h.Clock.Mono()
 }
 
-// MostReached tells whether more than half of the listed instances, self
-// included, were heard of lately.
+// MostReached reports whether this instance and those that sent a recent heartbeat are
+// more than half of the listed instances.
 func (h *Health) MostReached() bool {
 	entries := h.Fleet.View().Entries
 	reached, all := 1, 1
@@ -264,21 +281,22 @@
 			continue
 		}
 		all++
-		if seen, ok := h.heard[h.lives[m.Name]]; ok && h.Clock.Mono()-seen.at <= h.term(reachTerm) {
+		if seen, ok := h.received[h.incarnations[m.Name]]; ok && h.Clock.Mono()-seen.at <= h.timeout(reachableTimeout) {
 			reached++
 		}
 	}
 	return 2*reached > all
 }
 
-// Peers lists what was heard from each listed instance, for operators.
-func (h *Health) Peers() []News {
-	var list []News
+// Peers returns the latest heartbeat of each listed instance that sent one within
+// reachableTimeout, for operators.
+func (h *Health) Peers() []Heartbeat {
+	var list []Heartbeat
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, m := range h.Fleet.View().Entries {
-		if seen, ok := h.heard[h.lives[m.Name]]; ok && h.Clock.Mono()-seen.at <= reachTerm {
-			list = append(list, seen.news)
+		if seen, ok := h.received[h.incarnations[m.Name]]; ok && h.Clock.Mono()-seen.at <= reachableTimeout {
+			list = append(list, seen.heartbeat)
 		}
 	}
 	return list
--- a/croftmoor/peers/peers_test.go
+++ b/croftmoor/peers/peers_test.go
@@ -19,23 +19,26 @@
 	"croftmoor.dev/kernel/steps"
 )
 
-// echo answers like an instance that leads nothing.
-type echo struct {
+// fakePeer answers claims with a done entry, except for the id "refused", and refuses records
+// and pulls.
+type fakePeer struct {
 	open Open
 }
 
-func (*echo) ClaimHere(_ context.Context, r once.Request) (once.Entry, error) {
+func (*fakePeer) ClaimHere(_ context.Context, r once.Request) (once.Entry, error) {
 	if r.ID == "refused" {
-		return once.Entry{}, fault.New("test", once.NotPrimary, "led by b")
+		return once.Entry{}, fault.New("test", once.NotPrimary, "the primary is b")
 	}
 	return once.Entry{ID: r.ID, Status: once.Done, Runner: r.Runner, Attempt: r.Attempt, Answer: once.Answer{Status: 200, Body: []byte("x")}}, nil
 }
-func (*echo) RecordHere(Record) error                           { return fault.New("test", once.OldEpoch, "moved on") }
-func (*echo) InstallHere(Install) error                         { return nil }
-func (*echo) SettleHere(context.Context, once.Settlement) error { return nil }
-func (e *echo) OpenHere(_ context.Context, o Open) error        { e.open = o; return nil }
-func (*echo) PublishHere(Publication)                           {}
-func (*echo) PullHere(context.Context, Pull) (Pulled, error) {
+func (*fakePeer) RecordHere(Record) error {
+	return fault.New("test", once.OldEpoch, "the epoch is over")
+}
+func (*fakePeer) InstallHere(Install) error                         { return nil }
+func (*fakePeer) SettleHere(context.Context, once.Settlement) error { return nil }
+func (p *fakePeer) OpenHere(_ context.Context, o Open) error        { p.open = o; return nil }
+func (*fakePeer) PublishHere(Publication)                           {}
+func (*fakePeer) PullHere(context.Context, Pull) (Pulled, error) {
 	return Pulled{}, refuse.New("test", refuse.StepUnknown, "not open", "open it")
 }
 
@@ -67,15 +70,16 @@
 	return n, err
 }
 
-// pair starts a server and returns a client of it and the bytes between them.
-func pair(t testing.TB, e *echo) (*Client, *atomic.Int64) {
+// startPeer starts a server and returns a client for it and the number of bytes that the
+// server has read and written.
+func startPeer(t testing.TB, peer *fakePeer) (*Client, *atomic.Int64) {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	news := func() News { return News{Instance: "b-1~12345678", UpTo: 123456, Revision: 123400} }
-	server := &Server{Reader: &fold.Reader{}, Shards: e, Feeder: e, News: news, Heard: func(News) {}}
+	heartbeat := func() Heartbeat { return Heartbeat{Instance: "b-1~12345678", UpTo: 123456, Revision: 123400} }
+	server := &Server{Reader: &fold.Reader{}, Shards: peer, Feeder: peer, Heartbeat: heartbeat, OnHeartbeat: func(Heartbeat) {}}
 	ctx, stop := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	bytes := &atomic.Int64{}
@@ -95,9 +99,9 @@
 
 func TestCalls(t *testing.T) {
 	ctx := context.Background()
-	e := &echo{}
-	client, _ := pair(t, e)
-	t.Run("entries and errors keep their meaning", func(t *testing.T) {
+	peer := &fakePeer{}
+	client, _ := startPeer(t, peer)
+	t.Run("entries and kinds of errors are preserved", func(t *testing.T) {
 		entry, err := client.Claim(ctx, "b-1", once.Request{ID: "x", Runner: "a", Attempt: 7})
 		if err != nil || entry.Attempt != 7 || string(entry.Answer.Body) != "x" {
 			t.Fatalf("%+v %v", entry, err)
@@ -106,13 +110,13 @@
 		assertKind(t, err, once.NotPrimary)
 		assertKind(t, client.Record(ctx, "b-1", Record{}), once.OldEpoch)
 	})
-	t.Run("refusals to trainers cross", func(t *testing.T) {
+	t.Run("refusals to trainers keep their kind and remedy", func(t *testing.T) {
 		_, err := client.Pull(ctx, "b-1", Pull{})
 		if r := refuse.Of(err); r.Kind != refuse.StepUnknown || r.Do != "open it" {
 			t.Fatalf("%+v", r)
 		}
 	})
-	t.Run("steps cross with their samples", func(t *testing.T) {
+	t.Run("steps keep their samples", func(t *testing.T) {
 		var have steps.Set
 		have.Add(9)
 		spans := []steps.Span{{Version: 2, Tokens: 5}, {Version: 3, Tokens: 1}}
@@ -120,12 +124,12 @@
 		if err := client.Open(ctx, "b-1", open); err != nil {
 			t.Fatal(err)
 		}
-		if !e.open.Have.Has(9) || e.open.Ready[0].Spans[1].Version != 3 {
-			t.Fatalf("%+v", e.open)
+		if !peer.open.Have.Has(9) || peer.open.Ready[0].Spans[1].Version != 3 {
+			t.Fatalf("%+v", peer.open)
 		}
 	})
 	t.Run("a peer that is not listed is unreachable", func(t *testing.T) {
-		_, err := client.Ping(ctx, "c-1", News{})
+		_, err := client.Ping(ctx, "c-1", Heartbeat{})
 		assertKind(t, err, Unreachable)
 		if !strings.Contains(err.Error(), "not on the platform's list") {
 			t.Fatal(err)
@@ -134,11 +138,11 @@
 }
 
 func BenchmarkPing(b *testing.B) {
-	client, bytes := pair(b, &echo{})
-	news := News{Instance: "a-1~12345678", UpTo: 123456, Revision: 123400}
+	client, bytes := startPeer(b, &fakePeer{})
+	heartbeat := Heartbeat{Instance: "a-1~12345678", UpTo: 123456, Revision: 123400}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := client.Ping(context.Background(), "b-1", news); err != nil {
+		if _, err := client.Ping(context.Background(), "b-1", heartbeat); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/croftmoor/peers/server.go
+++ b/croftmoor/peers/server.go
@@ -29,16 +29,16 @@
 
 // Server answers the calls of other instances. Set the fields before Run.
 type Server struct {
-	Reader *fold.Reader
-	Shards Shards
-	Feeder Feeder
-	Noter  Noter
-	// News tells this instance's news.
-	News func() News
-	// Heard takes the news of a peer that pings.
-	Heard func(News)
-	// More registers the procedures of other parts.
-	More func(*http.ServeMux)
+	Reader          *fold.Reader
+	Shards          Shards
+	Feeder          Feeder
+	VersionRecorder VersionRecorder
+	// Heartbeat returns this instance's heartbeat.
+	Heartbeat func() Heartbeat
+	// OnHeartbeat is called with the heartbeat of a peer that pings.
+	OnHeartbeat func(Heartbeat)
+	// RegisterMore registers the procedures of other packages; it may be nil.
+	RegisterMore func(*http.ServeMux)
 }
 
 const headerTimeout = 5 * clock.Second
@@ -52,14 +52,14 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	return fault.Wrap("peers.Run", Unreachable, err, "the peer port ended")
+	return fault.Wrap("peers.Run", Unreachable, err, "the peer port's server stopped")
 }
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	handle(mux, pingPath, func(_ context.Context, w *newsWire) (*newsWire, error) {
-		s.Heard(newsFromWire(*w))
-		answer := newsToWire(s.News())
+	handle(mux, pingPath, func(_ context.Context, w *heartbeatWire) (*heartbeatWire, error) {
+		s.OnHeartbeat(heartbeatFromWire(*w))
+		answer := heartbeatToWire(s.Heartbeat())
 		return &answer, nil
 	})
 	handle(mux, statePath, func(context.Context, *emptyWire) (*stateWire, error) { return s.state() })
@@ -77,14 +77,14 @@
 	handle(mux, settlePath, func(ctx context.Context, w *settleWire) (*emptyWire, error) {
 		return &emptyWire{}, s.Shards.SettleHere(ctx, settleFromWire(*w))
 	})
-	s.handleTrainers(mux)
-	if s.More != nil {
-		s.More(mux)
+	s.handleTrainerCalls(mux)
+	if s.RegisterMore != nil {
+		s.RegisterMore(mux)
 	}
 	return mux
 }
 
-func (s *Server) handleTrainers(mux *http.ServeMux) {
+func (s *Server) handleTrainerCalls(mux *http.ServeMux) {
 	handle(mux, openPath, func(ctx context.Context, w *openWire) (*emptyWire, error) {
 		open, err := openFromWire(*w)
 		if err != nil {
@@ -101,8 +101,8 @@
 		answer := pulledToWire(pulled)
 		return &answer, err
 	})
-	handle(mux, notePath, func(_ context.Context, w *sightingWire) (*emptyWire, error) {
-		s.Noter.Note(sightingFromWire(*w))
+	handle(mux, notePath, func(_ context.Context, w *observedVersionWire) (*emptyWire, error) {
+		s.VersionRecorder.Note(observedVersionFromWire(*w))
 		return &emptyWire{}, nil
 	})
 	handle(mux, publishPath, func(_ context.Context, w *publicationWire) (*emptyWire, error) {
@@ -114,13 +114,13 @@
 func (s *Server) state() (*stateWire, error) {
 	current := s.Reader.Current()
 	if current == nil {
-		return nil, connect.NewError(connect.CodeUnavailable, fault.New("peers.State", Unreachable, "no state yet"))
+		return nil, connect.NewError(connect.CodeUnavailable, fault.New("peers.State", Unreachable, "this instance has no shared state yet"))
 	}
 	data, err := fold.EncodeState(current)
 	return &stateWire{State: data}, err
 }
 
-// handle registers one procedure with the errors mapped for the wire.
+// handle registers one procedure; its errors are converted by toConnect.
 func handle[Q, A any](mux *http.ServeMux, path string, do func(context.Context, *Q) (*A, error)) {
 	rpcs.Handle(mux, path, toConnect, do)
 }
--- a/croftmoor/peers/wire.go
+++ b/croftmoor/peers/wire.go
@@ -9,7 +9,7 @@
 	"croftmoor.dev/kernel/views"
 )
 
-type newsWire struct {
+type heartbeatWire struct {
 	Instance string
 	UpTo     int64
 	Revision int64
@@ -103,7 +103,7 @@
 	Held    int
 }
 
-// SampleWire is the JSON form of a sample, also towards trainers.
+// SampleWire is the wire form of a sample between instances and, as JSON, to trainers.
 type SampleWire struct {
 	ID     string
 	Slot   int32
@@ -113,7 +113,7 @@
 	Reward float64
 }
 
-// SpanWire is the JSON form of a run of tokens of one version.
+// SpanWire is the wire form of a run of tokens made by one version of the weights.
 type SpanWire struct {
 	Version int64
 	Tokens  int32
@@ -124,30 +124,30 @@
 	Version int64
 }
 
-type sightingWire struct {
+type observedVersionWire struct {
 	Service string
 	Server  string
 	Trainer string
 	Version int64
 }
 
-func sightingToWire(s pool.ObservedVersion) sightingWire {
-	return sightingWire{Service: string(s.Service), Server: string(s.Server), Trainer: string(s.Trainer), Version: int64(s.Version)}
+func observedVersionToWire(observed pool.ObservedVersion) observedVersionWire {
+	return observedVersionWire{Service: string(observed.Service), Server: string(observed.Server), Trainer: string(observed.Trainer), Version: int64(observed.Version)}
 }
 
-func sightingFromWire(w sightingWire) pool.ObservedVersion {
+func observedVersionFromWire(w observedVersionWire) pool.ObservedVersion {
 	return pool.ObservedVersion{
 		Service: ident.Service(w.Service), Server: ident.BackendName(w.Server),
 		Trainer: ident.Trainer(w.Trainer), Version: ident.Version(w.Version),
 	}
 }
 
-func newsToWire(n News) newsWire {
-	return newsWire{Instance: string(n.Instance), UpTo: int64(n.UpTo), Revision: int64(n.Revision), Draining: n.Draining}
+func heartbeatToWire(h Heartbeat) heartbeatWire {
+	return heartbeatWire{Instance: string(h.Instance), UpTo: int64(h.UpTo), Revision: int64(h.Revision), Draining: h.Draining}
 }
 
-func newsFromWire(w newsWire) News {
-	return News{
+func heartbeatFromWire(w heartbeatWire) Heartbeat {
+	return Heartbeat{
 		Instance: ident.InstanceName(w.Instance), UpTo: ident.Offset(w.UpTo),
 		Revision: ident.Revision(w.Revision), Draining: w.Draining,
 	}
@@ -236,7 +236,7 @@
 	w := openWire{
 		Trainer: string(o.Spec.Trainer), Step: int64(o.Spec.Step), Prompts: o.Spec.Prompts, GroupSize: o.Spec.GroupSize,
 		MaxTokens: int32(o.Spec.MaxTokens), Bound: int64(o.Spec.StalenessBound), Have: o.Have.Text(), Version: int64(o.Version),
-		HandedOn: o.HandedOn,
+		HandedOn: o.HandedOver,
 	}
 	for _, s := range o.Ready {
 		w.Ready = append(w.Ready, SampleToWire(s))
@@ -251,7 +251,7 @@
 			Trainer: ident.Trainer(w.Trainer), Step: ident.Step(w.Step), Prompts: w.Prompts, GroupSize: w.GroupSize,
 			MaxTokens: ident.Tokens(w.MaxTokens), StalenessBound: ident.Version(w.Bound),
 		},
-		Have: have, Version: ident.Version(w.Version), HandedOn: w.HandedOn,
+		Have: have, Version: ident.Version(w.Version), HandedOver: w.HandedOn,
 	}
 	for _, s := range w.Ready {
 		o.Ready = append(o.Ready, SampleFromWire(s))
@@ -262,7 +262,7 @@
 func pullToWire(p Pull) pullWire {
 	return pullWire{
 		Trainer: string(p.Trainer), Step: int64(p.Step), PullID: p.PullID, Have: p.Have.Text(),
-		Version: int64(p.Version), Most: p.Most, Wait: int64(p.Wait),
+		Version: int64(p.Version), Most: p.MaxSamples, Wait: int64(p.Wait),
 	}
 }
 
@@ -270,7 +270,7 @@
 	have, err := steps.ParseSet(w.Have)
 	return Pull{
 		Trainer: ident.Trainer(w.Trainer), Step: ident.Step(w.Step), PullID: w.PullID, Have: have,
-		Version: ident.Version(w.Version), Most: w.Most, Wait: clock.Millis(w.Wait),
+		Version: ident.Version(w.Version), MaxSamples: w.Most, Wait: clock.Millis(w.Wait),
 	}, err
 }
 
@@ -296,7 +296,7 @@
 	return p
 }
 
-// SampleToWire converts a sample to its JSON form.
+// SampleToWire converts a sample to its wire form.
 func SampleToWire(s *steps.Sample) SampleWire {
 	w := SampleWire{ID: s.ID, Slot: int32(s.Slot), Prompt: s.Prompt, Text: s.Text, Reward: s.Reward}
 	for _, span := range s.Spans {
@@ -305,7 +305,7 @@
 	return w
 }
 
-// SampleFromWire converts the JSON form of a sample.
+// SampleFromWire converts a sample from its wire form.
 func SampleFromWire(w SampleWire) *steps.Sample {
 	s := &steps.Sample{ID: w.ID, Slot: ident.Slot(w.Slot), Prompt: w.Prompt, Text: w.Text, Reward: w.Reward}
 	for _, span := range w.Spans {
--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -38,36 +38,38 @@
 // Instance is one entry instance. Set Config and Out before Run.
 type Instance struct {
 	Config *Config
-	// Out gets the line that tells the addresses; LogTo gets the log.
-	Out   io.Writer
-	LogTo io.Writer
+	// Out receives one JSON line with the listen addresses; LogOutput receives the log.
+	Out       io.Writer
+	LogOutput io.Writer
 
-	self     ident.InstanceName
-	clock    *clock.Clock
-	log      zerolog.Logger
-	tail     tail.Client
-	reader   *fold.Reader
-	tailer   *tail.Tailer
-	logSeen  atomic.Int64
-	fleet    *fleet.Table
-	client   *peers.Client
-	health   *peers.Health
-	home     *home.Home
-	pool     *pool.Pool
-	calls    *calls.Caller
-	guard    *guard.Guard
-	feed     *feed.Feed
-	keeper   *keeper.Keeper
-	front    *front.Front
-	admin    *admin.Admin
-	metrics  *metric.Set
-	watcher  *gone.Watcher
-	draining atomic.Bool
-	drain    chan struct{}
-	telling  conc.WaitGroup
+	self   ident.InstanceName
+	clock  *clock.Clock
+	log    zerolog.Logger
+	tail   tail.Client
+	reader *fold.Reader
+	tailer *tail.Tailer
+	// logReadAt is when the log last answered, in milliseconds of the monotonic clock.
+	logReadAt atomic.Int64
+	fleet     *fleet.Table
+	client    *peers.Client
+	health    *peers.Health
+	home      *home.Home
+	pool      *pool.Pool
+	calls     *calls.Caller
+	guard     *guard.Guard
+	feed      *feed.Feed
+	keeper    *keeper.Keeper
+	front     *front.Front
+	admin     *admin.Admin
+	metrics   *metric.Set
+	watcher   *gone.Watcher
+	draining  atomic.Bool
+	drain     chan struct{}
+	// notifications waits for the calls that sendObservedVersion starts.
+	notifications conc.WaitGroup
 }
 
-// addressesWire is the line that tells where the instance listens.
+// addressesWire is the JSON line with the listen addresses.
 type addressesWire struct {
 	Instance string
 	Callers  string
@@ -81,8 +83,8 @@
 	admin   net.Listener
 }
 
-// Run serves until ctx ends, then stops in order: no new work, everything in
-// flight finished, roles handed on.
+// Run serves until ctx ends or a drain is requested, then shuts down gracefully: it takes no
+// new work, finishes what is in flight and hands over its shards.
 func (i *Instance) Run(ctx context.Context) error {
 	if err := i.build(); err != nil {
 		return err
@@ -91,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	if err := i.announce(ports); err != nil {
+	if err := i.printAddresses(ports); err != nil {
 		return err
 	}
 	work, stop := context.WithCancel(context.Background())
@@ -102,9 +104,9 @@
 	case <-ctx.Done():
 	case <-i.drain:
 	}
-	i.stopInOrder()
+	i.shutDown()
 	i.calls.Wait()
-	i.telling.Wait()
+	i.notifications.Wait()
 	stop()
 	i.feed.Stop()
 	group.Wait()
@@ -125,7 +127,7 @@
 	} {
 		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", p.address)
 		if err != nil {
-			wrapped := fault.Wrap("serve.listen", Startup, err, p.name+" "+p.address+" can't be listened on")
+			wrapped := fault.Wrap("serve.listen", Startup, err, p.name+" "+p.address+" cannot be listened on")
 			wrapped.Do = "free the port or change the setting"
 			return ports, wrapped
 		}
@@ -134,7 +136,8 @@
 	return ports, nil
 }
 
-func (i *Instance) announce(ports listeners) error {
+// printAddresses writes the listen addresses to Out.
+func (i *Instance) printAddresses(ports listeners) error {
 	line, err := json.Marshal(addressesWire{
 		Instance: string(i.self), Callers: ports.callers.Addr().String(),
 		Peers: ports.peers.Addr().String(), Admin: ports.admin.Addr().String(),
@@ -143,7 +146,7 @@
 		_, err = fmt.Fprintln(i.Out, string(line))
 	}
 	if err != nil {
-		return fault.Wrap("serve.announce", Startup, err, "the addresses could not be told")
+		return fault.Wrap("serve.printAddresses", Startup, err, "cannot write the listen addresses to standard output")
 	}
 	return nil
 }
@@ -159,44 +162,46 @@
 	run(i.keeper.Run)
 	run(i.watcher.Run)
 	run(i.guard.Run)
-	run(i.checkpoints)
-	server := &peers.Server{Reader: i.reader, Shards: i.home, Feeder: i.feed, Noter: i.pool, News: i.news, Heard: i.health.Heard, More: i.handleGuard}
-	run(func(ctx context.Context) { i.report("peer port", server.Run(ctx, ports.peers)) })
-	run(func(ctx context.Context) { i.report("caller port", serveApp(ctx, i.front.App(), ports.callers)) })
-	run(func(ctx context.Context) { i.report("admin port", serveApp(ctx, i.admin.App(), ports.admin)) })
+	run(i.runCheckpoints)
+	server := &peers.Server{Reader: i.reader, Shards: i.home, Feeder: i.feed, VersionRecorder: i.pool, Heartbeat: i.heartbeat, OnHeartbeat: i.health.RecordHeartbeat, RegisterMore: i.handleGuard}
+	run(func(ctx context.Context) { i.logExit("peer port", server.Run(ctx, ports.peers)) })
+	run(func(ctx context.Context) { i.logExit("caller port", serveApp(ctx, i.front.App(), ports.callers)) })
+	run(func(ctx context.Context) { i.logExit("admin port", serveApp(ctx, i.admin.App(), ports.admin)) })
 }
 
-func (i *Instance) report(what string, err error) {
+// logExit logs the error with which a server stopped, if any.
+func (i *Instance) logExit(what string, err error) {
 	if err != nil {
-		i.log.Error().Err(err).Str("Part", what).Msg("ended")
+		i.log.Error().Err(err).Str("Part", what).Msg("server stopped unexpectedly")
 	}
 }
 
-const closeTerm = 3 * clock.Second
+// closeTimeout bounds the wait for open connections when a server shuts down.
+const closeTimeout = 3 * clock.Second
 
 func serveApp(ctx context.Context, app *fiber.App, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = app.ShutdownWithTimeout(closeTerm.Duration()) })
+	stop := context.AfterFunc(ctx, func() { _ = app.ShutdownWithTimeout(closeTimeout.Duration()) })
 	defer stop()
 	err := app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
 	if ctx.Err() != nil || err == nil {
 		return nil
 	}
-	return fault.Wrap("serve.serveApp", Startup, err, "the server ended")
+	return fault.Wrap("serve.serveApp", Startup, err, "the server stopped")
 }
 
-// build puts the parts together.
+// build constructs the components and connects them.
 func (i *Instance) build() error {
 	c := i.Config
 	level, err := zerolog.ParseLevel(c.LogLevel)
 	if err != nil {
 		return fault.Wrap("serve.build", Settings, err, "LogLevel")
 	}
-	if i.LogTo == nil {
-		i.LogTo = os.Stderr
+	if i.LogOutput == nil {
+		i.LogOutput = os.Stderr
 	}
 	i.clock = clock.New()
 	i.self = ident.NewInstance(c.Instance)
-	i.log = zerolog.New(i.LogTo).Level(level).With().Timestamp().Str("Instance", string(i.self)).Str("Zone", string(c.Zone)).Logger()
+	i.log = zerolog.New(i.LogOutput).Level(level).With().Timestamp().Str("Instance", string(i.self)).Str("Zone", string(c.Zone)).Logger()
 	i.drain = make(chan struct{}, 1)
 	i.metrics = metric.New()
 	i.watcher = &gone.Watcher{Clock: i.clock}
@@ -226,7 +231,7 @@
 	}
 	directory.Connect(c.List.Address)
 	i.tail = log
-	i.logSeen.Store(-int64(clock.Minute))
+	i.logReadAt.Store(-int64(clock.Minute))
 	i.reader = &fold.Reader{OnChange: i.onState}
 	i.tailer = &tail.Tailer{Source: log, Stream: fold.Stream, Clock: i.clock, Apply: i.onBatch, OnError: i.onLogFailure}
 	i.fleet = &fleet.Table{Directory: directory, Clock: i.clock, Period: c.ListPeriod}
@@ -238,11 +243,11 @@
 	i.client = peers.NewClient(i.fleet)
 	i.health = &peers.Health{
 		Self: i.self, Zone: c.Zone, Client: i.client, Fleet: i.fleet, Clock: i.clock,
-		News: i.news, Behind: i.catchUp, Partners: func() []ident.InstanceName { return i.home.Partners() },
+		Heartbeat: i.heartbeat, OnBehind: i.catchUp, Partners: func() []ident.InstanceName { return i.home.Partners() },
 	}
 	i.home = &home.Home{
 		Self: i.self, Reader: i.reader, Log: i.tail, Caller: i.client, Health: i.health, Clock: i.clock,
-		RepeatWindow: c.RepeatWindow, LogSeen: func() clock.Millis { return clock.Millis(i.logSeen.Load()) },
+		RepeatWindow: c.RepeatWindow, LogSeen: func() clock.Millis { return clock.Millis(i.logReadAt.Load()) },
 	}
 	i.home.Setup()
 }
@@ -252,19 +257,19 @@
 	decisions := &trail.Trail{Log: i.log, Clock: i.clock, SampleAbove: c.SampleAbove}
 	i.pool = &pool.Pool{
 		Fleet: i.fleet, Reporter: protocol, Clock: i.clock, Self: c.Instance, Zone: c.Zone,
-		ZoneLatency: c.Crossing, PollInterval: c.LoadPeriod, Subset: c.Subset,
+		ZoneLatency: c.ZoneLatency, PollInterval: c.LoadPeriod, Subset: c.Subset,
 	}
-	i.guard = &guard.Guard{Self: i.self, Clock: i.clock, Log: i.log, Reader: i.tail, Writer: &logWriter{log: i.tail, clock: i.clock}, Peers: i.otherPeers}
+	i.guard = &guard.Guard{Self: i.self, Clock: i.clock, Log: i.log, Reader: i.tail, Writer: &logWriter{log: i.tail, clock: i.clock}, Peers: i.peerAddresses}
 	i.guard.Setup()
 	i.calls = &calls.Caller{Self: i.self, Pool: i.pool, Claimer: i.home, Clock: i.clock, Trail: decisions, Guard: i.guard}
-	gen := &gener.Generator{Pool: i.pool, Engine: protocol, Clock: i.clock, Trail: decisions, OnVersionMismatch: i.tellKeeper}
+	gen := &gener.Generator{Pool: i.pool, Engine: protocol, Clock: i.clock, Trail: decisions, OnVersionMismatch: i.sendObservedVersion}
 	i.feed = &feed.Feed{
 		Self: i.self, Reader: i.reader, Health: i.health, Caller: i.client, Pool: i.pool, Gen: gen,
 		Calls: i.calls, Clock: i.clock, Trail: decisions,
 	}
 	i.keeper = &keeper.Keeper{
 		Reader: i.reader, Pool: i.pool, Leaser: i.home, Engine: protocol, Clock: i.clock, Trail: decisions,
-		Weights: c.Weights, Longest: home.MaxActionTime,
+		Weights: c.Weights, OrderTimeout: home.MaxActionTime,
 	}
 	i.front = &front.Front{
 		Reader: i.reader, Calls: i.calls, Gen: gen, Feed: i.feed, Watcher: i.watcher, Clock: i.clock,
@@ -275,7 +280,7 @@
 func (i *Instance) buildPorts() {
 	i.admin = &admin.Admin{
 		Reader: i.reader, Log: i.tail, Clock: i.clock, Trail: i.front.Trail, Operators: i.Config.Operators,
-		Metrics: i.metrics.Handler(), Status: i.status, Ready: i.notReady, Drain: i.startDrain,
+		Metrics: i.metrics.Handler(), Status: i.status, Ready: i.notReadyReason, Drain: i.startDrain,
 	}
 	i.metrics.Gauge("croftmoor_configuration_revision", "Newest configuration revision in force.", func() float64 {
 		if state := i.reader.Current(); state != nil {
@@ -284,7 +289,7 @@
 		return 0
 	})
 	i.metrics.Gauge("croftmoor_log_silence_seconds", "Time since the platform's log was last read.", func() float64 {
-		return (i.clock.Mono() - clock.Millis(i.logSeen.Load())).Duration().Seconds()
+		return (i.clock.Mono() - clock.Millis(i.logReadAt.Load())).Duration().Seconds()
 	})
 	i.metrics.Gauge("croftmoor_remembered_ids", "Ids of unrepeatable calls that this instance remembers.", func() float64 {
 		_, _, ids := i.home.Counts()
--- a/croftmoor/serve/status.go
+++ b/croftmoor/serve/status.go
@@ -8,7 +8,7 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// statusWire is an instance's status for operators.
+// statusWire is the JSON form of an instance's status in the administration API.
 type statusWire struct {
 	Instance         string
 	Zone             string
@@ -33,7 +33,7 @@
 	Draining bool
 }
 
-// entryWire is an entry instance as the platform lists it.
+// entryWire is an entry instance on the platform's list.
 type entryWire struct {
 	Name  string
 	Zone  string
@@ -70,13 +70,13 @@
 }
 
 func (i *Instance) status() any {
-	leads, backs, ids := i.home.Counts()
-	news := i.news()
+	primaries, backups, ids := i.home.Counts()
+	heartbeat := i.heartbeat()
 	w := statusWire{
-		Instance: string(i.self), Zone: string(i.Config.Zone), NotReady: i.notReady(),
-		Revision: int64(news.Revision), UpTo: int64(news.UpTo),
-		LogSilenceMillis: int64(i.clock.Mono() - clock.Millis(i.logSeen.Load())),
-		InFlight:         i.front.InFlight(), ShardsLed: leads, ShardsBackedUp: backs, RememberedIDs: ids,
+		Instance: string(i.self), Zone: string(i.Config.Zone), NotReady: i.notReadyReason(),
+		Revision: int64(heartbeat.Revision), UpTo: int64(heartbeat.UpTo),
+		LogSilenceMillis: int64(i.clock.Mono() - clock.Millis(i.logReadAt.Load())),
+		InFlight:         i.front.InFlight(), ShardsLed: primaries, ShardsBackedUp: backups, RememberedIDs: ids,
 	}
 	for _, p := range i.health.Peers() {
 		w.Peers = append(w.Peers, peerWire{
@@ -96,6 +96,7 @@
 	return w
 }
 
+// backends returns the servers of all services, ordered by name.
 func (i *Instance) backends() []backendWire {
 	var list []backendWire
 	state := i.reader.Current()
