An append that was sent twice is not refused by the answer to the second sending

Callers would see a 503 for a job that is accepted all the same and runs ("it never will run"), and worse, a record acknowledged that is not in the log: an acceptance (202) of a job that nobody has, an end (200) that nobody reads, so that the job's items go on to servers. Cause: httpc sends a call again on a new connection when its reused one broke. If the store had taken the first sending and answered 503 or 429 to the second, store.AppendOnce said Refused. tail.Writer then drops what its callers have left, as never appended, and gives the ticket to the next records. The store answers a ticket that it knows with the offset of the first append, and the next records count as appended.

--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -66,6 +66,9 @@
 	Status  int
 	Headers []Header
 	Body    []byte
+	// Resent reports whether the call was sent before on a reused connection that broke. The
+	// server may have run that one, whatever it responded to this one.
+	Resent bool
 }
 
 // Header returns the named header's value, or "".
@@ -315,7 +318,11 @@
 	retry := *call
 	retry.FreshConn = true
 	retried, retryErr := c.Do(ctx, &retry)
-	return retried, wrapRetryError(retryErr, err)
+	if retryErr != nil {
+		return nil, wrapRetryError(retryErr, err)
+	}
+	retried.Resent = true
+	return retried, nil
 }
 
 // wrapRetryError returns the error of a call that was sent a second time after its reused
