A job that is over is not accepted again by a late acceptance

Callers would see the items of an ended job reach servers again, minutes after the acknowledgement of its end. It needs an acceptance that is written twice, the second time late: a submission that got 504 from an instance that was cut off, and 202 from another. Cause: the fold accepts any job that it does not hold. It drops jobs 180 s after it read their acceptance; an acceptance that is written later opens the job anew, without results and without its end. And a reader that starts after the log has dropped the first acceptance passes over the end, since it does not know the job, and then takes the second acceptance. Only an instance that has read an acceptance writes an end, so an end of an unknown job always follows its acceptance in the log. Records are unchanged. What is left: an instance that starts after the log has dropped the first acceptance and the end, but not a second acceptance after both, can't know.

--- a/croftmoor/ledger/ledger.go
+++ b/croftmoor/ledger/ledger.go
@@ -45,8 +45,8 @@
 	silentPeriods = 3
 	// maxFreshAge is the greatest age at which the state still counts as fresh.
 	maxFreshAge = 1500 * clock.Millis(1)
-	// jobRetention is how long jobs are kept. It exceeds the time for which callers may ask
-	// for a job.
+	// jobRetention is how long jobs are kept, and after that their ids. It exceeds the time
+	// for which callers may ask for a job.
 	jobRetention     = 180 * clock.Second
 	forgetPeriod     = 5 * clock.Second
 	heartbeatTimeout = 2 * clock.Second
@@ -201,7 +201,8 @@
 func (l *Ledger) forget() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.state.Forget(l.Clock.Mono() - jobRetention)
+	now := l.Clock.Mono()
+	l.state.Forget(now, now-jobRetention)
 }
 
 // sendHeartbeats sends heartbeats until ctx ends. The first one supersedes the earlier
--- a/kernel/jobs/state.go
+++ b/kernel/jobs/state.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"maps"
+
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/ident"
 )
@@ -152,6 +154,9 @@
 	UpToDate bool
 	// LatestJob maps an item to the newest job that contains it.
 	LatestJob map[ident.Item]ident.Job
+	// Closed holds the ids of jobs that are over and not in Jobs, with the time at which this
+	// reader closed them. They are not accepted again.
+	Closed map[ident.Job]clock.Millis
 	// Usage holds the request counts of each accounting window.
 	Usage map[ident.Window]*WindowUsage
 	// Next is the offset after the last applied record.
@@ -165,7 +170,7 @@
 		Weights: map[EngineModel]Weights{}, LastOrders: map[string]LastOrder{}, Loads: map[ident.BackendName]Load{}, Paces: map[ident.BackendName]Pace{},
 		LatestJob: map[ident.Item]ident.Job{}, AvoidedUntil: map[ident.BackendName]clock.Millis{},
 		Claims: map[ident.InstanceName]map[ItemKey]struct{}{}, FailureRates: map[ident.BackendName]float64{},
-		Usage: map[ident.Window]*WindowUsage{},
+		Closed: map[ident.Job]clock.Millis{}, Usage: map[ident.Window]*WindowUsage{},
 	}
 }
 
@@ -205,7 +210,7 @@
 }
 
 func (s *State) accept(a Accept, now clock.Millis) {
-	if s.Jobs[a.Job] != nil {
+	if _, closed := s.Closed[a.Job]; closed || s.Jobs[a.Job] != nil {
 		return
 	}
 	job := &Job{
@@ -365,7 +370,12 @@
 
 func (s *State) end(e End, now clock.Millis) {
 	job := s.Jobs[e.Job]
-	if job == nil || job.Ended {
+	if job == nil {
+		// Only readers of an acceptance write its end: the log has dropped that acceptance.
+		s.Closed[e.Job] = now
+		return
+	}
+	if job.Ended {
 		return
 	}
 	job.Ended = true
@@ -376,8 +386,10 @@
 }
 
 // Forget drops the jobs whose acceptance was read before the given time on this
-// reader's clock, whether or not they have ended.
-func (s *State) Forget(before clock.Millis) {
+// reader's clock, whether or not they have ended, and moves their ids to Closed. It drops
+// the ids that were in Closed before that time.
+func (s *State) Forget(now, before clock.Millis) {
+	maps.DeleteFunc(s.Closed, func(_ ident.Job, closedAt clock.Millis) bool { return closedAt < before })
 	kept := s.JobOrder[:0]
 	for _, id := range s.JobOrder {
 		job := s.Jobs[id]
@@ -392,6 +404,7 @@
 			}
 		}
 		delete(s.Jobs, id)
+		s.Closed[id] = now
 	}
 	s.JobOrder = kept
 }
