A hold that takes effect after its append was given up waits out the term

Callers would see two holders of a role act within its term: the one whose role was taken, and the new one, at once instead of holdTerm and a term after the other was last heard (orders of spot engines, and reports of usage). Cause: take notes the offset of its hold and the time from which this instance may act, and Hold looks at that time only under this offset. When the append has no answer the offset is 0; the hold that is read later has another one, and counted as free to act. The test failed before: lease_test.go:165: b~1 holds the role: true, want false Fix: the time holds for any hold of this instance, and is never set back. All its holds are from its own takes, so nothing else is held up; where the last holder is an earlier life the time is 0 as before.

--- a/croftmoor/lease/lease.go
+++ b/croftmoor/lease/lease.go
@@ -63,9 +63,9 @@
 	// vacant tells that the role is seen to have no holder, since vacantAt.
 	vacant   bool
 	vacantAt clock.Millis
-	// from is when this instance may first act under taken.
-	taken ident.Fence
-	from  clock.Millis
+	// from is when this instance may first act under any of its holds. A hold whose append
+	// was given up may take effect all the same, with an offset that was never told.
+	from clock.Millis
 	// refused is a fencing number that has been refused for a higher one.
 	refused ident.Fence
 }
@@ -91,8 +91,7 @@
 		return 0, false
 	case s.holding.By == l.Self && s.holding.Fence != l.refused:
 		l.vacant = false
-		ready := s.holding.Fence != l.taken || now >= l.from
-		return s.holding.Fence, ready && l.Ledger.Heard() < holdTerm
+		return s.holding.Fence, now >= l.from && l.Ledger.Heard() < holdTerm
 	case s.holding.By == l.Self:
 		l.take(ctx, s)
 		return 0, false
@@ -137,7 +136,7 @@
 	if err != nil {
 		reason += ": " + err.Error()
 	}
-	l.taken, l.from = ident.Fence(offset), l.actFrom(s)
+	l.from = max(l.from, l.actFrom(s))
 	l.Trail.Add(trail.Decision{ID: l.Role, Action: trail.Grant, Choice: string(l.Self), Reason: reason})
 }
 
--- a/croftmoor/lease/lease_test.go
+++ b/croftmoor/lease/lease_test.go
@@ -6,8 +6,10 @@
 
 	"croftmoor.dev/croftmoor/ledger"
 	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/tail"
 	"croftmoor.dev/kernel/trail"
 )
 
@@ -142,6 +144,29 @@
 	}
 }
 
+// lostAnswers applies what is appended and loses the answer to it.
+type lostAnswers struct{ *oneLedger }
+
+func (l lostAnswers) Append(ctx context.Context, records ...jobs.Record) (ident.Offset, error) {
+	_, _ = l.oneLedger.Append(ctx, records...)
+	return 0, fault.New("lostAnswers", tail.Unknown, "no word")
+}
+
+// A hold that takes effect after its append was given up must wait out the term as well.
+func TestTermIsWaitedOutAfterALostAnswer(t *testing.T) {
+	const term = 3 * clock.Second
+	c := clock.NewManual(clock.Second)
+	book := newOne(c, "a~1")
+	book.write(jobs.Hold{Role: role, By: "a~1"})
+	book.write(jobs.Heartbeat{By: "a~1", Zone: "z", Leaving: true})
+	book.write(jobs.Heartbeat{By: "b~1", Zone: "z"})
+	l := &Lease{Role: role, Self: "b~1", Ledger: lostAnswers{book}, Clock: c, Trail: noDecisions{}, Term: term}
+	wantHeld(t, l, false)
+	wantHeld(t, l, false)
+	c.Advance(holdTerm + term)
+	wantHeld(t, l, true)
+}
+
 // Nothing is done any more under a fencing number that was refused for a higher one.
 func TestRefusedFenceIsTakenAnew(t *testing.T) {
 	c := clock.NewManual(clock.Second)
