Records of a backlog are not taken for new ones after its first batch

Callers would see items of a job wait that have no time left, and engines or items be avoided after the reason is gone, at an instance that reads on after a cut: the time of acceptance, of load orders and the spans of Avoid and Defer were counted from the reading. Cause: the ledger counted a record as read when written if the log had answered within 1.5 s. In a backlog longer than one batch (256 KB) this holds from the second batch on. The test failed before: ledger_test.go:142: job second from the backlog: false, want true ledger_test.go:146: an engine is avoided because of a record of the backlog Fix: it counts as read when written if the state was at the end of the stream within 1.5 s. What is read next was written after that.

--- a/croftmoor/ledger/ledger.go
+++ b/croftmoor/ledger/ledger.go
@@ -151,7 +151,7 @@
 	if batch.First > max(l.state.Next, firstOffset) {
 		l.gapSeenAt, l.gapSeen = now, true
 	}
-	l.state.UpToDate = l.caughtUp && now-l.lastResponse <= maxFreshAge
+	l.state.UpToDate = l.caughtUp && now-l.lastCaughtUp <= maxFreshAge
 	respondedAt := now
 	if batch.CurrentAt > 0 {
 		respondedAt = min(now, batch.CurrentAt)
--- a/croftmoor/ledger/ledger_test.go
+++ b/croftmoor/ledger/ledger_test.go
@@ -124,3 +124,26 @@
 	l.apply(next)
 	assertState(t, l, true, false)
 }
+
+// Guards against taking the second batch of a backlog for records that were just written.
+func TestBacklogAfterACutIsNotNews(t *testing.T) {
+	l := newLedger()
+	l.Clock = clock.NewManual(clock.Minute)
+	l.apply(batch(1, 2, jobs.Heartbeat{By: "b~1"}))
+	l.Clock.Advance(clock.Minute)
+	l.apply(batch(2, 5, jobs.Accept{Job: "first"}))
+	l.Clock.Advance(minPause)
+	l.apply(batch(3, 5, jobs.Accept{Job: "second"}, jobs.Avoid{By: "b~1", Engine: "e", Millis: 400}))
+	l.Clock.Advance(minPause)
+	l.apply(batch(5, 6, jobs.Accept{Job: "news"}))
+	l.View(func(s *jobs.State) {
+		for job, want := range map[ident.Job]bool{"first": true, "second": true, "news": false} {
+			if got := s.Jobs[job].FromBacklog; got != want {
+				t.Errorf("job %s from the backlog: %v, want %v", job, got, want)
+			}
+		}
+		if s.AvoidedUntil["e"] != 0 {
+			t.Error("an engine is avoided because of a record of the backlog")
+		}
+	})
+}
