Wording of croftfake/relay

Comments say what the relay does; names that no other folder uses follow them. No behaviour changed.

--- a/croftfake/relay/relay.go
+++ b/croftfake/relay/relay.go
@@ -1,5 +1,5 @@
-// Package relay is a TCP relay that cuts, freezes, delays and drops traffic,
-// one direction at a time.
+// Package relay implements a TCP relay that injects network faults: closed
+// connections, stalls in one or both directions, delays, and lost answers.
 package relay
 
 import (
@@ -16,41 +16,43 @@
 	"croftmoor.dev/kernel/fault"
 )
 
-// Rules is what the relay does to traffic.
+// Rules are the faults that the relay injects. The zero value forwards
+// everything unchanged.
 type Rules struct {
-	// Cut closes connections and accepts none that lead anywhere.
+	// Cut closes open connections, and new ones as soon as they are accepted.
 	Cut bool
-	// FreezeTo holds bytes towards the target; FreezeFrom those coming back.
+	// FreezeTo holds back bytes sent to the target, FreezeFrom bytes sent by it.
 	FreezeTo   bool
 	FreezeFrom bool
 	// DelayMillis delays each chunk, in each direction.
 	DelayMillis int64
-	// DropAnswers closes so many connections at the first answer byte.
+	// DropAnswers is the number of connections still to be closed when the
+	// target sends data.
 	DropAnswers int
 }
 
-// Relay carries connections to Target. Set the exported fields before Run.
+// Relay forwards connections to Target. Set the exported fields before Run.
 type Relay struct {
 	Listen  string
 	Control string
 	Target  string
 	Clock   *clock.Clock
 
-	mu    sync.Mutex
-	rules Rules
-	links map[net.Conn]bool
-	stop  context.CancelFunc
-	group conc.WaitGroup
+	mu        sync.Mutex
+	rules     Rules
+	openConns map[net.Conn]bool
+	stop      context.CancelFunc
+	group     conc.WaitGroup
 
 	address string
 }
 
 const (
-	chunk      = 32 << 10
-	checkPause = 5 * clock.Millis(1)
+	chunkBytes   = 32 << 10
+	pollInterval = 5 * clock.Millis(1)
 )
 
-// Run serves the control port until a signal and relays meanwhile.
+// Run relays connections and serves the control port until SIGINT or SIGTERM.
 func (r *Relay) Run() error {
 	address, err := r.Open()
 	if err != nil {
@@ -65,9 +67,9 @@
 	return stand.Serve(app, r.Control)
 }
 
-// Open starts to relay and returns the address. Close ends it.
+// Open starts relaying and returns the address that it listens on.
 func (r *Relay) Open() (address string, err error) {
-	r.links = map[net.Conn]bool{}
+	r.openConns = map[net.Conn]bool{}
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", r.Listen)
 	if err != nil {
 		return "", fault.Wrap("relay.Open", stand.Unlistenable, err, "cannot listen on "+r.Listen)
@@ -79,17 +81,17 @@
 	return r.address, nil
 }
 
-// Address returns where the relay listens.
+// Address returns the address that the relay listens on.
 func (r *Relay) Address() string {
 	return r.address
 }
 
 // Rules returns the rules in force.
 func (r *Relay) Rules() Rules {
-	return r.now()
+	return r.currentRules()
 }
 
-// Close ends all connections and stops relaying.
+// Close stops listening, closes all connections and waits for their goroutines.
 func (r *Relay) Close() {
 	r.stop()
 	r.group.Wait()
@@ -104,7 +106,7 @@
 	return c.SendStatus(fiber.StatusOK)
 }
 
-// Set puts rules in force; a cut closes the connections that are open.
+// Set replaces the rules. Open connections are closed if rules.Cut is set.
 func (r *Relay) Set(rules Rules) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -112,12 +114,12 @@
 	if !rules.Cut {
 		return
 	}
-	for conn := range r.links {
+	for conn := range r.openConns {
 		_ = conn.Close()
 	}
 }
 
-func (r *Relay) now() Rules {
+func (r *Relay) currentRules() Rules {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.rules
@@ -133,13 +135,13 @@
 		if err != nil {
 			return
 		}
-		group.Go(func() { r.carry(ctx, conn) })
+		group.Go(func() { r.relayConn(ctx, conn) })
 	}
 }
 
-func (r *Relay) carry(ctx context.Context, in net.Conn) {
+func (r *Relay) relayConn(ctx context.Context, in net.Conn) {
 	defer func() { _ = in.Close() }()
-	if r.now().Cut {
+	if r.currentRules().Cut {
 		return
 	}
 	dialer := net.Dialer{}
@@ -150,31 +152,32 @@
 	defer func() { _ = out.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = in.Close(); _ = out.Close() })
 	defer stop()
-	r.keep(in, true)
-	defer r.keep(in, false)
+	r.trackConn(in, true)
+	defer r.trackConn(in, false)
 	var group conc.WaitGroup
-	group.Go(func() { r.copy(ctx, out, in, true) })
-	group.Go(func() { r.copy(ctx, in, out, false) })
+	group.Go(func() { r.forward(ctx, out, in, true) })
+	group.Go(func() { r.forward(ctx, in, out, false) })
 	group.Wait()
 }
 
-func (r *Relay) keep(conn net.Conn, on bool) {
+// trackConn adds conn to the open connections, or removes it.
+func (r *Relay) trackConn(conn net.Conn, open bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if on {
-		r.links[conn] = true
+	if open {
+		r.openConns[conn] = true
 	} else {
-		delete(r.links, conn)
+		delete(r.openConns, conn)
 	}
 }
 
-// copy carries one direction and closes both ends when it ends.
-func (r *Relay) copy(ctx context.Context, to, from net.Conn, towards bool) {
+// forward copies data in one direction and closes both connections when it returns.
+func (r *Relay) forward(ctx context.Context, to, from net.Conn, toTarget bool) {
 	defer func() { _ = to.Close(); _ = from.Close() }()
-	buffer := make([]byte, chunk)
+	buffer := make([]byte, chunkBytes)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !r.pass(ctx, towards) {
+		if n > 0 && !r.applyRules(ctx, toTarget) {
 			return
 		}
 		if n > 0 {
@@ -188,28 +191,31 @@
 	}
 }
 
-// pass applies the rules to one chunk and reports whether it may go on.
-func (r *Relay) pass(ctx context.Context, towards bool) bool {
+// applyRules waits as the rules require before one chunk is forwarded. It
+// reports whether to forward the chunk; if not, the connection is closed.
+func (r *Relay) applyRules(ctx context.Context, toTarget bool) bool {
 	for {
-		rules := r.now()
+		rules := r.currentRules()
 		if rules.Cut {
 			return false
 		}
-		frozen := (towards && rules.FreezeTo) || (!towards && rules.FreezeFrom)
+		frozen := (toTarget && rules.FreezeTo) || (!toTarget && rules.FreezeFrom)
 		if !frozen {
 			break
 		}
-		if !r.Clock.Sleep(ctx, checkPause) {
+		if !r.Clock.Sleep(ctx, pollInterval) {
 			return false
 		}
 	}
-	if delay := r.now().DelayMillis; delay > 0 {
+	if delay := r.currentRules().DelayMillis; delay > 0 {
 		r.Clock.Sleep(ctx, clock.Millis(delay))
 	}
-	return towards || !r.dropAnswer()
+	return toTarget || !r.takeAnswerDrop()
 }
 
-func (r *Relay) dropAnswer() bool {
+// takeAnswerDrop reports whether to drop the answer, and counts it against
+// DropAnswers.
+func (r *Relay) takeAnswerDrop() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.rules.DropAnswers == 0 {
