--- a/croftfake/engine/engine.go
+++ b/croftfake/engine/engine.go
@@ -64,12 +64,12 @@
 	orders   []Order
 	tokens   int64
 	lost     int64
-	made     map[string][]Made
+	made     map[string][]TokenRun
 	madeIDs  []string
 }
 
-// Made is a run of tokens that was generated for a request.
-type Made struct {
+// TokenRun is a run of tokens that was generated for a request.
+type TokenRun struct {
 	Index   int
 	Tokens  int
 	Version int64
@@ -149,7 +149,7 @@
 func (e *Engine) Run() error {
 	e.versions = map[string]int64{}
 	e.claimed = map[string]int64{}
-	e.made = map[string][]Made{}
+	e.made = map[string][]TokenRun{}
 	e.imported = map[string]int{}
 	e.slow = 1
 	e.faults.Clock = e.Clock
@@ -243,7 +243,7 @@
 			index: s.next, tokens: n, version: e.versions[s.request.Adapter],
 			text: words.Text(s.request.Prompt, s.next, s.next+n),
 		}
-		e.note(s.request.ID, Made{Index: s.next, Tokens: n, Version: e.versions[s.request.Adapter]})
+		e.note(s.request.ID, TokenRun{Index: s.next, Tokens: n, Version: e.versions[s.request.Adapter]})
 		s.next += n
 		s.credit -= float64(n)
 		e.tokens += int64(n)
@@ -255,7 +255,7 @@
 }
 
 // note remembers what was made for a request, so that labels can be checked.
-func (e *Engine) note(id string, m Made) {
+func (e *Engine) note(id string, m TokenRun) {
 	runs, known := e.made[id]
 	if !known {
 		e.madeIDs = append(e.madeIDs, id)
--- a/croftfake/engine/http.go
+++ b/croftfake/engine/http.go
@@ -142,7 +142,7 @@
 // MadeFor tells what was made for one request.
 type MadeFor struct {
 	ID   string
-	Runs []Made
+	Runs []TokenRun
 }
 
 func (e *Engine) getMade(c fiber.Ctx) error {
--- a/croftload/bench/control.go
+++ b/croftload/bench/control.go
@@ -196,8 +196,8 @@
 }
 
 // Made collects what all running engines made for each request.
-func (c *Cluster) Made(ctx context.Context) (map[string][]engine.Made, error) {
-	all := map[string][]engine.Made{}
+func (c *Cluster) Made(ctx context.Context) (map[string][]engine.TokenRun, error) {
+	all := map[string][]engine.TokenRun{}
 	for _, name := range c.named("engine-") {
 		var list []engine.MadeFor
 		if err := c.Get(ctx, c.Proc(name).Listening, "/control/made", &list); err != nil {
--- a/croftload/drive/check.go
+++ b/croftload/drive/check.go
@@ -7,7 +7,7 @@
 
 // Mislabelled counts the samples of which a token carries a version that no
 // engine used for that token.
-func Mislabelled(labels map[string][]steps.Span, made map[string][]engine.Made) int64 {
+func Mislabelled(labels map[string][]steps.Span, made map[string][]engine.TokenRun) int64 {
 	var wrong int64
 	for id, spans := range labels {
 		if !labelled(spans, made[id]) {
@@ -17,7 +17,7 @@
 	return wrong
 }
 
-func labelled(spans []steps.Span, made []engine.Made) bool {
+func labelled(spans []steps.Span, made []engine.TokenRun) bool {
 	index := 0
 	for _, span := range spans {
 		for range span.Tokens {
@@ -30,7 +30,7 @@
 	return true
 }
 
-func madeWith(made []engine.Made, index int, version int64) bool {
+func madeWith(made []engine.TokenRun, index int, version int64) bool {
 	for _, m := range made {
 		if m.Version == version && index >= m.Index && index < m.Index+m.Tokens {
 			return true
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -264,7 +264,7 @@
 	return row, nil
 }
 
-func (l *load) countSamples(row *Row, made map[string][]engine.Made) {
+func (l *load) countSamples(row *Row, made map[string][]engine.TokenRun) {
 	var idle, wall, used, all int64
 	var staleness []int64
 	for _, t := range l.trainers {
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -98,7 +98,7 @@
 
 func (w *world) measureSamples(ts *testscript.TestScript, name string) float64 {
 	sum := 0.0
-	made := map[string][]engine.Made{}
+	made := map[string][]engine.TokenRun{}
 	if name == "mislabelled" {
 		var err error
 		made, err = w.cluster.Made(context.Background())
