--- a/croftfake/engine/http.go
+++ b/croftfake/engine/http.go
@@ -139,8 +139,8 @@
 	return c.JSON(stats)
 }
 
-// MadeFor tells what was made for one request.
-type MadeFor struct {
+// RequestRuns tells what was made for one request.
+type RequestRuns struct {
 	ID   string
 	Runs []TokenRun
 }
@@ -148,9 +148,9 @@
 func (e *Engine) getMade(c fiber.Ctx) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	list := make([]MadeFor, 0, len(e.made))
+	list := make([]RequestRuns, 0, len(e.made))
 	for id, runs := range e.made {
-		list = append(list, MadeFor{ID: id, Runs: runs})
+		list = append(list, RequestRuns{ID: id, Runs: runs})
 	}
 	return c.JSON(list)
 }
--- a/croftload/bench/control.go
+++ b/croftload/bench/control.go
@@ -199,7 +199,7 @@
 func (c *Cluster) Made(ctx context.Context) (map[string][]engine.TokenRun, error) {
 	all := map[string][]engine.TokenRun{}
 	for _, name := range c.named("engine-") {
-		var list []engine.MadeFor
+		var list []engine.RequestRuns
 		if err := c.Get(ctx, c.Proc(name).Listening, "/control/made", &list); err != nil {
 			return nil, err
 		}
