--- a/croftfake/train/train.go
+++ b/croftfake/train/train.go
@@ -271,7 +271,7 @@
 			oldest = min(oldest, span.Version)
 			spans = append(spans, steps.Span{Version: ident.Version(span.Version), Tokens: ident.Tokens(span.Tokens)})
 		}
-		if !words.Whole(s.Prompt, s.Text, tokens) || tokens == 0 {
+		if !words.IsComplete(s.Prompt, s.Text, tokens) || tokens == 0 {
 			t.report.Broken++
 		}
 		staleness := t.version - oldest
--- a/croftfake/words/words.go
+++ b/croftfake/words/words.go
@@ -34,8 +34,8 @@
 	return text.String()
 }
 
-// Whole tells whether text is the complete run of its first n tokens.
-func Whole(prompt, text string, n int) bool {
+// IsComplete tells whether text is the complete run of its first n tokens.
+func IsComplete(prompt, text string, n int) bool {
 	return text == Text(prompt, 0, n)
 }
 
--- a/croftload/drive/live.go
+++ b/croftload/drive/live.go
@@ -102,7 +102,7 @@
 	switch {
 	case !ended:
 		return Lost
-	case !words.Whole(prompt, text, want):
+	case !words.IsComplete(prompt, text, want):
 		return WrongID
 	case took > l.Deadline:
 		return Late
