--- a/croftfake/train/train.go
+++ b/croftfake/train/train.go
@@ -150,8 +150,8 @@
 	return t.report
 }
 
-// Labels returns the spans of every sample that was received, by its id.
-func (t *Trainer) Labels() map[string][]steps.Span {
+// SampleSpans returns the spans of every sample that was received, by its id.
+func (t *Trainer) SampleSpans() map[string][]steps.Span {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return maps.Clone(t.got)
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -273,8 +273,8 @@
 		wall += got.WallMillis
 		row.TrainerSteps += got.Steps
 		staleness = append(staleness, got.Staleness...)
-		row.BrokenPromises += got.Duplicated + got.Stale + got.Broken + drive.Mislabelled(t.Labels(), made)
-		for _, spans := range t.Labels() {
+		row.BrokenPromises += got.Duplicated + got.Stale + got.Broken + drive.Mislabelled(t.SampleSpans(), made)
+		for _, spans := range t.SampleSpans() {
 			for _, span := range spans {
 				used += int64(span.Tokens)
 			}
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -120,7 +120,7 @@
 		case "reopened":
 			sum += float64(r.ReopenCount)
 		case "mislabelled":
-			sum += float64(drive.Mislabelled(t.Labels(), made))
+			sum += float64(drive.Mislabelled(t.SampleSpans(), made))
 		case "mixed":
 			sum += float64(mixed(t))
 		default:
@@ -133,7 +133,7 @@
 // mixed counts the samples that name more than one version.
 func mixed(t *train.Trainer) int {
 	n := 0
-	for _, spans := range t.Labels() {
+	for _, spans := range t.SampleSpans() {
 		if len(spans) > 1 {
 			n++
 		}
