--- a/croftfake/main.go
+++ b/croftfake/main.go
@@ -144,7 +144,7 @@
 	t := train.Trainer{
 		Pick:  func() ident.Address { return ident.Address(c.Entry[rand.IntN(len(c.Entry))]) },
 		Clock: clock.New(), Name: c.Name, Weights: c.Weights, Groups: c.Groups, GroupSize: c.Size, MaxTokens: c.Most,
-		Train: clock.Millis(c.Train), Bound: c.Bound, Seed: c.Seed, StepsMost: c.Steps,
+		Train: clock.Millis(c.Train), Bound: c.Bound, Seed: c.Seed, MaxSteps: c.Steps,
 	}
 	t.Run(ctx)
 	report, err := json.MarshalIndent(t.Report(), "", "  ")
--- a/croftfake/train/train.go
+++ b/croftfake/train/train.go
@@ -39,8 +39,8 @@
 	// Bound is the staleness bound that the trainer declared.
 	Bound int64
 	Seed  int64
-	// StepsMost ends the run after so many steps; 0 runs until ctx ends.
-	StepsMost int64
+	// MaxSteps ends the run after so many steps; 0 runs until ctx ends.
+	MaxSteps int64
 
 	client  httpc.Client
 	version int64
@@ -113,7 +113,7 @@
 	t.publish(ctx)
 	t.open(ctx, firstStep, steps.Set{})
 	for step := int64(firstStep); ctx.Err() == nil; step++ {
-		if t.StepsMost > 0 && step > t.StepsMost {
+		if t.MaxSteps > 0 && step > t.MaxSteps {
 			break
 		}
 		idle := t.Clock.Mono()
@@ -127,7 +127,7 @@
 		if !whole {
 			break
 		}
-		if t.StepsMost == 0 || step < t.StepsMost {
+		if t.MaxSteps == 0 || step < t.MaxSteps {
 			t.open(ctx, step+1, steps.Set{})
 		}
 		t.Clock.Sleep(ctx, t.Train)
