--- a/croftfake/engine/engine.go
+++ b/croftfake/engine/engine.go
@@ -226,7 +226,7 @@
 }
 
 func (e *Engine) advance(span clock.Millis) {
-	if e.faults.Now().Hang {
+	if e.faults.Active().Hang {
 		return
 	}
 	rate := e.Rate * e.slow / (1 + float64(len(e.running))/e.HalfBatch)
@@ -273,7 +273,7 @@
 
 func (e *Engine) report() {
 	load := Load{
-		Running: len(e.running), Waiting: len(e.waiting), Slots: e.Slots, Draining: e.faults.Now().Draining,
+		Running: len(e.running), Waiting: len(e.waiting), Slots: e.Slots, Draining: e.faults.Active().Draining,
 		Role: e.role, At: int64(e.Clock.Now()),
 	}
 	if rand.Float64() >= e.CacheGaps {
--- a/croftfake/engine/http.go
+++ b/croftfake/engine/http.go
@@ -186,7 +186,7 @@
 	if e.isDown() {
 		return stand.Drop(c)
 	}
-	if e.faults.Now().Draining {
+	if e.faults.Active().Draining {
 		return stand.RefuseNotRun(c, "leaving")
 	}
 	if !e.faults.Before(c.Context()) {
--- a/croftfake/logsvc/logsvc.go
+++ b/croftfake/logsvc/logsvc.go
@@ -146,7 +146,7 @@
 		}
 		answer, _ = s.read(name, from)
 	}
-	if s.faults.Now().Out {
+	if s.faults.Active().Out {
 		return stand.RefuseNotRun(c, "the log is out")
 	}
 	return c.JSON(answer)
--- a/croftfake/plain/plain.go
+++ b/croftfake/plain/plain.go
@@ -61,14 +61,14 @@
 	s.faults.Register(app)
 	app.Get("/control/runs", s.getRuns)
 	app.Get("/load", func(c fiber.Ctx) error {
-		return c.JSON(Load{Draining: s.faults.Now().Draining})
+		return c.JSON(Load{Draining: s.faults.Active().Draining})
 	})
 	app.All("/*", s.call)
 	return stand.Serve(app, s.Listen)
 }
 
 func (s *Service) call(c fiber.Ctx) error {
-	if s.faults.Now().Draining {
+	if s.faults.Active().Draining {
 		return stand.RefuseNotRun(c, "leaving")
 	}
 	if !s.faults.Before(c.Context()) {
--- a/croftfake/stand/stand.go
+++ b/croftfake/stand/stand.go
@@ -135,8 +135,8 @@
 	})
 }
 
-// Now returns the faults in force.
-func (s *Injector) Now() Faults {
+// Active returns the faults in force.
+func (s *Injector) Active() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.faults
@@ -145,12 +145,12 @@
 // Before applies the faults that come before an effect. It reports whether the
 // request may go on.
 func (s *Injector) Before(ctx context.Context) bool {
-	for s.Now().Hang {
+	for s.Active().Hang {
 		if !s.Clock.Sleep(ctx, hangCheck) {
 			return false
 		}
 	}
-	f := s.Now()
+	f := s.Active()
 	if f.DelayMillis > 0 {
 		s.Clock.Sleep(ctx, clock.Millis(f.DelayMillis))
 	}
