Wording of croftfake/engine

Comments say what the simulated engine does, what its fields hold and which functions need mu; names that no other folder uses follow them. The JSON field names stay, and so do the bodies of refusals, which are on the wire.

--- a/croftfake/engine/engine.go
+++ b/croftfake/engine/engine.go
@@ -1,7 +1,7 @@
-// Package engine stands in for a model engine: continuous batching at a token
-// rate that falls with the batch, a prefix cache in limited memory, priorities
-// with preemption, streams that resume and cancel, lagging load reports, and
-// orders to load weights, with or without fencing.
+// Package engine simulates a model engine: continuous batching with a token
+// rate that falls as the batch grows, a prefix cache of limited size, priorities
+// with preemption, streams that can be resumed and cancelled, delayed load
+// reports, and orders to load weights, with or without fencing.
 package engine
 
 import (
@@ -18,85 +18,98 @@
 	"croftmoor.dev/kernel/httpc"
 )
 
-// Engine is one engine. Set the exported fields before Run.
+// Engine is a simulated engine. Set the exported fields before Run.
 type Engine struct {
 	Listen string
 	Name   string
 	Clock  *clock.Clock
-	// Weights is the weight store's address; empty means that swaps need no fetch.
+	// Weights is the address of the weight store; if it is empty, weights are
+	// swapped without a fetch.
 	Weights string
-	// Slots is how many sequences run at once.
+	// Slots is the maximum number of sequences that run at once.
 	Slots int
-	// Rate is the tokens a second of a sequence that runs alone; at HalfBatch
-	// running sequences each gets half of it.
+	// Rate / (1 + n/HalfBatch) is the rate of each of n running sequences in
+	// tokens per second.
 	Rate      float64
 	HalfBatch float64
-	// Prefill is the time before the first token of an uncached prompt.
+	// Prefill is the prefill time of an uncached prompt for a sequence that
+	// runs at Rate.
 	Prefill clock.Millis
-	// CachePrompts is how many prompt families the cache holds.
+	// CachePrompts is the capacity of the prefix cache in prompt families. It
+	// also limits the number of imported KV states.
 	CachePrompts int
-	// LoadLag is how old a load report is.
+	// LoadLag is the age of the load report that the engine returns.
 	LoadLag clock.Millis
 	// MeanLength is the mean length of answers in tokens.
 	MeanLength int
-	// CacheGaps is the share of load reports that leave the cache out.
+	// CacheGaps is the fraction of load reports without the cached families.
 	CacheGaps float64
-	// ChecksFence makes orders with an old fencing number be refused.
+	// ChecksFence enables refusing orders with an old fencing number.
 	ChecksFence bool
 
 	faults  stand.Injector
 	watcher gone.Watcher
 	client  httpc.Client
 
-	mu       sync.Mutex
-	running  []*sequence
-	waiting  []*sequence
-	versions map[string]int64
-	claimed  map[string]int64
-	fence    int64
-	slow     float64
-	partial  int
-	down     bool
-	role     string
-	imported map[string]int
-	cache    []string
-	reports  []Load
-	orders   []Order
-	tokens   int64
-	lost     int64
-	made     map[string][]TokenRun
-	madeIDs  []string
+	// mu guards the fields below.
+	mu      sync.Mutex
+	running []*sequence
+	waiting []*sequence
+	// loadedVersions are the versions that generate tokens, reportedVersions
+	// those in load reports. They differ after a partial swap.
+	loadedVersions   map[string]int64
+	reportedVersions map[string]int64
+	newestFence      int64
+	rateFactor       float64
+	// partialSwaps is the number of swaps still to fail as Faults.PartialSwaps says.
+	partialSwaps int
+	down         bool
+	role         string
+	// importedTokens is the number of tokens of each imported KV state, by request ID.
+	importedTokens map[string]int
+	// cachedFamilies is in order of use, the least recently used first.
+	cachedFamilies []string
+	// loadReports is in order of time.
+	loadReports     []Load
+	orders          []Order
+	generatedTokens int64
+	lostTokens      int64
+	// runsByRequest holds the generated runs of the requests in requestIDs, which
+	// is in order of their first token.
+	runsByRequest map[string][]TokenRun
+	requestIDs    []string
 }
 
-// TokenRun is a run of tokens that was generated for a request.
+// TokenRun is a run of consecutive tokens that one version generated.
 type TokenRun struct {
 	Index   int
 	Tokens  int
 	Version int64
 }
 
-// Load is what the engine reports of itself, late.
+// Load is a load report.
 type Load struct {
 	Running  int
 	Waiting  int
 	Slots    int
 	Draining bool
 	Versions []AdapterVersion
-	// Cached lists prompt families in the cache.
+	// Cached lists the prompt families in the prefix cache.
 	Cached []string
 	Role   string
-	At     int64
+	// At is the time of the report in milliseconds.
+	At int64
 }
 
-// AdapterVersion is the version of one adapter.
+// AdapterVersion is a version of an adapter's weights.
 type AdapterVersion struct {
 	Adapter string
 	Version int64
 }
 
-// Order tells the engine to load a version of an adapter, or to take a role.
-// An engine in the role Live takes no rollouts, one in the role Rollout no live
-// requests, and one without a role takes both.
+// Order tells the engine to load a version of an adapter or, if Role is set, to
+// change its role. An engine in LiveRole refuses rollouts, one in RolloutRole
+// refuses live requests, and one without a role accepts both.
 type Order struct {
 	Fence   int64
 	Adapter string
@@ -108,27 +121,33 @@
 const (
 	LiveRole    = "Live"
 	RolloutRole = "Rollout"
-	// livePriority is the least priority that counts as live.
+	// livePriority is the lowest priority of a live request.
 	livePriority = 10
 )
 
-// KV is the state of a sequence on its way to another engine.
+// KV is the KV cache state of a sequence, for transfer to another engine.
 type KV struct {
 	ID     string
 	Prompt string
 	Tokens int
 }
 
+// sequence is a request that waits or runs. It is guarded by Engine.mu, except
+// for out, from which the request handler receives.
 type sequence struct {
 	request Request
-	length  int
-	next    int
-	credit  float64
-	out     chan chunk
-	ended   bool
+	// length is the number of tokens of the whole answer.
+	length int
+	// nextIndex is the index of the next token to generate.
+	nextIndex int
+	// tokenCredit is the number of tokens that may be generated now; it is
+	// negative during prefill.
+	tokenCredit float64
+	out         chan chunk
+	ended       bool
 }
 
-// chunk is a run of tokens of one version, or the end.
+// chunk is a run of tokens of one version, or the end of the stream.
 type chunk struct {
 	index   int
 	tokens  int
@@ -138,41 +157,43 @@
 }
 
 const (
-	tick          = 20 * clock.Millis(1)
-	outBuffer     = 1024
-	reportsKept   = 400
-	madeKept      = 50_000
-	cachedPrefill = 0.2
+	tickInterval        = 20 * clock.Millis(1)
+	streamBufferChunks  = 1024
+	maxLoadReports      = 400
+	maxRecordedRequests = 50_000
+	// cachedPrefillFactor is the prefill time of a cached prompt relative to that
+	// of an uncached one.
+	cachedPrefillFactor = 0.2
 )
 
-// Run serves until a signal.
+// Run serves until SIGINT or SIGTERM.
 func (e *Engine) Run() error {
-	e.versions = map[string]int64{}
-	e.claimed = map[string]int64{}
-	e.made = map[string][]TokenRun{}
-	e.imported = map[string]int{}
-	e.slow = 1
+	e.loadedVersions = map[string]int64{}
+	e.reportedVersions = map[string]int64{}
+	e.runsByRequest = map[string][]TokenRun{}
+	e.importedTokens = map[string]int{}
+	e.rateFactor = 1
 	e.faults.Clock = e.Clock
 	e.watcher.Clock = e.Clock
 	return stand.Serve(e.app(), e.Listen, e.simulate, e.watcher.Run)
 }
 
-// simulate advances the sequences until ctx ends.
+// simulate schedules and advances the sequences until ctx is done.
 func (e *Engine) simulate(ctx context.Context) {
 	last := e.Clock.Mono()
-	e.Clock.Every(ctx, tick, func() {
+	e.Clock.Every(ctx, tickInterval, func() {
 		now := e.Clock.Mono()
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.schedule()
 		e.advance(now - last)
-		e.report()
+		e.recordLoad()
 		last = now
 	})
 }
 
-// schedule starts waiting sequences by priority and preempts running ones of
-// a lower priority.
+// schedule starts waiting sequences in order of priority. If all slots are in
+// use, it preempts running sequences of lower priority. mu is held.
 func (e *Engine) schedule() {
 	e.running = slices.DeleteFunc(e.running, func(s *sequence) bool { return s.ended })
 	e.waiting = slices.DeleteFunc(e.waiting, func(s *sequence) bool { return s.ended })
@@ -184,12 +205,13 @@
 		}
 		e.waiting = e.waiting[1:]
 		e.running = append(e.running, head)
-		head.credit = -e.prefill(head)
+		head.tokenCredit = -e.prefillTokens(head)
 	}
 }
 
-// preempt moves the running sequence of the lowest priority below the given
-// one back to the queue; it will need its prefill again.
+// preempt moves the running sequence with the lowest priority back to the queue
+// if that priority is below the given one. The sequence needs its prefill again.
+// mu is held.
 func (e *Engine) preempt(priority int) bool {
 	lowest := -1
 	for i, s := range e.running {
@@ -205,96 +227,105 @@
 	return true
 }
 
-// prefill returns the tokens' worth of time before the first token.
-func (e *Engine) prefill(s *sequence) float64 {
-	if tokens, ok := e.imported[s.request.ID]; ok && tokens >= s.next {
-		delete(e.imported, s.request.ID)
+// prefillTokens returns the prefill time of a sequence, as the number of tokens
+// generated in that time at Rate, and adds its prompt to the cache. It is 0 if
+// the KV state was imported. mu is held.
+func (e *Engine) prefillTokens(s *sequence) float64 {
+	if tokens, ok := e.importedTokens[s.request.ID]; ok && tokens >= s.nextIndex {
+		delete(e.importedTokens, s.request.ID)
 		return 0
 	}
 	family := guess.Family(s.request.Prompt)
 	cost := float64(e.Prefill) / float64(clock.Second) * e.Rate
-	at := slices.Index(e.cache, family)
+	at := slices.Index(e.cachedFamilies, family)
 	if at >= 0 {
-		e.cache = slices.Delete(e.cache, at, at+1)
-		cost *= cachedPrefill
+		e.cachedFamilies = slices.Delete(e.cachedFamilies, at, at+1)
+		cost *= cachedPrefillFactor
 	}
-	e.cache = append(e.cache, family)
-	if len(e.cache) > e.CachePrompts {
-		e.cache = slices.Delete(e.cache, 0, len(e.cache)-e.CachePrompts)
+	e.cachedFamilies = append(e.cachedFamilies, family)
+	if len(e.cachedFamilies) > e.CachePrompts {
+		e.cachedFamilies = slices.Delete(e.cachedFamilies, 0, len(e.cachedFamilies)-e.CachePrompts)
 	}
 	return cost
 }
 
+// advance generates the tokens of a time span. mu is held.
 func (e *Engine) advance(span clock.Millis) {
 	if e.faults.Active().Hang {
 		return
 	}
-	rate := e.Rate * e.slow / (1 + float64(len(e.running))/e.HalfBatch)
+	rate := e.Rate * e.rateFactor / (1 + float64(len(e.running))/e.HalfBatch)
 	for _, s := range e.running {
-		s.credit += rate * float64(span) / float64(clock.Second)
-		e.emit(s, int(s.credit))
+		s.tokenCredit += rate * float64(span) / float64(clock.Second)
+		e.emit(s, int(s.tokenCredit))
 	}
 }
 
+// emit sends up to n tokens of a sequence to its stream, and the end after the
+// last one. It sends none while the stream's buffer is full but for the place
+// reserved for the end. mu is held.
 func (e *Engine) emit(s *sequence, n int) {
-	n = min(n, s.length-s.next)
+	n = min(n, s.length-s.nextIndex)
 	if n > 0 && len(s.out) < cap(s.out)-1 {
 		s.out <- chunk{
-			index: s.next, tokens: n, version: e.versions[s.request.Adapter],
-			text: words.Text(s.request.Prompt, s.next, s.next+n),
+			index: s.nextIndex, tokens: n, version: e.loadedVersions[s.request.Adapter],
+			text: words.Text(s.request.Prompt, s.nextIndex, s.nextIndex+n),
 		}
-		e.note(s.request.ID, TokenRun{Index: s.next, Tokens: n, Version: e.versions[s.request.Adapter]})
-		s.next += n
-		s.credit -= float64(n)
-		e.tokens += int64(n)
+		e.recordRun(s.request.ID, TokenRun{Index: s.nextIndex, Tokens: n, Version: e.loadedVersions[s.request.Adapter]})
+		s.nextIndex += n
+		s.tokenCredit -= float64(n)
+		e.generatedTokens += int64(n)
 	}
-	if s.next >= s.length && !s.ended {
+	if s.nextIndex >= s.length && !s.ended {
 		s.out <- chunk{end: true}
 		s.ended = true
 	}
 }
 
-// note remembers what was made for a request, so that labels can be checked.
-func (e *Engine) note(id string, m TokenRun) {
-	runs, known := e.made[id]
+// recordRun keeps a run so that version labels can be checked against it. It
+// extends the last run if possible. mu is held.
+func (e *Engine) recordRun(id string, run TokenRun) {
+	runs, known := e.runsByRequest[id]
 	if !known {
-		e.madeIDs = append(e.madeIDs, id)
-		if len(e.madeIDs) > madeKept {
-			delete(e.made, e.madeIDs[0])
-			e.madeIDs = e.madeIDs[1:]
+		e.requestIDs = append(e.requestIDs, id)
+		if len(e.requestIDs) > maxRecordedRequests {
+			delete(e.runsByRequest, e.requestIDs[0])
+			e.requestIDs = e.requestIDs[1:]
 		}
 	}
-	if n := len(runs); n > 0 && runs[n-1].Version == m.Version && runs[n-1].Index+runs[n-1].Tokens == m.Index {
-		runs[n-1].Tokens += m.Tokens
+	if n := len(runs); n > 0 && runs[n-1].Version == run.Version && runs[n-1].Index+runs[n-1].Tokens == run.Index {
+		runs[n-1].Tokens += run.Tokens
 		return
 	}
-	e.made[id] = append(runs, m)
+	e.runsByRequest[id] = append(runs, run)
 }
 
-func (e *Engine) report() {
+// recordLoad stores a load report, to be returned when it is LoadLag old. mu is
+// held.
+func (e *Engine) recordLoad() {
 	load := Load{
 		Running: len(e.running), Waiting: len(e.waiting), Slots: e.Slots, Draining: e.faults.Active().Draining,
 		Role: e.role, At: int64(e.Clock.Now()),
 	}
 	if rand.Float64() >= e.CacheGaps {
-		load.Cached = slices.Clone(e.cache)
+		load.Cached = slices.Clone(e.cachedFamilies)
 	}
-	for adapter, version := range e.claimed {
+	for adapter, version := range e.reportedVersions {
 		load.Versions = append(load.Versions, AdapterVersion{Adapter: adapter, Version: version})
 	}
-	e.reports = append(e.reports, load)
-	if len(e.reports) > reportsKept {
-		e.reports = slices.Delete(e.reports, 0, len(e.reports)-reportsKept)
+	e.loadReports = append(e.loadReports, load)
+	if len(e.loadReports) > maxLoadReports {
+		e.loadReports = slices.Delete(e.loadReports, 0, len(e.loadReports)-maxLoadReports)
 	}
 }
 
-// laggingLoad returns the newest report that is at least LoadLag old.
-func (e *Engine) laggingLoad() Load {
+// delayedLoad returns the newest report that is at least LoadLag old.
+func (e *Engine) delayedLoad() Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	shown := Load{Slots: e.Slots}
 	newest := int64(e.Clock.Now() - e.LoadLag)
-	for _, load := range e.reports {
+	for _, load := range e.loadReports {
 		if load.At <= newest {
 			shown = load
 		}
@@ -305,63 +336,66 @@
 // submit queues a request's sequence.
 func (e *Engine) submit(r Request) *sequence {
 	length := words.Length(r.Prompt, r.Seed, e.MeanLength, r.MaxTokens)
-	s := &sequence{request: r, length: length, next: min(r.ResumeFrom, length), out: make(chan chunk, outBuffer)}
+	s := &sequence{request: r, length: length, nextIndex: min(r.ResumeFrom, length), out: make(chan chunk, streamBufferChunks)}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.waiting = append(e.waiting, s)
 	return s
 }
 
-// takes tells whether the engine's role lets it take a request.
-func (e *Engine) takes(r Request) bool {
+// roleAccepts reports whether the engine accepts the request in its role.
+func (e *Engine) roleAccepts(r Request) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	live := r.Priority >= livePriority
 	return e.role == "" || (live && e.role == LiveRole) || (!live && e.role == RolloutRole)
 }
 
-// export returns the state of a sequence that runs or waits here.
+// export returns the KV state of a running or waiting sequence.
 func (e *Engine) export(id string) (KV, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, s := range slices.Concat(e.running, e.waiting) {
 		if s.request.ID == id && !s.ended {
-			return KV{ID: id, Prompt: s.request.Prompt, Tokens: s.next}, true
+			return KV{ID: id, Prompt: s.request.Prompt, Tokens: s.nextIndex}, true
 		}
 	}
 	return KV{}, false
 }
 
-// importKV takes the state of a sequence; memory for it is limited.
+// importKV stores the KV state of a sequence. It reports false if there is no
+// room for it.
 func (e *Engine) importKV(kv KV) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.imported) >= e.CachePrompts {
+	if len(e.importedTokens) >= e.CachePrompts {
 		return false
 	}
-	e.imported[kv.ID] = kv.Tokens
+	e.importedTokens[kv.ID] = kv.Tokens
 	return true
 }
 
-// cancel ends a sequence whose receiver has gone.
+// cancel ends a sequence whose stream was closed. The tokens of an unfinished
+// sequence count as lost.
 func (e *Engine) cancel(s *sequence) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !s.ended {
-		e.lost += int64(s.next)
+		e.lostTokens += int64(s.nextIndex)
 	}
 	s.ended = true
 }
 
-// obey carries out an order: it fetches the weights and swaps. Sequences in
-// flight go on with the new version from their next token.
-func (e *Engine) obey(ctx context.Context, order Order) (accepted bool) {
+// applyOrder changes the role, or fetches the weights and swaps them. Running
+// sequences use the new version from their next token. An order is accepted
+// even if its fetch fails; the version is then unchanged.
+func (e *Engine) applyOrder(ctx context.Context, order Order) (accepted bool) {
 	e.mu.Lock()
-	if e.ChecksFence && order.Fence < e.fence {
+	if e.ChecksFence && order.Fence < e.newestFence {
 		e.mu.Unlock()
 		return false
 	}
-	e.fence = max(e.fence, order.Fence)
+	e.newestFence = max(e.newestFence, order.Fence)
 	e.orders = append(e.orders, order)
 	if order.Role != "" {
 		e.role = order.Role
@@ -376,11 +410,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.claimed[order.Adapter] = order.Version
-	if e.partial > 0 {
-		e.partial--
+	e.reportedVersions[order.Adapter] = order.Version
+	if e.partialSwaps > 0 {
+		e.partialSwaps--
 		return true
 	}
-	e.versions[order.Adapter] = order.Version
+	e.loadedVersions[order.Adapter] = order.Version
 	return true
 }
--- a/croftfake/engine/http.go
+++ b/croftfake/engine/http.go
@@ -13,8 +13,7 @@
 	"croftmoor.dev/kernel/clock"
 )
 
-// Request asks for a completion. The JSON names follow the usual form of
-// completion requests of model servers.
+// Request is a completion request.
 type Request struct {
 	ID         string
 	Adapter    string
@@ -25,7 +24,8 @@
 	ResumeFrom int
 }
 
-// completionWire is the JSON form of a completion request.
+// completionWire is the JSON form of a completion request, with the field names
+// that are usual for model servers.
 type completionWire struct {
 	ID         string `json:"id"`          // completion request
 	Adapter    string `json:"adapter"`     // completion request
@@ -47,18 +47,20 @@
 	Total   int    `json:"total"`   // completion event
 }
 
-// Faults are an engine's own, beside those that all stand-ins share.
+// Faults are the faults that only an engine has, in addition to stand.Faults.
 type Faults struct {
 	// Slow divides the token rate.
 	Slow float64
-	// Down makes the engine drop all connections, as if it had crashed, but for
-	// its control routes; what it made can still be asked for.
+	// Down simulates a crash: requests are refused or their connections closed.
+	// The control routes still work.
 	Down bool
-	// PartialSwaps is how many next swaps keep the old weights but report the new.
+	// PartialSwaps is the number of next swaps that keep the old weights but
+	// report the new version.
 	PartialSwaps int
 }
 
-// Stats counts what the engine did.
+// Stats are the engine's counters and state. TrueVersions are the versions that
+// generate tokens, whatever the load reports say.
 type Stats struct {
 	Tokens       int64
 	LostTokens   int64
@@ -79,26 +81,26 @@
 		if !e.faults.Admit(c.Context()) {
 			return stand.RefuseNotRun(c, "out")
 		}
-		return c.JSON(e.laggingLoad())
+		return c.JSON(e.delayedLoad())
 	})
 	app.Post("/orders", e.postOrder)
 	app.Get("/kv", e.getKV)
 	app.Post("/kv", e.postKV)
 	app.Post("/control/engine", e.postFaults)
 	app.Get("/control/stats", e.getStats)
-	app.Get("/control/made", e.getMade)
+	app.Get("/control/made", e.getTokenRuns)
 	return app
 }
 
-// kvPause is the time that the state of a token takes to send.
-const kvPause = 0.1
+// kvMillisPerToken is the transfer time of the KV state of a token.
+const kvMillisPerToken = 0.1
 
 func (e *Engine) getKV(c fiber.Ctx) error {
 	kv, ok := e.export(strings.Clone(c.Query("ID")))
 	if e.isDown() || !ok {
 		return c.SendStatus(fiber.StatusNotFound)
 	}
-	e.Clock.Sleep(c.Context(), clock.Millis(kvPause*float64(kv.Tokens)))
+	e.Clock.Sleep(c.Context(), clock.Millis(kvMillisPerToken*float64(kv.Tokens)))
 	return c.JSON(kv)
 }
 
@@ -120,11 +122,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.slow = 1
+	e.rateFactor = 1
 	if f.Slow > 0 {
-		e.slow = 1 / f.Slow
+		e.rateFactor = 1 / f.Slow
 	}
-	e.partial = f.PartialSwaps
+	e.partialSwaps = f.PartialSwaps
 	e.down = f.Down
 	return c.SendStatus(fiber.StatusOK)
 }
@@ -132,24 +134,24 @@
 func (e *Engine) getStats(c fiber.Ctx) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	stats := Stats{Tokens: e.tokens, LostTokens: e.lost, Running: len(e.running), Waiting: len(e.waiting), Orders: e.orders}
-	for adapter, version := range e.versions {
+	stats := Stats{Tokens: e.generatedTokens, LostTokens: e.lostTokens, Running: len(e.running), Waiting: len(e.waiting), Orders: e.orders}
+	for adapter, version := range e.loadedVersions {
 		stats.TrueVersions = append(stats.TrueVersions, AdapterVersion{Adapter: adapter, Version: version})
 	}
 	return c.JSON(stats)
 }
 
-// RequestRuns tells what was made for one request.
+// RequestRuns are the token runs that were generated for a request.
 type RequestRuns struct {
 	ID   string
 	Runs []TokenRun
 }
 
-func (e *Engine) getMade(c fiber.Ctx) error {
+func (e *Engine) getTokenRuns(c fiber.Ctx) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	list := make([]RequestRuns, 0, len(e.made))
-	for id, runs := range e.made {
+	list := make([]RequestRuns, 0, len(e.runsByRequest))
+	for id, runs := range e.runsByRequest {
 		list = append(list, RequestRuns{ID: id, Runs: runs})
 	}
 	return c.JSON(list)
@@ -166,7 +168,7 @@
 	if err := json.Unmarshal(c.Body(), &order); err != nil {
 		return c.Status(fiber.StatusBadRequest).SendString(err.Error())
 	}
-	if !e.obey(c.Context(), order) {
+	if !e.applyOrder(c.Context(), order) {
 		return c.Status(fiber.StatusConflict).SendString("an order with a newer fencing number came before")
 	}
 	if e.faults.LoseAnswer() {
@@ -175,7 +177,7 @@
 	return c.SendStatus(fiber.StatusOK)
 }
 
-// isDown tells whether the engine plays dead.
+// isDown reports whether a crash is simulated.
 func (e *Engine) isDown() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -196,7 +198,7 @@
 	if err := json.Unmarshal(c.Body(), &w); err != nil {
 		return c.Status(fiber.StatusBadRequest).SendString(err.Error())
 	}
-	if !e.takes(requestFromWire(w)) {
+	if !e.roleAccepts(requestFromWire(w)) {
 		return stand.RefuseNotRun(c, "not in this engine's role")
 	}
 	s := e.submit(requestFromWire(w))
@@ -209,6 +211,8 @@
 	})
 }
 
+// stream writes the events of a sequence until its end, until ctx is done or
+// until the engine is down.
 func (e *Engine) stream(ctx context.Context, s *sequence, out *bufio.Writer) {
 	for {
 		select {
