--- a/croftfake/stand/stand.go
+++ b/croftfake/stand/stand.go
@@ -1,5 +1,6 @@
-// Package stand is what all stand-ins share: an HTTP server that announces its
-// address and stops on a signal, and faults that a control request sets.
+// Package stand contains what all simulated services share: an HTTP server that
+// announces its address and stops on a signal, and faults that are set by a
+// control request.
 package stand
 
 import (
@@ -33,23 +34,24 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-// announcement is the line on standard output that tells the address.
+// announcement is the JSON line on standard output that contains the address.
 type announcement struct {
 	Listening string
 }
 
 const (
-	bodyLimit       = 64 << 20
-	shutdownTimeout = 2 * clock.Second
-	hangCheck       = 20 * clock.Millis(1)
+	bodyLimitBytes   = 64 << 20
+	shutdownTimeout  = 2 * clock.Second
+	hangPollInterval = 20 * clock.Millis(1)
 )
 
-// NewApp returns a fiber app for a stand-in.
+// NewApp returns a fiber app for a simulated service.
 func NewApp() *fiber.App {
-	return fiber.New(fiber.Config{BodyLimit: bodyLimit, StreamRequestBody: false})
+	return fiber.New(fiber.Config{BodyLimit: bodyLimitBytes, StreamRequestBody: false})
 }
 
-// Serve listens on address, announces it and serves app until a signal.
+// Serve listens on address, announces it and serves app until SIGINT or SIGTERM.
+// The background functions run meanwhile; their context is then cancelled.
 func Serve(app *fiber.App, address string, background ...func(context.Context)) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -72,56 +74,59 @@
 	stop()
 	group.Wait()
 	if err != nil {
-		return fault.Wrap("stand.Serve", Failed, err, "the server ended")
+		return fault.Wrap("stand.Serve", Failed, err, "HTTP server stopped with an error")
 	}
 	return nil
 }
 
-// Announce prints the address line.
+// Announce writes the address to standard output for ParseAnnouncement.
 func Announce(address string) error {
 	line, err := json.Marshal(announcement{Listening: address})
 	if err != nil {
-		return fault.Wrap("stand.Announce", Failed, err, "")
+		return fault.Wrap("stand.Announce", Failed, err, "cannot encode the address")
 	}
 	if _, err := fmt.Fprintln(os.Stdout, string(line)); err != nil {
-		return fault.Wrap("stand.Announce", Failed, err, "standard output")
+		return fault.Wrap("stand.Announce", Failed, err, "cannot write the address to standard output")
 	}
 	return nil
 }
 
-// ParseAnnouncement reads an address line.
+// ParseAnnouncement returns the address in a line written by Announce, and
+// whether there is one.
 func ParseAnnouncement(line []byte) (string, bool) {
 	var a announcement
 	err := json.Unmarshal(line, &a)
 	return a.Listening, err == nil && a.Listening != ""
 }
 
-// Faults is what a stand-in does wrong. Zero values are healthy.
+// Faults are the faults of a simulated service. The zero value has none.
 type Faults struct {
 	// Out makes every request fail with status 503 before any effect.
 	Out bool
-	// DelayMillis delays every answer.
+	// DelayMillis delays every request.
 	DelayMillis int64
-	// LoseAnswers is how many requests take effect and get no answer.
+	// LoseAnswers is the number of next requests that take effect and get no answer.
 	LoseAnswers int
-	// FailEvery makes one request in so many fail after its effect; 0 none.
+	// FailEvery makes every n-th request take effect and get no answer; 0 disables
+	// it.
 	FailEvery int
-	// Hang keeps requests without answer until the fault is cleared.
+	// Hang holds requests until the fault is cleared.
 	Hang bool
-	// Draining makes requests be refused as not run.
+	// Draining makes every request fail as not run.
 	Draining bool
 }
 
-// Injector holds a stand-in's faults; guarded by mu.
+// Injector injects the faults of a simulated service. Set Clock before use.
 type Injector struct {
 	Clock *clock.Clock
 
 	mu     sync.Mutex
 	faults Faults
-	count  int
+	// requests is the number of requests that took effect.
+	requests int
 }
 
-// Register adds the control route.
+// Register adds the control route that sets the faults.
 func (s *Injector) Register(app *fiber.App) {
 	app.Post("/control/faults", func(c fiber.Ctx) error {
 		var faults Faults
@@ -135,18 +140,18 @@
 	})
 }
 
-// Active returns the faults in force.
+// Active returns the faults that are set.
 func (s *Injector) Active() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.faults
 }
 
-// Admit applies the faults that come before an effect. It reports whether the
-// request may go on.
+// Admit applies the faults that act before a request takes effect: Hang,
+// DelayMillis and Out. It reports whether the request may proceed.
 func (s *Injector) Admit(ctx context.Context) bool {
 	for s.Active().Hang {
-		if !s.Clock.Sleep(ctx, hangCheck) {
+		if !s.Clock.Sleep(ctx, hangPollInterval) {
 			return false
 		}
 	}
@@ -157,12 +162,13 @@
 	return !f.Out
 }
 
-// LoseAnswer tells whether the answer of a request that took effect is lost.
+// LoseAnswer counts a request that took effect, and reports whether to close its
+// connection without an answer.
 func (s *Injector) LoseAnswer() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count++
-	if s.faults.FailEvery > 0 && s.count%s.faults.FailEvery == 0 {
+	s.requests++
+	if s.faults.FailEvery > 0 && s.requests%s.faults.FailEvery == 0 {
 		return true
 	}
 	if s.faults.LoseAnswers > 0 {
@@ -179,20 +185,21 @@
 	return nil
 }
 
-// NotRunHeader marks a refusal as "not run".
+// NotRunHeader marks a refusal of a request that had no effect.
 const NotRunHeader = "Croft-Not-Run"
 
-// RefuseNotRun answers that the request was not run.
-func RefuseNotRun(c fiber.Ctx, why string) error {
+// RefuseNotRun refuses a request that had no effect, with status 503.
+func RefuseNotRun(c fiber.Ctx, reason string) error {
 	c.Set(NotRunHeader, "true")
-	return c.Status(fiber.StatusServiceUnavailable).SendString(why)
+	return c.Status(fiber.StatusServiceUnavailable).SendString(reason)
 }
 
-// Post sends a JSON body to a stand-in and fails unless it answers 200.
+// Post sends a JSON body to a simulated service and returns the body of its
+// answer. Any status but 200 is an error.
 func Post(ctx context.Context, client *httpc.Client, address, path string, body any) ([]byte, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
-		return nil, fault.Wrap("stand.Post", Failed, err, "unencodable body")
+		return nil, fault.Wrap("stand.Post", Failed, err, "cannot encode the body of "+path)
 	}
 	call := &httpc.Call{Address: ident.Address(address), Method: fiber.MethodPost, Path: path, Body: data}
 	answer, err := client.Do(ctx, call)
