Wording of croftfake/train

Comments say how the simulated trainer runs its steps and what its report counts; names that no other folder uses follow them. The JSON field names stay.

--- a/croftfake/train/train.go
+++ b/croftfake/train/train.go
@@ -1,5 +1,5 @@
-// Package train stands in for a trainer: it pulls the samples of its steps,
-// trains, publishes weights, and checks and counts all that it gets.
+// Package train simulates a trainer: it pulls the samples of its steps, trains,
+// publishes weights, and checks and counts the samples that it receives.
 package train
 
 import (
@@ -20,50 +20,63 @@
 	"croftmoor.dev/kernel/steps"
 )
 
-// Trainer runs steps: it pulls a step's samples, trains, publishes weights and
-// goes on. While it trains, the next step is already open. Set the exported
-// fields before Run.
+// Trainer runs steps: for each it pulls the samples, trains and publishes
+// weights. The next step is opened before training on the current one. Set the
+// exported fields before Run.
 type Trainer struct {
-	// Pick returns the address of an entry instance, as the platform's balancer
-	// does; "" if there is none.
+	// Pick returns the address of an instance to send the next request to, or "".
 	Pick    func() ident.Address
 	Clock   *clock.Clock
 	Name    string
 	Weights string
-	// Groups times GroupSize is the samples of a step.
+	// Groups is the number of prompts of a step, GroupSize the number of samples
+	// of each prompt.
 	Groups    int
 	GroupSize int
+	// MaxTokens is the maximum length of a sample.
 	MaxTokens int
-	// Train is how long training on a step takes.
+	// Train is the training time of a step.
 	Train clock.Millis
-	// Bound is the staleness bound that the trainer declared.
+	// Bound is the maximum staleness of a sample in versions; older samples are
+	// counted in Report.Stale.
 	Bound int64
-	Seed  int64
-	// MaxSteps ends the run after so many steps; 0 runs until ctx ends.
+	// Seed makes the prompts differ between runs.
+	Seed int64
+	// MaxSteps is the number of steps to run; 0 runs until ctx is done.
 	MaxSteps int64
 
-	client  httpc.Client
+	client httpc.Client
+	// version is the newest published version.
 	version int64
-	mu      sync.Mutex
-	report  Report
-	got     map[string][]steps.Span
+
+	mu     sync.Mutex
+	report Report
+	// spansBySample holds the version spans of each received sample, by its ID.
+	spansBySample map[string][]steps.Span
 }
 
-// Report is what the trainer counted.
+// Report contains the counts of a run.
 type Report struct {
-	Steps       int64
-	Samples     int64
-	Duplicated  int64
-	Stale       int64
-	Broken      int64
-	IdleMillis  int64
-	WallMillis  int64
+	Steps   int64
+	Samples int64
+	// Duplicated counts samples of a slot that was already received, Stale those
+	// whose oldest token exceeds the staleness bound, and Broken those whose text
+	// is empty or not the expected one.
+	Duplicated int64
+	Stale      int64
+	Broken     int64
+	// IdleMillis is the time spent waiting for samples after the first step, and
+	// WallMillis the duration of the run from the end of that wait in the first.
+	IdleMillis int64
+	WallMillis int64
+	// Staleness is that of each sample, in versions.
 	Staleness   []int64
 	ReopenCount int64
 	PullsFailed int64
 }
 
-type openBody struct {
+// openRequest opens a step. Have is the text form of the slots already received.
+type openRequest struct {
 	Step      int64
 	Prompts   []string
 	GroupSize int
@@ -72,7 +85,8 @@
 	Have      string
 }
 
-type pullBody struct {
+// pullRequest asks for samples of a step whose slots are not in Have.
+type pullRequest struct {
 	Step       int64
 	PullID     string
 	Have       string
@@ -81,7 +95,8 @@
 	WaitMillis int64
 }
 
-type pulled struct {
+// pullResponse contains samples of a step.
+type pullResponse struct {
 	PullID  string
 	Step    int64
 	Samples []struct {
@@ -98,66 +113,69 @@
 }
 
 const (
-	pullWait    = 1 * clock.Second
-	pullTimeout = 6 * clock.Second
-	pullMost    = 256
-	failPause   = 100 * clock.Millis(1)
-	firstStep   = 1
-	families    = 12
+	pullWait          = 1 * clock.Second
+	pullTimeout       = 6 * clock.Second
+	maxSamplesPerPull = 256
+	retryDelay        = 100 * clock.Millis(1)
+	firstStep         = 1
+	promptFamilies    = 12
 )
 
-// Run runs steps until ctx ends or StepsMost are done.
+// Run runs steps until ctx is done or MaxSteps steps are complete.
 func (t *Trainer) Run(ctx context.Context) {
-	t.got = map[string][]steps.Span{}
-	began := t.Clock.Mono()
+	t.spansBySample = map[string][]steps.Span{}
+	startedAt := t.Clock.Mono()
 	t.publish(ctx)
-	t.open(ctx, firstStep, steps.Set{})
+	t.openStep(ctx, firstStep, steps.Set{})
 	for step := int64(firstStep); ctx.Err() == nil; step++ {
 		if t.MaxSteps > 0 && step > t.MaxSteps {
 			break
 		}
-		idle := t.Clock.Mono()
-		whole := t.collect(ctx, step)
+		idleSince := t.Clock.Mono()
+		complete := t.collectStep(ctx, step)
 		if step > firstStep {
-			t.add(func(r *Report) { r.IdleMillis += int64(t.Clock.Mono() - idle) })
+			t.updateReport(func(r *Report) { r.IdleMillis += int64(t.Clock.Mono() - idleSince) })
 		} else {
-			// Nothing could be made before the first step was opened.
-			began = t.Clock.Mono()
+			// No samples can exist before the first step is opened, so the wait for
+			// them is left out of the wall time.
+			startedAt = t.Clock.Mono()
 		}
-		if !whole {
+		if !complete {
 			break
 		}
 		if t.MaxSteps == 0 || step < t.MaxSteps {
-			t.open(ctx, step+1, steps.Set{})
+			t.openStep(ctx, step+1, steps.Set{})
 		}
 		t.Clock.Sleep(ctx, t.Train)
 		t.publish(ctx)
-		t.add(func(r *Report) { r.Steps++ })
+		t.updateReport(func(r *Report) { r.Steps++ })
 	}
-	t.add(func(r *Report) { r.WallMillis = int64(t.Clock.Mono() - began) })
+	t.updateReport(func(r *Report) { r.WallMillis = int64(t.Clock.Mono() - startedAt) })
 }
 
-func (t *Trainer) add(change func(*Report)) {
+// updateReport calls change with the report while it holds mu.
+func (t *Trainer) updateReport(change func(*Report)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	change(&t.report)
 }
 
-// Report returns the counts so far.
+// Report returns a copy of the counts so far.
 func (t *Trainer) Report() Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.report
 }
 
-// SampleSpans returns the spans of every sample that was received, by its id.
+// SampleSpans returns the version spans of each received sample, by its ID.
 func (t *Trainer) SampleSpans() map[string][]steps.Span {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return maps.Clone(t.got)
+	return maps.Clone(t.spansBySample)
 }
 
-// publish puts the next version into the weight store and tells croftmoor.
+// publish publishes the next version to the weight store, with retries until ctx
+// is done, and announces it to an instance.
 func (t *Trainer) publish(ctx context.Context) {
 	t.version++
 	for ctx.Err() == nil {
@@ -165,34 +183,35 @@
 		if err == nil {
 			break
 		}
-		t.Clock.Sleep(ctx, failPause)
+		t.Clock.Sleep(ctx, retryDelay)
 	}
 	body := struct{ Version int64 }{t.version}
-	// The next pull tells the version as well.
+	// A failure is harmless: the next pull contains the version as well.
 	_, _ = t.post(ctx, "versions", body)
 }
 
-// post sends one request through some instance.
-func (t *Trainer) post(ctx context.Context, what string, body any) (*httpc.Answer, error) {
+// post sends a request to the instance that Pick returns.
+func (t *Trainer) post(ctx context.Context, route string, body any) (*httpc.Answer, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
-		return nil, fault.Wrap("train.post", stand.Failed, err, "unencodable body")
+		return nil, fault.Wrap("train.post", stand.Failed, err, "cannot encode the request body")
 	}
-	call := &httpc.Call{Address: t.Pick(), Method: http.MethodPost, Path: "/v1/trainers/" + t.Name + "/" + what, Body: data, FreshConn: true}
+	call := &httpc.Call{Address: t.Pick(), Method: http.MethodPost, Path: "/v1/trainers/" + t.Name + "/" + route, Body: data, FreshConn: true}
 	return t.client.Do(ctx, call)
 }
 
+// prompts returns the prompts of a step.
 func (t *Trainer) prompts(step int64) []string {
 	prompts := make([]string, t.Groups)
 	for i := range prompts {
-		prompts[i] = fmt.Sprintf("family-%d|%s task %d of step %d seed %d", i%families, t.Name, i, step, t.Seed)
+		prompts[i] = fmt.Sprintf("family-%d|%s task %d of step %d seed %d", i%promptFamilies, t.Name, i, step, t.Seed)
 	}
 	return prompts
 }
 
-// open opens a step, as often as it takes.
-func (t *Trainer) open(ctx context.Context, step int64, have steps.Set) {
-	body := openBody{
+// openStep opens a step, with retries until it succeeds or ctx is done.
+func (t *Trainer) openStep(ctx context.Context, step int64, have steps.Set) {
+	body := openRequest{
 		Step: step, Prompts: t.prompts(step), GroupSize: t.GroupSize, MaxTokens: t.MaxTokens,
 		Version: t.version, Have: have.Text(),
 	}
@@ -203,37 +222,40 @@
 		if err == nil && answer.Status == http.StatusOK {
 			return
 		}
-		t.Clock.Sleep(ctx, failPause)
+		t.Clock.Sleep(ctx, retryDelay)
 	}
 }
 
-// collect pulls until the step is whole.
-func (t *Trainer) collect(ctx context.Context, step int64) bool {
+// collectStep pulls until all samples of the step are received. It returns false
+// if ctx is done before that.
+func (t *Trainer) collectStep(ctx context.Context, step int64) bool {
 	var have steps.Set
-	held := 0
-	for held < t.Groups*t.GroupSize {
+	received := 0
+	for received < t.Groups*t.GroupSize {
 		if ctx.Err() != nil {
 			return false
 		}
 		answer, reopen := t.pullOnce(ctx, step, have)
 		if reopen {
-			t.add(func(r *Report) { r.ReopenCount++ })
-			t.open(ctx, step, have)
+			t.updateReport(func(r *Report) { r.ReopenCount++ })
+			t.openStep(ctx, step, have)
 			continue
 		}
 		if answer == nil {
-			t.add(func(r *Report) { r.PullsFailed++ })
-			t.Clock.Sleep(ctx, failPause)
+			t.updateReport(func(r *Report) { r.PullsFailed++ })
+			t.Clock.Sleep(ctx, retryDelay)
 			continue
 		}
-		held += t.take(answer, &have)
+		received += t.addSamples(answer, &have)
 	}
 	return true
 }
 
-func (t *Trainer) pullOnce(ctx context.Context, step int64, have steps.Set) (answer *pulled, reopen bool) {
-	body := pullBody{
-		Step: step, PullID: ident.NewRandom(), Have: have.Text(), Version: t.version, Most: pullMost, WaitMillis: int64(pullWait),
+// pullOnce sends one pull request. The answer is nil if the request failed, and
+// reopen reports that the step is not open at the instance.
+func (t *Trainer) pullOnce(ctx context.Context, step int64, have steps.Set) (answer *pullResponse, reopen bool) {
+	body := pullRequest{
+		Step: step, PullID: ident.NewRandom(), Have: have.Text(), Version: t.version, Most: maxSamplesPerPull, WaitMillis: int64(pullWait),
 	}
 	tryCtx, cancel := context.WithTimeout(ctx, pullTimeout.Duration())
 	defer cancel()
@@ -244,25 +266,26 @@
 	if raw.Status != http.StatusOK {
 		return nil, raw.Status == http.StatusConflict
 	}
-	answer = &pulled{}
+	answer = &pullResponse{}
 	if json.Unmarshal(raw.Body, answer) != nil || answer.PullID != body.PullID || answer.Step != step {
 		return nil, false
 	}
 	return answer, false
 }
 
-// take checks and counts the samples of one pull and returns how many are new.
-func (t *Trainer) take(answer *pulled, have *steps.Set) int {
+// addSamples checks and counts the samples of one pull, adds their slots to have
+// and returns how many were new.
+func (t *Trainer) addSamples(answer *pullResponse, have *steps.Set) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	taken := 0
+	added := 0
 	for _, s := range answer.Samples {
 		if have.Has(ident.Slot(s.Slot)) {
 			t.report.Duplicated++
 			continue
 		}
 		have.Add(ident.Slot(s.Slot))
-		taken++
+		added++
 		t.report.Samples++
 		tokens, oldest := 0, t.version
 		var spans []steps.Span
@@ -279,7 +302,7 @@
 		if staleness > t.Bound {
 			t.report.Stale++
 		}
-		t.got[s.ID] = spans
+		t.spansBySample[s.ID] = spans
 	}
-	return taken
+	return added
 }
