Wording of croftload/costs

Comments say what each measurement does; names that no other folder uses follow them. The printed figures keep their names.

--- a/croftload/costs/costs.go
+++ b/croftload/costs/costs.go
@@ -1,6 +1,6 @@
-// Package costs measures what croftmoor itself spends: the latency that it adds
-// to a call, processor time for each request and token, memory, and control
-// traffic while nothing is asked.
+// Package costs measures the overhead of croftmoor: the latency that it adds to a
+// call, processor time per request and token, resident memory, and log appends
+// without requests.
 package costs
 
 import (
@@ -25,7 +25,7 @@
 	"croftmoor.dev/kernel/views"
 )
 
-// Costs is the measurement. Set the fields before Run.
+// Costs runs the measurements. Set the exported fields before Run.
 type Costs struct {
 	Bin   string
 	Dir   string
@@ -34,22 +34,22 @@
 
 	cluster *bench.Cluster
 	client  httpc.Client
-	// share is the processor share of all instances while nothing is asked; it
+	// idleShare is the processor idleShare of all instances while nothing is asked; it
 	// is taken off what requests cost.
-	share float64
+	idleShare float64
 }
 
 const (
-	settleMost = 40 * clock.Second
-	idleSpan   = 10 * clock.Second
-	calls      = 3000
-	workers    = 16
-	streamSpan = 8 * clock.Second
-	streamRate = 60
-	listed     = 4000
+	settleTimeout    = 40 * clock.Second
+	idlePeriod       = 10 * clock.Second
+	callsPerFigure   = 3000
+	concurrentCalls  = 16
+	streamPeriod     = 8 * clock.Second
+	streamsPerSecond = 60
+	listedEngines    = 4000
 )
 
-// Run measures and prints a line for each figure.
+// Run starts a cluster, measures it and prints one line per figure.
 func (c *Costs) Run(ctx context.Context) error {
 	c.cluster = &bench.Cluster{
 		Bin: c.Bin, Dir: c.Dir, Clock: c.Clock,
@@ -69,56 +69,59 @@
 	if err != nil {
 		return err
 	}
-	if _, err := c.cluster.InForce(ctx, v.Revision, settleMost); err != nil {
+	if _, err := c.cluster.InForce(ctx, v.Revision, settleTimeout); err != nil {
 		return err
 	}
-	c.say("configuration in force on 9 instances, ms", float64(c.Clock.Mono()-began))
-	if err := c.cluster.Led(ctx, views.Shards, settleMost); err != nil {
+	c.print("configuration in force on 9 instances, ms", float64(c.Clock.Mono()-began))
+	if err := c.cluster.Led(ctx, views.Shards, settleTimeout); err != nil {
 		return err
 	}
-	c.Clock.Sleep(ctx, idleSpan/2)
-	c.idle(ctx, "idle")
-	c.latencies(ctx)
-	c.streams(ctx)
-	if err := c.manyEngines(ctx); err != nil {
+	c.Clock.Sleep(ctx, idlePeriod/2)
+	c.measureIdle(ctx, "idle")
+	c.measureCalls(ctx)
+	c.measureStreams(ctx)
+	if err := c.measureManyEngines(ctx); err != nil {
 		return err
 	}
-	return c.failover(ctx)
+	return c.measureFailover(ctx)
 }
 
-// failover kills an instance and waits until its shards are led and backed up.
-func (c *Costs) failover(ctx context.Context) error {
+// measureFailover kills an instance and measures the time and the appends until
+// every shard has a primary and a backup again.
+func (c *Costs) measureFailover(ctx context.Context) error {
 	appends := c.appends(ctx)
 	began := c.Clock.Mono()
 	c.cluster.Proc("a-1").Kill()
 	if err := c.cluster.Unlist("a-1"); err != nil {
 		return err
 	}
-	if err := c.cluster.Led(ctx, views.Shards, settleMost); err != nil {
+	if err := c.cluster.Led(ctx, views.Shards, settleTimeout); err != nil {
 		return err
 	}
-	c.say("instance killed: ms until all shards are led and backed up", float64(c.Clock.Mono()-began))
-	c.say("instance killed: appends until then", c.appends(ctx)-appends)
+	c.print("instance killed: ms until all shards are led and backed up", float64(c.Clock.Mono()-began))
+	c.print("instance killed: appends until then", c.appends(ctx)-appends)
 	return nil
 }
 
-func (c *Costs) say(what string, value float64) {
-	_, _ = fmt.Fprintf(c.Out, "%-72s %12.3f\n", what, value)
+func (c *Costs) print(figure string, value float64) {
+	_, _ = fmt.Fprintf(c.Out, "%-72s %12.3f\n", figure, value)
 }
 
-// idle measures control while no caller asks.
-func (c *Costs) idle(ctx context.Context, when string) {
-	before, appends := c.cpu(), c.appends(ctx)
-	c.Clock.Sleep(ctx, idleSpan)
-	span := idleSpan.Duration().Seconds()
+// measureIdle measures processor time, appends and memory without requests, and
+// sets idleShare.
+func (c *Costs) measureIdle(ctx context.Context, label string) {
+	before, appends := c.cpuSeconds(), c.appends(ctx)
+	c.Clock.Sleep(ctx, idlePeriod)
+	span := idlePeriod.Duration().Seconds()
 	n := float64(len(c.cluster.Instances()))
-	c.share = (c.cpu() - before) / span
-	c.say(when+": processor share of an instance, of 9", c.share/n)
-	c.say(when+": appends a second of all 9 instances", (c.appends(ctx)-appends)/span)
-	c.say(when+": resident memory of an instance, MB", c.memory("b-1"))
+	c.idleShare = (c.cpuSeconds() - before) / span
+	c.print(label+": processor share of an instance, of 9", c.idleShare/n)
+	c.print(label+": appends a second of all 9 instances", (c.appends(ctx)-appends)/span)
+	c.print(label+": resident memory of an instance, MB", c.residentMegabytes("b-1"))
 }
 
-func (c *Costs) cpu() float64 {
+// cpuSeconds returns the processor time that all instances have used.
+func (c *Costs) cpuSeconds() float64 {
 	sum := 0.0
 	for _, name := range c.cluster.Instances() {
 		sum += exper.CPUSeconds(c.cluster.Proc(name).PID())
@@ -126,14 +129,15 @@
 	return sum
 }
 
+// appends returns the number of records appended to the log.
 func (c *Costs) appends(ctx context.Context) float64 {
 	var stats struct{ Appends int64 }
 	_ = c.cluster.Get(ctx, c.cluster.Proc("log").Listening, "/control/stats", &stats)
 	return float64(stats.Appends)
 }
 
-// memory returns a process's resident memory in MB.
-func (c *Costs) memory(name string) float64 {
+// residentMegabytes returns a process's resident residentMegabytes in MB.
+func (c *Costs) residentMegabytes(name string) float64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.cluster.Proc(name).PID()))
 	if err != nil {
 		return 0
@@ -148,71 +152,75 @@
 	return 0
 }
 
-// latencies compares calls with direct ones, one after another and many at once.
-func (c *Costs) latencies(ctx context.Context) {
+// measureCalls measures calls to a backend server directly and through an
+// instance, sequential and concurrent.
+func (c *Costs) measureCalls(ctx context.Context) {
 	direct := ident.Address(c.cluster.Proc("server-a-1").Listening)
 	through := ident.Address(c.cluster.Proc("a-1").Callers)
-	c.callMany(ctx, "direct call", direct, "/check", 1)
-	c.callMany(ctx, "repeatable call through an instance", through, "/svc/holds/check", 1)
-	c.callMany(ctx, "unrepeatable call through an instance", through, "/svc/holds/hold", 1)
-	c.callMany(ctx, "repeatable calls, 16 at once", through, "/svc/holds/check", workers)
-	c.callMany(ctx, "unrepeatable calls, 16 at once", through, "/svc/holds/hold", workers)
+	c.measurePath(ctx, "direct call", direct, "/check", 1)
+	c.measurePath(ctx, "repeatable call through an instance", through, "/svc/holds/check", 1)
+	c.measurePath(ctx, "unrepeatable call through an instance", through, "/svc/holds/hold", 1)
+	c.measurePath(ctx, "repeatable calls, 16 at once", through, "/svc/holds/check", concurrentCalls)
+	c.measurePath(ctx, "unrepeatable calls, 16 at once", through, "/svc/holds/hold", concurrentCalls)
 }
 
-func (c *Costs) callMany(ctx context.Context, what string, to ident.Address, path string, at int) {
-	times := make([][]float64, at)
-	cpu, began, appends := c.cpu(), c.Clock.Mono(), c.appends(ctx)
+// measurePath measures calls of one path by the given number of concurrent callers.
+func (c *Costs) measurePath(ctx context.Context, label string, to ident.Address, path string, concurrency int) {
+	times := make([][]float64, concurrency)
+	cpu, startedAt, appends := c.cpuSeconds(), c.Clock.Mono(), c.appends(ctx)
 	var group conc.WaitGroup
-	for w := range at {
+	for w := range concurrency {
 		group.Go(func() {
-			for range calls / at {
-				times[w] = append(times[w], c.callOnce(ctx, to, path))
+			for range callsPerFigure / concurrency {
+				times[w] = append(times[w], c.call(ctx, to, path))
 			}
 		})
 	}
 	group.Wait()
-	span := (c.Clock.Mono() - began).Duration().Seconds()
+	span := (c.Clock.Mono() - startedAt).Duration().Seconds()
 	all := slices.Sorted(slices.Values(slices.Concat(times...)))
 	n := float64(len(all))
-	c.say(what+": p50, ms", all[len(all)/2])
-	c.say(what+": p99, ms", all[len(all)*99/100])
-	c.say(what+": calls a second", n/span)
-	c.say(what+": processor ms of all instances for a call, idle share off", (c.cpu()-cpu-c.share*span)*1000/n)
-	c.say(what+": appends for 1,000 calls", (c.appends(ctx)-appends)*1000/n)
+	c.print(label+": p50, ms", all[len(all)/2])
+	c.print(label+": p99, ms", all[len(all)*99/100])
+	c.print(label+": calls a second", n/span)
+	c.print(label+": processor ms of all instances for a call, idle share off", (c.cpuSeconds()-cpu-c.idleShare*span)*1000/n)
+	c.print(label+": appends for 1,000 calls", (c.appends(ctx)-appends)*1000/n)
 }
 
-func (c *Costs) callOnce(ctx context.Context, to ident.Address, path string) float64 {
+// call makes one call and returns its latency in milliseconds.
+func (c *Costs) call(ctx context.Context, to ident.Address, path string) float64 {
 	began := c.Clock.Precise()
 	answer, err := c.client.Do(ctx, &httpc.Call{
 		Address: to, Method: http.MethodPost, Path: path,
 		Headers: []httpc.Header{{Name: "X-Request-ID", Value: ident.NewRandom()}},
 	})
 	if err != nil || answer.Status != http.StatusOK {
-		c.say("a call failed", 1)
+		c.print("a call failed", 1)
 	}
 	return c.Clock.Precise() - began
 }
 
-// streams measures the processor time of streamed tokens.
-func (c *Costs) streams(ctx context.Context) {
+// measureStreams measures the processor time per streamed token.
+func (c *Costs) measureStreams(ctx context.Context) {
 	l := &drive.Live{
 		Balancer: &drive.Balancer{Addresses: c.cluster.Callers}, Clock: c.Clock, Tally: drive.NewTally(),
-		Service: bench.ModelService, Class: "Terminal", Rate: func(clock.Millis) float64 { return streamRate },
-		Deadline: settleMost, MeanLength: 60, MaxTokens: 400, Stream: true,
+		Service: bench.ModelService, Class: "Terminal", Rate: func(clock.Millis) float64 { return streamsPerSecond },
+		Deadline: settleTimeout, MeanLength: 60, MaxTokens: 400, Stream: true,
 	}
-	loadCtx, stop := context.WithTimeout(ctx, streamSpan.Duration())
+	loadCtx, stop := context.WithTimeout(ctx, streamPeriod.Duration())
 	defer stop()
-	tokens, cpu, began := c.tokens(ctx), c.cpu(), c.Clock.Mono()
+	tokens, cpu, began := c.generatedTokens(ctx), c.cpuSeconds(), c.Clock.Mono()
 	l.Run(loadCtx)
-	idle := c.share * (c.Clock.Mono() - began).Duration().Seconds()
-	made := c.tokens(ctx) - tokens
-	c.say("streamed answers: whole and on time, share", l.Tally.OnTime())
-	c.say("streamed answers: tokens", made)
-	c.say("streamed answers: answers", float64(l.Tally.Asked()))
-	c.say("streamed answers: processor ms of all instances for 1,000 tokens, idle share off", (c.cpu()-cpu-idle)*1e6/max(made, 1))
+	idle := c.idleShare * (c.Clock.Mono() - began).Duration().Seconds()
+	generated := c.generatedTokens(ctx) - tokens
+	c.print("streamed answers: whole and on time, share", l.Tally.OnTime())
+	c.print("streamed answers: tokens", generated)
+	c.print("streamed answers: answers", float64(l.Tally.Asked()))
+	c.print("streamed answers: processor ms of all instances for 1,000 tokens, idle share off", (c.cpuSeconds()-cpu-idle)*1e6/max(generated, 1))
 }
 
-func (c *Costs) tokens(ctx context.Context) float64 {
+// generatedTokens returns the number of tokens that all engines have generated.
+func (c *Costs) generatedTokens(ctx context.Context) float64 {
 	sum := 0.0
 	for _, zone := range c.cluster.Shape.Zones {
 		var stats struct{ Tokens int64 }
@@ -222,10 +230,11 @@
 	return sum
 }
 
-// manyEngines lists 4,000 engines, all at the addresses of the three that run.
-func (c *Costs) manyEngines(ctx context.Context) error {
+// measureManyEngines repeats measureIdle with listedEngines engines in the list of
+// members, all with the addresses of the three running ones.
+func (c *Costs) measureManyEngines(ctx context.Context) error {
 	var members []fleet.MemberWire
-	for i := range listed {
+	for i := range listedEngines {
 		zone := c.cluster.Shape.Zones[i%len(c.cluster.Shape.Zones)]
 		members = append(members, fleet.MemberWire{
 			Name: fmt.Sprintf("listed-%d", i), Kind: string(fleet.Backend), Service: bench.ModelService, Zone: zone,
@@ -235,7 +244,7 @@
 	if err := c.cluster.ListAll(ctx, members); err != nil {
 		return err
 	}
-	c.Clock.Sleep(ctx, idleSpan/2)
-	c.idle(ctx, "4,000 engines listed")
+	c.Clock.Sleep(ctx, idlePeriod/2)
+	c.measureIdle(ctx, "4,000 engines listed")
 	return nil
 }
