--- a/croftload/costs/costs.go
+++ b/croftload/costs/costs.go
@@ -202,7 +202,7 @@
 
 // measureStreams measures the processor time per streamed token.
 func (c *Costs) measureStreams(ctx context.Context) {
-	l := &drive.Live{
+	l := &drive.ModelCallers{
 		Balancer: &drive.Balancer{Addresses: c.cluster.Callers}, Clock: c.Clock, Tally: drive.NewTally(),
 		Service: bench.ModelService, Class: "Terminal", Rate: func(clock.Millis) float64 { return streamsPerSecond },
 		Deadline: settleTimeout, MeanLength: 60, MaxTokens: 400, Stream: true,
--- a/croftload/demo/demo.go
+++ b/croftload/demo/demo.go
@@ -169,7 +169,7 @@
 
 // load is the far ends of the demo.
 type load struct {
-	live     *drive.Live
+	live     *drive.ModelCallers
 	holds    *drive.Holds
 	trainers []*train.Trainer
 }
@@ -177,7 +177,7 @@
 func (d *Demo) newLoad() *load {
 	balancer := &drive.Balancer{Addresses: d.cluster.Callers}
 	l := &load{
-		live: &drive.Live{
+		live: &drive.ModelCallers{
 			Balancer: balancer, Clock: d.Clock, Tally: drive.NewTally(), Service: bench.ModelService, Class: "Terminal",
 			Rate: func(clock.Millis) float64 { return liveRate }, Deadline: liveTerm, MeanLength: meanLength, MaxTokens: 200, Stream: true,
 		},
--- a/croftload/drive/live.go
+++ b/croftload/drive/live.go
@@ -15,9 +15,9 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// Live is callers that ask a model service for completions at a steady rate.
+// ModelCallers is callers that ask a model service for completions at a steady rate.
 // Set the exported fields before Run.
-type Live struct {
+type ModelCallers struct {
 	Balancer *Balancer
 	Clock    *clock.Clock
 	Tally    *Tally
@@ -58,7 +58,7 @@
 )
 
 // Run asks until ctx ends, then waits for the answers that are on their way.
-func (l *Live) Run(ctx context.Context) {
+func (l *ModelCallers) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	defer group.Wait()
 	began := l.Clock.Mono()
@@ -77,7 +77,7 @@
 	}
 }
 
-func (l *Live) ask(n int) {
+func (l *ModelCallers) ask(n int) {
 	id := fmt.Sprintf("%slive-%s-%d", l.Prefix, ident.NewRandom()[:8], n)
 	prompt := fmt.Sprintf("family-%d|question %s", n%families, id)
 	ctx, cancel := context.WithTimeout(context.Background(), (l.Deadline + graceTerm).Duration())
@@ -90,7 +90,7 @@
 	l.Tally.Add("", l.judge(answer, err, id, prompt, took), took)
 }
 
-func (l *Live) judge(answer *httpc.Answer, err error, id, prompt string, took clock.Millis) Outcome {
+func (l *ModelCallers) judge(answer *httpc.Answer, err error, id, prompt string, took clock.Millis) Outcome {
 	if err != nil {
 		return Lost
 	}
@@ -113,7 +113,7 @@
 
 // textOf returns the answer's text, and whether it came to its end and is the
 // answer to id.
-func (l *Live) textOf(answer *httpc.Answer, id string) (string, bool) {
+func (l *ModelCallers) textOf(answer *httpc.Answer, id string) (string, bool) {
 	if !l.Stream {
 		var c completed
 		err := json.Unmarshal(answer.Body, &c)
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -199,7 +199,7 @@
 
 // load is the far ends of one run.
 type load struct {
-	live     *drive.Live
+	live     *drive.ModelCallers
 	checks   *drive.Holds
 	holds    *drive.Holds
 	trainers []*train.Trainer
@@ -218,7 +218,7 @@
 		}
 	}
 	l := &load{
-		live: &drive.Live{
+		live: &drive.ModelCallers{
 			Balancer: balancer, Clock: r.Clock, Tally: drive.NewTally(), Service: bench.ModelService, Class: "Terminal",
 			Rate: r.Scenario.rate(d.LiveRate, r.Span), Deadline: liveTerm, MeanLength: meanLength, MaxTokens: 40, Stream: true, Prefix: prefix,
 		},
--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -229,7 +229,7 @@
 		w.group.Go(func() { w.holds.Run(ctx) })
 	}
 	rate := float64(a.number(ts, "Live", 0))
-	w.live = &drive.Live{
+	w.live = &drive.ModelCallers{
 		Balancer: balancer, Clock: w.clock, Tally: drive.NewTally(), Service: bench.ModelService, Class: "Terminal",
 		Rate: func(clock.Millis) float64 { return rate }, Deadline: deadline,
 		MeanLength: meanLength, MaxTokens: 200, Stream: a["Stream"] != "false",
--- a/croftload/proofs/world_test.go
+++ b/croftload/proofs/world_test.go
@@ -51,7 +51,7 @@
 	clock   *clock.Clock
 	cluster *bench.Cluster
 	holds   *drive.Holds
-	live    *drive.Live
+	live    *drive.ModelCallers
 	trainer []*train.Trainer
 	cancel  context.CancelFunc
 	group   conc.WaitGroup
