--- a/croftload/demo/demo.go
+++ b/croftload/demo/demo.go
@@ -170,7 +170,7 @@
 // load is the far ends of the demo.
 type load struct {
 	live     *drive.ModelCallers
-	holds    *drive.Holds
+	holds    *drive.PlainCallers
 	trainers []*train.Trainer
 }
 
@@ -181,7 +181,7 @@
 			Balancer: balancer, Clock: d.Clock, Tally: drive.NewTally(), Service: bench.ModelService, Class: "Terminal",
 			Rate: func(clock.Millis) float64 { return liveRate }, Deadline: liveTerm, MeanLength: meanLength, MaxTokens: 200, Stream: true,
 		},
-		holds: &drive.Holds{
+		holds: &drive.PlainCallers{
 			Balancer: balancer, Clock: d.Clock, Tally: drive.NewTally(), Service: bench.HoldService, Path: "/hold",
 			Class: "Terminal", Rate: holdRate, Deadline: holdTerm, Repeats: 8,
 		},
--- a/croftload/drive/live.go
+++ b/croftload/drive/live.go
@@ -140,10 +140,10 @@
 	return text.String(), false
 }
 
-// Holds is callers of an unrepeatable call of a plain service. When an answer
+// PlainCallers is callers of an unrepeatable call of a plain service. When an answer
 // is lost they ask again with the same id through another instance, as
 // terminals do.
-type Holds struct {
+type PlainCallers struct {
 	Balancer *Balancer
 	Clock    *clock.Clock
 	Tally    *Tally
@@ -165,7 +165,7 @@
 }
 
 // Run asks until ctx ends, then waits for the answers that are on their way.
-func (h *Holds) Run(ctx context.Context) {
+func (h *PlainCallers) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	defer group.Wait()
 	due := float64(h.Clock.Mono())
@@ -184,7 +184,7 @@
 const repeatPause = 150 * clock.Millis(1)
 
 // Ask makes one call and its repeats, and counts how it ended.
-func (h *Holds) Ask(id string) Outcome {
+func (h *PlainCallers) Ask(id string) Outcome {
 	began := h.Clock.Mono()
 	outcome := Lost
 	for range h.Repeats + 1 {
@@ -202,7 +202,7 @@
 	return outcome
 }
 
-func (h *Holds) askOnce(id string) Outcome {
+func (h *PlainCallers) askOnce(id string) Outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), (h.Deadline + graceTerm).Duration())
 	defer cancel()
 	h.Tally.Try()
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -200,8 +200,8 @@
 // load is the far ends of one run.
 type load struct {
 	live     *drive.ModelCallers
-	checks   *drive.Holds
-	holds    *drive.Holds
+	checks   *drive.PlainCallers
+	holds    *drive.PlainCallers
 	trainers []*train.Trainer
 }
 
@@ -211,8 +211,8 @@
 	d := r.Deployment
 	balancer := &drive.Balancer{Addresses: r.cluster.Callers}
 	prefix := fmt.Sprintf("seed%d-", r.Seed)
-	plainCall := func(path string, rate float64, repeats int) *drive.Holds {
-		return &drive.Holds{
+	plainCall := func(path string, rate float64, repeats int) *drive.PlainCallers {
+		return &drive.PlainCallers{
 			Balancer: balancer, Clock: r.Clock, Tally: drive.NewTally(), Service: bench.HoldService, Path: path,
 			Class: "Terminal", Rate: rate, Deadline: checkTerm, Repeats: repeats, Prefix: prefix,
 		}
--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -221,7 +221,7 @@
 	w.cancel = cancel
 	balancer := &drive.Balancer{Addresses: w.cluster.Callers}
 	deadline := clock.Millis(a.number(ts, "Deadline", 4000))
-	w.holds = &drive.Holds{
+	w.holds = &drive.PlainCallers{
 		Balancer: balancer, Clock: w.clock, Tally: drive.NewTally(), Service: bench.HoldService, Path: a.text("Path", "/hold"),
 		Class: "Terminal", Rate: float64(a.number(ts, "Holds", 0)), Deadline: deadline, Repeats: int(a.number(ts, "Repeats", 10)),
 	}
@@ -267,7 +267,7 @@
 		address := w.cluster.Proc(name).Callers
 		to = func() []addressOf { return []addressOf{addressOf(address)} }
 	}
-	h := &drive.Holds{
+	h := &drive.PlainCallers{
 		Balancer: &drive.Balancer{Addresses: to}, Clock: w.clock, Tally: drive.NewTally(), Service: bench.HoldService,
 		Path: "/hold", Class: "Terminal", Deadline: clock.Millis(a.number(ts, "Deadline", 3000)),
 	}
--- a/croftload/proofs/world_test.go
+++ b/croftload/proofs/world_test.go
@@ -50,7 +50,7 @@
 type world struct {
 	clock   *clock.Clock
 	cluster *bench.Cluster
-	holds   *drive.Holds
+	holds   *drive.PlainCallers
 	live    *drive.ModelCallers
 	trainer []*train.Trainer
 	cancel  context.CancelFunc
