--- a/croftload/demo/demo.go
+++ b/croftload/demo/demo.go
@@ -230,7 +230,7 @@
 	for _, t := range []*drive.Tally{l.live.Tally, l.holds.Tally} {
 		r.LiveOk += t.Count(drive.OK)
 		r.LiveLate += t.Count(drive.Late)
-		r.LiveLost += t.Count(drive.Lost) + t.Count(drive.WrongID)
+		r.LiveLost += t.Count(drive.Lost) + t.Count(drive.WrongAnswer)
 		r.LiveRefused += t.Count(drive.NotRun) + t.Count(drive.Unknown)
 	}
 	r.LiveDoubled, r.LiveToldNotRunButRan = drive.Doubled(runs, l.holds.Tally.ByID())
--- a/croftload/drive/drive.go
+++ b/croftload/drive/drive.go
@@ -46,12 +46,12 @@
 
 // Outcomes.
 const (
-	OK      Outcome = "OK"
-	Late    Outcome = "Late"
-	NotRun  Outcome = "NotRun"
-	Unknown Outcome = "Unknown"
-	Lost    Outcome = "Lost"
-	WrongID Outcome = "Wrong"
+	OK          Outcome = "OK"
+	Late        Outcome = "Late"
+	NotRun      Outcome = "NotRun"
+	Unknown     Outcome = "Unknown"
+	Lost        Outcome = "Lost"
+	WrongAnswer Outcome = "Wrong"
 )
 
 // Tally counts outcomes and times; guarded by mu.
@@ -161,7 +161,7 @@
 	case "OutcomeUnknown":
 		return Unknown
 	default:
-		return WrongID
+		return WrongAnswer
 	}
 }
 
--- a/croftload/drive/live.go
+++ b/croftload/drive/live.go
@@ -103,7 +103,7 @@
 	case !ended:
 		return Lost
 	case !words.IsComplete(prompt, text, want):
-		return WrongID
+		return WrongAnswer
 	case took > l.Deadline:
 		return Late
 	default:
@@ -216,7 +216,7 @@
 	}
 	var r holdResult
 	if json.Unmarshal(answer.Body, &r) != nil || r.ID != id || r.Path != h.Path {
-		return WrongID
+		return WrongAnswer
 	}
 	return OK
 }
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -260,7 +260,7 @@
 	row.LiveP50Millis, row.LiveP99Millis = live.Quantile(50), live.Quantile(99)
 	row.RetryAmplification = amplification(l.checks.Tally, runs)
 	doubled, lied := drive.Doubled(unrepeatable(runs, l.holds.Tally), l.holds.Tally.ByID())
-	row.BrokenPromises += doubled + lied + live.Count(drive.WrongID)
+	row.BrokenPromises += doubled + lied + live.Count(drive.WrongAnswer)
 	return row, nil
 }
 
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -90,7 +90,7 @@
 	case "liveLost":
 		return float64(t.Count(drive.Lost))
 	case "liveWrong":
-		return float64(t.Count(drive.WrongID))
+		return float64(t.Count(drive.WrongAnswer))
 	}
 	ts.Fatalf("no figure named %s", name)
 	return 0
