--- a/croftload/demo/demo.go
+++ b/croftload/demo/demo.go
@@ -223,7 +223,7 @@
 		r.SamplesBroken += got.Broken
 		r.TrainerSteps += got.Steps
 		r.TrainerIdleMillis += got.IdleMillis
-		r.SamplesMislabelled += drive.Mislabelled(t.SampleSpans(), made)
+		r.SamplesMislabelled += drive.CountMislabelled(t.SampleSpans(), made)
 		wall += got.WallMillis
 	}
 	r.TrainerIdleShare = float64(r.TrainerIdleMillis) / float64(max(wall, 1))
--- a/croftload/drive/check.go
+++ b/croftload/drive/check.go
@@ -5,9 +5,9 @@
 	"croftmoor.dev/kernel/steps"
 )
 
-// Mislabelled counts the samples of which a token carries a version that no
+// CountMislabelled counts the samples of which a token carries a version that no
 // engine used for that token.
-func Mislabelled(labels map[string][]steps.Span, made map[string][]engine.TokenRun) int64 {
+func CountMislabelled(labels map[string][]steps.Span, made map[string][]engine.TokenRun) int64 {
 	var wrong int64
 	for id, spans := range labels {
 		if !labelled(spans, made[id]) {
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -273,7 +273,7 @@
 		wall += got.WallMillis
 		row.TrainerSteps += got.Steps
 		staleness = append(staleness, got.Staleness...)
-		row.BrokenPromises += got.Duplicated + got.Stale + got.Broken + drive.Mislabelled(t.SampleSpans(), made)
+		row.BrokenPromises += got.Duplicated + got.Stale + got.Broken + drive.CountMislabelled(t.SampleSpans(), made)
 		for _, spans := range t.SampleSpans() {
 			for _, span := range spans {
 				used += int64(span.Tokens)
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -120,7 +120,7 @@
 		case "reopened":
 			sum += float64(r.ReopenCount)
 		case "mislabelled":
-			sum += float64(drive.Mislabelled(t.SampleSpans(), made))
+			sum += float64(drive.CountMislabelled(t.SampleSpans(), made))
 		case "mixed":
 			sum += float64(mixed(t))
 		default:
