--- a/croftload/demo/demo.go
+++ b/croftload/demo/demo.go
@@ -233,7 +233,7 @@
 		r.LiveLost += t.Count(drive.Lost) + t.Count(drive.WrongAnswer)
 		r.LiveRefused += t.Count(drive.NotRun) + t.Count(drive.Unknown)
 	}
-	r.LiveDoubled, r.LiveToldNotRunButRan = drive.Doubled(runs, l.holds.Tally.ByID())
+	r.LiveDoubled, r.LiveToldNotRunButRan = drive.CountRepeatedRuns(runs, l.holds.Tally.ByID())
 	return r, nil
 }
 
--- a/croftload/drive/check.go
+++ b/croftload/drive/check.go
@@ -39,9 +39,9 @@
 	return false
 }
 
-// Doubled counts the ids that were run more than once, and LiedNotRun those
+// CountRepeatedRuns counts the ids that were run more than once, and LiedNotRun those
 // that were run although their caller was told "not run".
-func Doubled(runs map[string]int, outcomes map[string]Outcome) (doubled, liedNotRun int64) {
+func CountRepeatedRuns(runs map[string]int, outcomes map[string]Outcome) (doubled, liedNotRun int64) {
 	for id, n := range runs {
 		if n > 1 {
 			doubled++
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -259,7 +259,7 @@
 	row.LiveOnTimeShare = live.OnTime()
 	row.LiveP50Millis, row.LiveP99Millis = live.Quantile(50), live.Quantile(99)
 	row.RetryAmplification = amplification(l.checks.Tally, runs)
-	doubled, lied := drive.Doubled(unrepeatable(runs, l.holds.Tally), l.holds.Tally.ByID())
+	doubled, lied := drive.CountRepeatedRuns(unrepeatable(runs, l.holds.Tally), l.holds.Tally.ByID())
 	row.BrokenPromises += doubled + lied + live.Count(drive.WrongAnswer)
 	return row, nil
 }
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -63,7 +63,7 @@
 	}
 	runs, err := w.cluster.Runs(context.Background())
 	ts.Check(err)
-	doubled, lied := drive.Doubled(runs, t.ByID())
+	doubled, lied := drive.CountRepeatedRuns(runs, t.ByID())
 	switch name {
 	case "holdsDoubled":
 		return float64(doubled)
