--- a/croftload/drive/drive.go
+++ b/croftload/drive/drive.go
@@ -103,8 +103,8 @@
 	return t.outcomes[outcome]
 }
 
-// Asked returns how many requests were made.
-func (t *Tally) Asked() int64 {
+// Requests returns how many requests were made.
+func (t *Tally) Requests() int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.asked
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -74,7 +74,7 @@
 		for _, n := range runs {
 			all += n
 		}
-		return float64(all) / float64(max(t.Asked(), 1))
+		return float64(all) / float64(max(t.Requests(), 1))
 	}
 	ts.Fatalf("no figure named %s", name)
 	return 0
