--- a/croftload/costs/costs.go
+++ b/croftload/costs/costs.go
@@ -213,7 +213,7 @@
 	l.Run(loadCtx)
 	idle := c.idleShare * (c.Clock.Mono() - began).Duration().Seconds()
 	generated := c.generatedTokens(ctx) - tokens
-	c.print("streamed answers: whole and on time, share", l.Tally.OnTime())
+	c.print("streamed answers: whole and on time, share", l.Tally.OnTimeShare())
 	c.print("streamed answers: tokens", generated)
 	c.print("streamed answers: answers", float64(l.Tally.Requests()))
 	c.print("streamed answers: processor ms of all instances for 1,000 tokens, idle share off", (c.cpuSeconds()-cpu-idle)*1e6/max(generated, 1))
--- a/croftload/drive/drive.go
+++ b/croftload/drive/drive.go
@@ -110,8 +110,8 @@
 	return t.asked
 }
 
-// OnTime returns the share of requests that got their whole answer in time.
-func (t *Tally) OnTime() float64 {
+// OnTimeShare returns the share of requests that got their whole answer in time.
+func (t *Tally) OnTimeShare() float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.asked == 0 {
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -256,7 +256,7 @@
 	}
 	l.countSamples(row, made)
 	live := l.live.Tally
-	row.LiveOnTimeShare = live.OnTime()
+	row.LiveOnTimeShare = live.OnTimeShare()
 	row.LiveP50Millis, row.LiveP99Millis = live.Quantile(50), live.Quantile(99)
 	row.RetryAmplification = amplification(l.checks.Tally, runs)
 	doubled, lied := drive.CountRepeatedRuns(unrepeatable(runs, l.holds.Tally), l.holds.Tally.ByID())
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -53,7 +53,7 @@
 	case "holdsOK":
 		return float64(t.Count(drive.OK))
 	case "holdsOnTime":
-		return t.OnTime()
+		return t.OnTimeShare()
 	case "holdsLost":
 		return float64(t.Count(drive.Lost))
 	case "holdsUnknown":
@@ -86,7 +86,7 @@
 	case "liveOK":
 		return float64(t.Count(drive.OK))
 	case "liveOnTime":
-		return t.OnTime()
+		return t.OnTimeShare()
 	case "liveLost":
 		return float64(t.Count(drive.Lost))
 	case "liveWrong":
