--- a/croftload/costs/costs.go
+++ b/croftload/costs/costs.go
@@ -34,8 +34,8 @@
 
 	cluster *bench.Cluster
 	client  httpc.Client
-	// idleShare is the processor idleShare of all instances while nothing is asked; it
-	// is taken off what requests cost.
+	// idleShare is the processor time per second of all instances together without
+	// requests. It is subtracted from the processor time of requests.
 	idleShare float64
 }
 
@@ -136,7 +136,8 @@
 	return float64(stats.Appends)
 }
 
-// residentMegabytes returns a process's resident residentMegabytes in MB.
+// residentMegabytes returns the resident memory of a process, or 0 if it can't be
+// read.
 func (c *Costs) residentMegabytes(name string) float64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.cluster.Proc(name).PID()))
 	if err != nil {
