Wording of croftload/drive

Comments say what the simulated callers send and what each outcome means; names that no other folder uses follow them. The values of the outcomes stay.

--- a/croftload/drive/check.go
+++ b/croftload/drive/check.go
@@ -5,23 +5,25 @@
 	"croftmoor.dev/kernel/steps"
 )
 
-// CountMislabelled counts the samples of which a token carries a version that no
-// engine used for that token.
+// CountMislabelled counts the samples with a token whose version label is not a
+// version that an engine generated that token with.
 func CountMislabelled(labels map[string][]steps.Span, made map[string][]engine.TokenRun) int64 {
 	var wrong int64
 	for id, spans := range labels {
-		if !labelled(spans, made[id]) {
+		if !correctlyLabelled(spans, made[id]) {
 			wrong++
 		}
 	}
 	return wrong
 }
 
-func labelled(spans []steps.Span, made []engine.TokenRun) bool {
+// correctlyLabelled reports whether each token of a sample was generated with the
+// version in its label.
+func correctlyLabelled(spans []steps.Span, made []engine.TokenRun) bool {
 	index := 0
 	for _, span := range spans {
 		for range span.Tokens {
-			if !madeWith(made, index, int64(span.Version)) {
+			if !generatedWith(made, index, int64(span.Version)) {
 				return false
 			}
 			index++
@@ -30,7 +32,8 @@
 	return true
 }
 
-func madeWith(made []engine.TokenRun, index int, version int64) bool {
+// generatedWith reports whether the token at index was generated with the version.
+func generatedWith(made []engine.TokenRun, index int, version int64) bool {
 	for _, m := range made {
 		if m.Version == version && index >= m.Index && index < m.Index+m.Tokens {
 			return true
@@ -39,8 +42,8 @@
 	return false
 }
 
-// CountRepeatedRuns counts the ids that were run more than once, and LiedNotRun those
-// that were run although their caller was told "not run".
+// CountRepeatedRuns counts the request IDs that were run more than once, and those
+// that were run although their caller was told that they were not.
 func CountRepeatedRuns(runs map[string]int, outcomes map[string]Outcome) (doubled, liedNotRun int64) {
 	for id, n := range runs {
 		if n > 1 {
--- a/croftload/drive/drive.go
+++ b/croftload/drive/drive.go
@@ -1,5 +1,5 @@
-// Package drive is the far ends of a deployment: callers, trainers and the
-// counting of what they got. Nothing here asks croftmoor how it did.
+// Package drive simulates the callers of a deployment and checks the answers that
+// they and the trainers received, without using croftmoor's own metrics.
 package drive
 
 import (
@@ -21,18 +21,18 @@
 // Kind classifies the errors of this package.
 type Kind string
 
-// Wrong means that an answer is not what was asked for.
+// Wrong means that a request could not be encoded.
 const Wrong Kind = "Wrong"
 
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-// Balancer picks an entry instance, as the platform's balancer does.
+// Balancer picks an instance at random, like the platform's load balancer.
 type Balancer struct {
 	Addresses func() []ident.Address
 }
 
-// Pick returns an instance's address; "" if there is none.
+// Pick returns the address of an instance, or "" if there is none.
 func (b *Balancer) Pick() ident.Address {
 	list := b.Addresses()
 	if len(list) == 0 {
@@ -41,104 +41,113 @@
 	return list[rand.IntN(len(list))]
 }
 
-// Outcome is how a live request ended for its caller.
+// Outcome is the result of a request as its caller sees it.
 type Outcome string
 
 // Outcomes.
 const (
-	OK          Outcome = "OK"
-	Late        Outcome = "Late"
-	NotRun      Outcome = "NotRun"
-	Unknown     Outcome = "Unknown"
+	// OK is a complete answer before the deadline, and Late one after it or a
+	// refusal because of the deadline.
+	OK   Outcome = "OK"
+	Late Outcome = "Late"
+	// NotRun is a refusal of a request that had no effect, and Unknown one of a
+	// request that may have had an effect.
+	NotRun  Outcome = "NotRun"
+	Unknown Outcome = "Unknown"
+	// Lost is a failed connection or an incomplete answer, and WrongAnswer an answer
+	// with the wrong content or an unexpected refusal.
 	Lost        Outcome = "Lost"
 	WrongAnswer Outcome = "Wrong"
 )
 
-// Tally counts outcomes and times; guarded by mu.
+// Tally counts outcomes and latencies. Its fields are guarded by mu.
 type Tally struct {
-	mu       sync.Mutex
-	outcomes map[Outcome]int64
-	times    *hdrhistogram.Histogram
-	asked    int64
-	tries    int64
-	// byID is the last outcome of each unrepeatable id.
-	byID map[string]Outcome
+	mu        sync.Mutex
+	outcomes  map[Outcome]int64
+	latencies *hdrhistogram.Histogram
+	requests  int64
+	// tries counts the requests sent, including repeats.
+	tries int64
+	// lastByID is the last outcome of each request ID that was added.
+	lastByID map[string]Outcome
 }
 
 const (
-	mostMillis = 10 * 60 * 1000
-	digits     = 3
+	maxLatencyMillis  = 10 * 60 * 1000
+	significantDigits = 3
 )
 
 // NewTally returns an empty tally.
 func NewTally() *Tally {
-	return &Tally{outcomes: map[Outcome]int64{}, times: hdrhistogram.New(1, mostMillis, digits), byID: map[string]Outcome{}}
+	return &Tally{outcomes: map[Outcome]int64{}, latencies: hdrhistogram.New(1, maxLatencyMillis, significantDigits), lastByID: map[string]Outcome{}}
 }
 
-// Add counts one request.
+// Add counts a request. Its outcome is also kept by id, unless that is empty.
 func (t *Tally) Add(id string, outcome Outcome, took clock.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.asked++
+	t.requests++
 	t.outcomes[outcome]++
 	if id != "" {
-		t.byID[id] = outcome
+		t.lastByID[id] = outcome
 	}
 	if outcome == OK || outcome == Late {
-		_ = t.times.RecordValue(max(int64(took), 1))
+		_ = t.latencies.RecordValue(max(int64(took), 1))
 	}
 }
 
-// Try counts one request sent, repeats included.
+// Try counts a sent request, including repeats.
 func (t *Tally) Try() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.tries++
 }
 
-// Count returns how many requests ended so.
+// Count returns the number of requests with the outcome.
 func (t *Tally) Count(outcome Outcome) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.outcomes[outcome]
 }
 
-// Requests returns how many requests were made.
+// Requests returns the number of requests, not counting repeats.
 func (t *Tally) Requests() int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.asked
+	return t.requests
 }
 
-// OnTimeShare returns the share of requests that got their whole answer in time.
+// OnTimeShare returns the fraction of requests with outcome OK, or 1 if there were
+// none.
 func (t *Tally) OnTimeShare() float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.asked == 0 {
+	if t.requests == 0 {
 		return 1
 	}
-	return float64(t.outcomes[OK]) / float64(t.asked)
+	return float64(t.outcomes[OK]) / float64(t.requests)
 }
 
-// Quantile returns a quantile of the answer times in milliseconds.
+// Quantile returns a percentile of the latencies of complete answers in
+// milliseconds.
 func (t *Tally) Quantile(percent float64) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.times.ValueAtQuantile(percent)
+	return t.latencies.ValueAtQuantile(percent)
 }
 
-// ByID returns the last outcome of each unrepeatable id.
+// ByID returns the last outcome of each request ID that was added.
 func (t *Tally) ByID() map[string]Outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	copied := make(map[string]Outcome, len(t.byID))
-	for id, outcome := range t.byID {
-		copied[id] = outcome
+	outcomes := make(map[string]Outcome, len(t.lastByID))
+	for id, outcome := range t.lastByID {
+		outcomes[id] = outcome
 	}
-	return copied
+	return outcomes
 }
 
-// refusal is croftmoor's refusal as a caller reads it.
+// refusal is the JSON body of a refused request.
 type refusal struct {
 	ID               string
 	Kind             string
@@ -152,6 +161,7 @@
 	return r
 }
 
+// outcomeOf maps the kind of a refusal to an outcome.
 func outcomeOf(r refusal) Outcome {
 	switch r.Kind {
 	case "NotRun":
@@ -165,7 +175,8 @@
 	}
 }
 
-func headers(id string, class string, deadline clock.Millis) []httpc.Header {
+// requestHeaders returns the headers with the request ID, class and deadline.
+func requestHeaders(id string, class string, deadline clock.Millis) []httpc.Header {
 	return []httpc.Header{
 		{Name: "X-Request-ID", Value: id},
 		{Name: "Croft-Class", Value: class},
@@ -173,11 +184,11 @@
 	}
 }
 
-// post sends one request through a random instance.
-func post(ctx context.Context, client *httpc.Client, to ident.Address, path string, heads []httpc.Header, body any) (*httpc.Answer, error) {
+// post sends a request with a JSON body on a new connection.
+func post(ctx context.Context, client *httpc.Client, to ident.Address, path string, headers []httpc.Header, body any) (*httpc.Answer, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
-		return nil, fault.Wrap("drive.post", Wrong, err, "unencodable body")
+		return nil, fault.Wrap("drive.post", Wrong, err, "cannot encode the request body")
 	}
-	return client.Do(ctx, &httpc.Call{Address: to, Method: http.MethodPost, Path: path, Headers: heads, Body: data, FreshConn: true})
+	return client.Do(ctx, &httpc.Call{Address: to, Method: http.MethodPost, Path: path, Headers: headers, Body: data, FreshConn: true})
 }
--- a/croftload/drive/live.go
+++ b/croftload/drive/live.go
@@ -15,28 +15,31 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// ModelCallers is callers that ask a model service for completions at a steady rate.
-// Set the exported fields before Run.
+// ModelCallers simulates callers that request completions from a model service at
+// a given rate. Set the exported fields before Run.
 type ModelCallers struct {
 	Balancer *Balancer
 	Clock    *clock.Clock
 	Tally    *Tally
 	Service  string
 	Class    string
-	// Rate returns the requests a second wanted now.
+	// Rate returns the requests per second at a time since the start of Run.
 	Rate     func(since clock.Millis) float64
 	Deadline clock.Millis
-	// MeanLength and MaxTokens tell how long a whole answer must be.
+	// MeanLength and MaxTokens determine the expected length of an answer. MeanLength
+	// must be that of the engines.
 	MeanLength int
 	MaxTokens  int
-	Stream     bool
-	Prefix     string
+	// Stream requests streamed answers.
+	Stream bool
+	// Prefix is the prefix of the request IDs.
+	Prefix string
 
 	client httpc.Client
 }
 
-// completion is a request and an answer in the usual form of model servers.
-type completion struct {
+// completionRequest has the JSON field names that are usual for model servers.
+type completionRequest struct {
 	Model     string `json:"model"`      // completion request
 	Prompt    string `json:"prompt"`     // completion request
 	Seed      string `json:"seed"`       // completion request
@@ -44,7 +47,8 @@
 	Stream    bool   `json:"stream"`     // completion request
 }
 
-type completed struct {
+// completionResponse is an answer, or an event of a streamed answer.
+type completionResponse struct {
 	ID      string `json:"id"` // completion answer
 	Choices []struct {
 		Text string `json:"text"` // completion answer
@@ -52,52 +56,56 @@
 }
 
 const (
-	families  = 12
-	graceTerm = 5 * clock.Second
-	pause     = 2 * clock.Millis(1)
+	promptFamilies = 12
+	// clientGrace is the time that a caller waits for an answer after the deadline.
+	clientGrace = 5 * clock.Second
+	// schedulePoll is the interval of checks whether the next request is due.
+	schedulePoll = 2 * clock.Millis(1)
 )
 
-// Run asks until ctx ends, then waits for the answers that are on their way.
+// Run sends requests until ctx is done, then waits for outstanding answers.
 func (l *ModelCallers) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	defer group.Wait()
-	began := l.Clock.Mono()
-	due := float64(began)
+	startedAt := l.Clock.Mono()
+	due := float64(startedAt)
 	for n := 0; ctx.Err() == nil; {
 		now := l.Clock.Mono()
-		rate := max(l.Rate(now-began), 0.1)
+		rate := max(l.Rate(now-startedAt), 0.1)
 		if float64(now) < due {
-			l.Clock.Sleep(ctx, pause)
+			l.Clock.Sleep(ctx, schedulePoll)
 			continue
 		}
 		due += float64(clock.Second) / rate
 		number := n
-		group.Go(func() { l.ask(number) })
+		group.Go(func() { l.request(number) })
 		n++
 	}
 }
 
-func (l *ModelCallers) ask(n int) {
+// request sends the n-th request and counts its outcome.
+func (l *ModelCallers) request(n int) {
 	id := fmt.Sprintf("%slive-%s-%d", l.Prefix, ident.NewRandom()[:8], n)
-	prompt := fmt.Sprintf("family-%d|question %s", n%families, id)
-	ctx, cancel := context.WithTimeout(context.Background(), (l.Deadline + graceTerm).Duration())
+	prompt := fmt.Sprintf("family-%d|question %s", n%promptFamilies, id)
+	ctx, cancel := context.WithTimeout(context.Background(), (l.Deadline + clientGrace).Duration())
 	defer cancel()
 	began := l.Clock.Mono()
 	l.Tally.Try()
-	body := completion{Model: l.Service, Prompt: prompt, Seed: id, MaxTokens: l.MaxTokens, Stream: l.Stream}
-	answer, err := post(ctx, &l.client, l.Balancer.Pick(), "/v1/completions", headers(id, l.Class, l.Deadline), body)
+	body := completionRequest{Model: l.Service, Prompt: prompt, Seed: id, MaxTokens: l.MaxTokens, Stream: l.Stream}
+	answer, err := post(ctx, &l.client, l.Balancer.Pick(), "/v1/completions", requestHeaders(id, l.Class, l.Deadline), body)
 	took := l.Clock.Mono() - began
-	l.Tally.Add("", l.judge(answer, err, id, prompt, took), took)
+	l.Tally.Add("", l.outcome(answer, err, id, prompt, took), took)
 }
 
-func (l *ModelCallers) judge(answer *httpc.Answer, err error, id, prompt string, took clock.Millis) Outcome {
+// outcome returns the outcome of an answer or a failed request.
+func (l *ModelCallers) outcome(answer *httpc.Answer, err error, id, prompt string, took clock.Millis) Outcome {
 	if err != nil {
 		return Lost
 	}
 	if answer.Status != http.StatusOK {
 		return outcomeOf(readRefusal(answer))
 	}
-	text, ended := l.textOf(answer, id)
+	text, ended := l.answerText(answer, id)
 	want := words.Length(prompt, id, l.MeanLength, l.MaxTokens)
 	switch {
 	case !ended:
@@ -111,11 +119,11 @@
 	}
 }
 
-// textOf returns the answer's text, and whether it came to its end and is the
-// answer to id.
-func (l *ModelCallers) textOf(answer *httpc.Answer, id string) (string, bool) {
+// answerText returns the text of an answer, and whether the answer is complete and
+// has the given ID.
+func (l *ModelCallers) answerText(answer *httpc.Answer, id string) (string, bool) {
 	if !l.Stream {
-		var c completed
+		var c completionResponse
 		err := json.Unmarshal(answer.Body, &c)
 		if err != nil || c.ID != id || len(c.Choices) != 1 {
 			return "", false
@@ -131,7 +139,7 @@
 		if data == "[DONE]" {
 			return text.String(), true
 		}
-		var c completed
+		var c completionResponse
 		if json.Unmarshal([]byte(data), &c) != nil || c.ID != id || len(c.Choices) != 1 {
 			return "", false
 		}
@@ -140,9 +148,8 @@
 	return text.String(), false
 }
 
-// PlainCallers is callers of an unrepeatable call of a plain service. When an answer
-// is lost they ask again with the same id through another instance, as
-// terminals do.
+// PlainCallers simulates callers of a plain service. A call that was lost or not
+// run is repeated with the same ID, usually through another instance.
 type PlainCallers struct {
 	Balancer *Balancer
 	Clock    *clock.Clock
@@ -152,26 +159,28 @@
 	Class    string
 	Rate     float64
 	Deadline clock.Millis
-	// Repeats is how often a caller asks again.
+	// Repeats is the maximum number of repeats of a call.
 	Repeats int
-	Prefix  string
+	// Prefix is the prefix of the request IDs.
+	Prefix string
 
 	client httpc.Client
 }
 
-type holdResult struct {
+// callResult is the part of an answer that is checked.
+type callResult struct {
 	ID   string
 	Path string
 }
 
-// Run asks until ctx ends, then waits for the answers that are on their way.
+// Run sends requests until ctx is done, then waits for outstanding answers.
 func (h *PlainCallers) Run(ctx context.Context) {
 	var group conc.WaitGroup
 	defer group.Wait()
 	due := float64(h.Clock.Mono())
 	for n := 0; ctx.Err() == nil; {
 		if float64(h.Clock.Mono()) < due {
-			h.Clock.Sleep(ctx, pause)
+			h.Clock.Sleep(ctx, schedulePoll)
 			continue
 		}
 		due += float64(clock.Second) / h.Rate
@@ -181,18 +190,18 @@
 	}
 }
 
-const repeatPause = 150 * clock.Millis(1)
+const retryDelay = 150 * clock.Millis(1)
 
-// Ask makes one call and its repeats, and counts how it ended.
+// Ask makes a call and its repeats, counts its last outcome and returns it.
 func (h *PlainCallers) Ask(id string) Outcome {
 	began := h.Clock.Mono()
 	outcome := Lost
 	for range h.Repeats + 1 {
-		outcome = h.askOnce(id)
+		outcome = h.callOnce(id)
 		if outcome != Lost && outcome != NotRun {
 			break
 		}
-		h.Clock.Sleep(context.Background(), repeatPause)
+		h.Clock.Sleep(context.Background(), retryDelay)
 	}
 	took := h.Clock.Mono() - began
 	if outcome == OK && took > h.Deadline {
@@ -202,19 +211,20 @@
 	return outcome
 }
 
-func (h *PlainCallers) askOnce(id string) Outcome {
-	ctx, cancel := context.WithTimeout(context.Background(), (h.Deadline + graceTerm).Duration())
+// callOnce makes one try of a call.
+func (h *PlainCallers) callOnce(id string) Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), (h.Deadline + clientGrace).Duration())
 	defer cancel()
 	h.Tally.Try()
 	path := "/svc/" + h.Service + h.Path
-	answer, err := post(ctx, &h.client, h.Balancer.Pick(), path, headers(id, h.Class, h.Deadline), struct{}{})
+	answer, err := post(ctx, &h.client, h.Balancer.Pick(), path, requestHeaders(id, h.Class, h.Deadline), struct{}{})
 	if err != nil {
 		return Lost
 	}
 	if answer.Status != http.StatusOK {
 		return outcomeOf(readRefusal(answer))
 	}
-	var r holdResult
+	var r callResult
 	if json.Unmarshal(answer.Body, &r) != nil || r.ID != id || r.Path != h.Path {
 		return WrongAnswer
 	}
