--- a/croftload/drive/live.go
+++ b/croftload/drive/live.go
@@ -185,15 +185,15 @@
 		}
 		due += float64(clock.Second) / h.Rate
 		number := n
-		group.Go(func() { h.Ask(fmt.Sprintf("%shold-%s-%d", h.Prefix, ident.NewRandom()[:8], number)) })
+		group.Go(func() { h.Call(fmt.Sprintf("%shold-%s-%d", h.Prefix, ident.NewRandom()[:8], number)) })
 		n++
 	}
 }
 
 const retryDelay = 150 * clock.Millis(1)
 
-// Ask makes a call and its repeats, counts its last outcome and returns it.
-func (h *PlainCallers) Ask(id string) Outcome {
+// Call makes a call and its repeats, counts its last outcome and returns it.
+func (h *PlainCallers) Call(id string) Outcome {
 	began := h.Clock.Mono()
 	outcome := Lost
 	for range h.Repeats + 1 {
--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -272,7 +272,7 @@
 		Path: "/hold", Class: "Terminal", Deadline: clock.Millis(a.number(ts, "Deadline", 3000)),
 	}
 	run := func() {
-		outcome := h.Ask(words[0])
+		outcome := h.Call(words[0])
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.asking[words[0]] = outcome
