Wording of croftload/demo

Comments and messages say what the demo runs and checks; names that no other folder uses follow them.

--- a/croftload/demo/demo.go
+++ b/croftload/demo/demo.go
@@ -1,5 +1,5 @@
-// Package demo runs croftmoor's main job once, with faults, and reports what
-// the far ends saw.
+// Package demo runs a cluster under load with a configuration change and a killed
+// instance, and reports the counts of its callers and trainers.
 package demo
 
 import (
@@ -22,13 +22,14 @@
 // Kind classifies the errors of this package.
 type Kind string
 
-// Broken means that a promise was broken, or that the demo itself failed.
+// Broken means that a guarantee was violated, or that the demo itself failed.
 const Broken Kind = "Broken"
 
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
-// Report is the far ends' counts. Its field names are the JSON names.
+// Report contains the counts of callers and trainers. Its field names are the JSON
+// names.
 type Report struct {
 	SamplesDelivered     int64
 	SamplesDuplicated    int64
@@ -49,7 +50,7 @@
 	WallSeconds          float64
 }
 
-// Demo is the run. Set the fields before Run.
+// Demo is a run of the demo. Set the exported fields before Run.
 type Demo struct {
 	Bin   string
 	Dir   string
@@ -60,22 +61,26 @@
 }
 
 const (
-	meanLength  = 60
-	liveRate    = 25
-	holdRate    = 20
-	firstRate   = 2000
-	changedRate = 3000
-	liveTerm    = 4 * clock.Second
-	holdTerm    = 3 * clock.Second
-	phase       = 4 * clock.Second
-	shards      = 64
-	configMost  = 4 * clock.Second
-	reportMode  = 0o644
-	trainTime   = 700 * clock.Millis(1)
-	settledMost = 20 * clock.Second
+	meanLength = 60
+	// modelRate and holdRate are in requests per second.
+	modelRate = 25
+	holdRate  = 20
+	// initialRateLimit and changedRateLimit are the limits before and after the
+	// configuration change, in requests per second.
+	initialRateLimit = 2000
+	changedRateLimit = 3000
+	modelDeadline    = 4 * clock.Second
+	holdDeadline     = 3 * clock.Second
+	phasePause       = 4 * clock.Second
+	shards           = 64
+	configTimeout    = 4 * clock.Second
+	reportFileMode   = 0o644
+	trainTime        = 700 * clock.Millis(1)
+	settleTimeout    = 20 * clock.Second
 )
 
-// Run runs the demo, writes demo-report.json and fails if a promise was broken.
+// Run runs the demo, writes demo-report.json and returns an error if a guarantee
+// was violated.
 func (d *Demo) Run(ctx context.Context) error {
 	began := d.Clock.Mono()
 	d.cluster = &bench.Cluster{
@@ -86,31 +91,32 @@
 		},
 	}
 	defer d.cluster.Stop()
-	report, err := d.play(ctx)
+	report, err := d.runLoad(ctx)
 	if err != nil {
 		return err
 	}
 	report.WallSeconds = (d.Clock.Mono() - began).Duration().Seconds()
-	if err := d.write(report); err != nil {
+	if err := d.writeReport(report); err != nil {
 		return err
 	}
-	return broken(report)
+	return checkReport(report)
 }
 
-func (d *Demo) say(text string) {
+func (d *Demo) print(text string) {
 	_, _ = fmt.Fprintln(d.Out, text)
 }
 
-func (d *Demo) play(ctx context.Context) (*Report, error) {
+// runLoad starts the cluster, runs the load with the faults and returns the counts.
+func (d *Demo) runLoad(ctx context.Context) (*Report, error) {
 	c := d.cluster
-	d.say("starting the platform's stand-ins, 4 engines, 2 plain servers and 4 instances in 2 availability zones")
+	d.print("starting the simulated platform, 4 engines, 2 plain servers and 4 instances in 2 availability zones")
 	if err := c.Start(ctx); err != nil {
 		return nil, err
 	}
-	if _, err := d.apply(ctx, 0, firstRate); err != nil {
+	if _, err := d.apply(ctx, 0, initialRateLimit); err != nil {
 		return nil, err
 	}
-	if err := c.Led(ctx, shards, settledMost); err != nil {
+	if err := c.Led(ctx, shards, settleTimeout); err != nil {
 		return nil, err
 	}
 	load := d.newLoad()
@@ -118,7 +124,7 @@
 	defer stop()
 	var group conc.WaitGroup
 	load.start(loadCtx, &group)
-	force, err := d.faults(ctx)
+	force, err := d.injectFaults(ctx)
 	stop()
 	group.Wait()
 	if err != nil {
@@ -127,31 +133,33 @@
 	return load.report(ctx, c, force)
 }
 
-// faults changes the configuration and kills an instance, while the load runs
-// and the trainers publish new weights after each step.
-func (d *Demo) faults(ctx context.Context) (clock.Millis, error) {
+// injectFaults changes the configuration and kills an instance while the load
+// runs. It returns the time until the changed configuration was in force.
+func (d *Demo) injectFaults(ctx context.Context) (clock.Millis, error) {
 	c := d.cluster
-	d.Clock.Sleep(ctx, phase)
-	d.say("applying a changed configuration")
+	d.Clock.Sleep(ctx, phasePause)
+	d.print("applying a changed configuration")
 	status, err := c.Status(ctx, c.Instances()[0])
 	if err != nil {
 		return 0, err
 	}
-	force, err := d.apply(ctx, status.Revision, changedRate)
+	force, err := d.apply(ctx, status.Revision, changedRateLimit)
 	if err != nil {
 		return 0, err
 	}
-	d.Clock.Sleep(ctx, phase)
+	d.Clock.Sleep(ctx, phasePause)
 	victim := c.Instances()[1]
-	d.say("killing instance " + victim)
+	d.print("killing instance " + victim)
 	c.Proc(victim).Kill()
 	if err := c.Unlist(victim); err != nil {
 		return 0, err
 	}
-	d.Clock.Sleep(ctx, 2*phase)
+	d.Clock.Sleep(ctx, 2*phasePause)
 	return force, nil
 }
 
+// apply applies a configuration with the rate limit, and returns the time until it
+// was in force on all instances.
 func (d *Demo) apply(ctx context.Context, base int64, rate int) (clock.Millis, error) {
 	began := d.Clock.Mono()
 	v, err := d.cluster.Apply(ctx, d.cluster.Instances()[0], "paynest", bench.Change{Base: base, By: "demo", Text: bench.Team{Name: "paynest", Rate: rate}.File()})
@@ -161,29 +169,29 @@
 	if v.Outcome != "Accepted" {
 		return 0, fault.New("demo.apply", Broken, v.Outcome+v.Kind+": "+v.Reason+v.What)
 	}
-	if _, err := d.cluster.InForce(ctx, v.Revision, configMost); err != nil {
+	if _, err := d.cluster.InForce(ctx, v.Revision, configTimeout); err != nil {
 		return 0, err
 	}
 	return d.Clock.Mono() - began, nil
 }
 
-// load is the far ends of the demo.
+// load is the simulated callers and trainers.
 type load struct {
-	live     *drive.ModelCallers
-	holds    *drive.PlainCallers
-	trainers []*train.Trainer
+	modelCallers *drive.ModelCallers
+	holdCallers  *drive.PlainCallers
+	trainers     []*train.Trainer
 }
 
 func (d *Demo) newLoad() *load {
 	balancer := &drive.Balancer{Addresses: d.cluster.Callers}
 	l := &load{
-		live: &drive.ModelCallers{
+		modelCallers: &drive.ModelCallers{
 			Balancer: balancer, Clock: d.Clock, Tally: drive.NewTally(), Service: bench.ModelService, Class: "Terminal",
-			Rate: func(clock.Millis) float64 { return liveRate }, Deadline: liveTerm, MeanLength: meanLength, MaxTokens: 200, Stream: true,
+			Rate: func(clock.Millis) float64 { return modelRate }, Deadline: modelDeadline, MeanLength: meanLength, MaxTokens: 200, Stream: true,
 		},
-		holds: &drive.PlainCallers{
+		holdCallers: &drive.PlainCallers{
 			Balancer: balancer, Clock: d.Clock, Tally: drive.NewTally(), Service: bench.HoldService, Path: "/hold",
-			Class: "Terminal", Rate: holdRate, Deadline: holdTerm, Repeats: 8,
+			Class: "Terminal", Rate: holdRate, Deadline: holdDeadline, Repeats: 8,
 		},
 	}
 	for i, name := range []string{"fraud", "coach"} {
@@ -195,16 +203,17 @@
 	return l
 }
 
+// start starts all callers and trainers in group. They stop when ctx is done.
 func (l *load) start(ctx context.Context, group *conc.WaitGroup) {
-	group.Go(func() { l.live.Run(ctx) })
-	group.Go(func() { l.holds.Run(ctx) })
+	group.Go(func() { l.modelCallers.Run(ctx) })
+	group.Go(func() { l.holdCallers.Run(ctx) })
 	for _, t := range l.trainers {
 		group.Go(func() { t.Run(ctx) })
 	}
 }
 
 // report collects the counts after the load has ended.
-func (l *load) report(ctx context.Context, c *bench.Cluster, force clock.Millis) (*Report, error) {
+func (l *load) report(ctx context.Context, c *bench.Cluster, timeToForce clock.Millis) (*Report, error) {
 	made, err := c.Made(ctx)
 	if err != nil {
 		return nil, err
@@ -213,7 +222,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Report{ConfigSecondsToForce: force.Duration().Seconds(), LiveP99Millis: l.live.Tally.Quantile(99)}
+	r := &Report{ConfigSecondsToForce: timeToForce.Duration().Seconds(), LiveP99Millis: l.modelCallers.Tally.Quantile(99)}
 	wall := int64(0)
 	for _, t := range l.trainers {
 		got := t.Report()
@@ -227,40 +236,41 @@
 		wall += got.WallMillis
 	}
 	r.TrainerIdleShare = float64(r.TrainerIdleMillis) / float64(max(wall, 1))
-	for _, t := range []*drive.Tally{l.live.Tally, l.holds.Tally} {
+	for _, t := range []*drive.Tally{l.modelCallers.Tally, l.holdCallers.Tally} {
 		r.LiveOk += t.Count(drive.OK)
 		r.LiveLate += t.Count(drive.Late)
 		r.LiveLost += t.Count(drive.Lost) + t.Count(drive.WrongAnswer)
 		r.LiveRefused += t.Count(drive.NotRun) + t.Count(drive.Unknown)
 	}
-	r.LiveDoubled, r.LiveToldNotRunButRan = drive.CountRepeatedRuns(runs, l.holds.Tally.ByID())
+	r.LiveDoubled, r.LiveToldNotRunButRan = drive.CountRepeatedRuns(runs, l.holdCallers.Tally.ByID())
 	return r, nil
 }
 
-func (d *Demo) write(r *Report) error {
+// writeReport writes the report to a file and to Out.
+func (d *Demo) writeReport(r *Report) error {
 	data, err := json.MarshalIndent(r, "", "  ")
 	if err != nil {
-		return fault.Wrap("demo.write", Broken, err, "the report can't be encoded")
+		return fault.Wrap("demo.write", Broken, err, "cannot encode the report")
 	}
 	path := "demo-report.json"
-	if err := os.WriteFile(path, append(data, '\n'), reportMode); err != nil {
+	if err := os.WriteFile(path, append(data, '\n'), reportFileMode); err != nil {
 		return fault.Wrap("demo.write", Broken, err, path)
 	}
-	d.say(string(data))
-	d.say("logs of all processes: " + filepath.Clean(d.Dir))
+	d.print(string(data))
+	d.print("logs of all processes: " + filepath.Clean(d.Dir))
 	return nil
 }
 
-// broken returns an error if a promise was broken. Requests whose connection
-// broke with the killed instance are lost to callers that do not ask again;
-// they are shown, and are no broken promise.
-func broken(r *Report) error {
+// checkReport returns an error if a guarantee was violated. Lost requests are not an
+// error: connections to the killed instance fail, and callers of the model service
+// do not repeat their requests.
+func checkReport(r *Report) error {
 	wrong := r.SamplesDuplicated + r.SamplesStale + r.SamplesMislabelled + r.SamplesBroken + r.LiveDoubled + r.LiveToldNotRunButRan
 	if wrong > 0 {
-		return fault.New("demo", Broken, "a promise was broken; see demo-report.json")
+		return fault.New("demo", Broken, "a guarantee was violated; see demo-report.json")
 	}
 	if r.SamplesDelivered == 0 || r.LiveOk == 0 {
-		return fault.New("demo", Broken, "nothing was served")
+		return fault.New("demo", Broken, "no samples were delivered or no call was answered in time")
 	}
 	return nil
 }
