--- a/croftload/bench/control.go
+++ b/croftload/bench/control.go
@@ -146,9 +146,9 @@
 	return s, err
 }
 
-// InForce waits until every running instance is at the revision, or later,
+// WaitInForce waits until every running instance is at the revision, or later,
 // and returns how long that took.
-func (c *Cluster) InForce(ctx context.Context, revision int64, most clock.Millis) (clock.Millis, error) {
+func (c *Cluster) WaitInForce(ctx context.Context, revision int64, most clock.Millis) (clock.Millis, error) {
 	began := c.Clock.Mono()
 	err := c.Until(ctx, most, fmt.Sprintf("revision %d in force on all instances", revision), func() bool {
 		for _, name := range c.Instances() {
--- a/croftload/costs/costs.go
+++ b/croftload/costs/costs.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := c.cluster.InForce(ctx, v.Revision, settleTimeout); err != nil {
+	if _, err := c.cluster.WaitInForce(ctx, v.Revision, settleTimeout); err != nil {
 		return err
 	}
 	c.print("configuration in force on 9 instances, ms", float64(c.Clock.Mono()-began))
--- a/croftload/demo/demo.go
+++ b/croftload/demo/demo.go
@@ -169,7 +169,7 @@
 	if v.Outcome != "Accepted" {
 		return 0, fault.New("demo.apply", Broken, v.Outcome+v.Kind+": "+v.Reason+v.What)
 	}
-	if _, err := d.cluster.InForce(ctx, v.Revision, configTimeout); err != nil {
+	if _, err := d.cluster.WaitInForce(ctx, v.Revision, configTimeout); err != nil {
 		return 0, err
 	}
 	return d.Clock.Mono() - began, nil
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -185,7 +185,7 @@
 	if v.Outcome != "Accepted" {
 		return fault.New("exper.prepare", Invalid, v.Outcome+" "+v.Reason+v.What)
 	}
-	if _, err := c.InForce(ctx, v.Revision, settleMost); err != nil {
+	if _, err := c.WaitInForce(ctx, v.Revision, settleMost); err != nil {
 		return err
 	}
 	if err := c.Led(ctx, views.Shards, settleMost); err != nil {
--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -52,7 +52,7 @@
 	if v.Outcome != "Accepted" {
 		ts.Fatalf("not accepted: %+v", v)
 	}
-	_, err = w.cluster.InForce(ctx, v.Revision, forceMost)
+	_, err = w.cluster.WaitInForce(ctx, v.Revision, forceMost)
 	ts.Check(err)
 	w.seen["revision"] = v.Revision
 	ts.Check(w.cluster.Led(ctx, views.Shards, settleMost))
@@ -83,7 +83,7 @@
 		ts.Fatalf("not accepted: %+v", v)
 	}
 	w.seen["revision"] = v.Revision
-	took, err := w.cluster.InForce(ctx, v.Revision, forceMost)
+	took, err := w.cluster.WaitInForce(ctx, v.Revision, forceMost)
 	ts.Check(err)
 	ts.Logf("in force after %d ms", took)
 }
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -196,7 +196,7 @@
 	case "ready":
 		ts.Check(w.cluster.Ready(ctx, most))
 	case "force":
-		_, err := w.cluster.InForce(ctx, w.seen["revision"], most)
+		_, err := w.cluster.WaitInForce(ctx, w.seen["revision"], most)
 		ts.Check(err)
 	case "newest":
 		ts.Check(w.cluster.Until(ctx, most, "the engines run the newest version", func() bool { return w.newest(ctx, words[2:]) }))
