--- a/croftload/bench/control.go
+++ b/croftload/bench/control.go
@@ -162,9 +162,9 @@
 	return c.Clock.Mono() - began, err
 }
 
-// Led waits until every shard has a primary and a backup among the running
+// WaitLed waits until every shard has a primary and a backup among the running
 // instances.
-func (c *Cluster) Led(ctx context.Context, shards int, most clock.Millis) error {
+func (c *Cluster) WaitLed(ctx context.Context, shards int, most clock.Millis) error {
 	return c.Until(ctx, most, "all shards led and backed up", func() bool {
 		led, backed := 0, 0
 		for _, name := range c.Instances() {
--- a/croftload/costs/costs.go
+++ b/croftload/costs/costs.go
@@ -73,7 +73,7 @@
 		return err
 	}
 	c.print("configuration in force on 9 instances, ms", float64(c.Clock.Mono()-began))
-	if err := c.cluster.Led(ctx, views.Shards, settleTimeout); err != nil {
+	if err := c.cluster.WaitLed(ctx, views.Shards, settleTimeout); err != nil {
 		return err
 	}
 	c.Clock.Sleep(ctx, idlePeriod/2)
@@ -95,7 +95,7 @@
 	if err := c.cluster.Unlist("a-1"); err != nil {
 		return err
 	}
-	if err := c.cluster.Led(ctx, views.Shards, settleTimeout); err != nil {
+	if err := c.cluster.WaitLed(ctx, views.Shards, settleTimeout); err != nil {
 		return err
 	}
 	c.print("instance killed: ms until all shards are led and backed up", float64(c.Clock.Mono()-began))
--- a/croftload/demo/demo.go
+++ b/croftload/demo/demo.go
@@ -116,7 +116,7 @@
 	if _, err := d.apply(ctx, 0, initialRateLimit); err != nil {
 		return nil, err
 	}
-	if err := c.Led(ctx, shards, settleTimeout); err != nil {
+	if err := c.WaitLed(ctx, shards, settleTimeout); err != nil {
 		return nil, err
 	}
 	load := d.newLoad()
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -188,7 +188,7 @@
 	if _, err := c.WaitInForce(ctx, v.Revision, settleMost); err != nil {
 		return err
 	}
-	if err := c.Led(ctx, views.Shards, settleMost); err != nil {
+	if err := c.WaitLed(ctx, views.Shards, settleMost); err != nil {
 		return err
 	}
 	r.Clock.Sleep(ctx, settleTerm)
--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -55,7 +55,7 @@
 	_, err = w.cluster.WaitInForce(ctx, v.Revision, forceMost)
 	ts.Check(err)
 	w.seen["revision"] = v.Revision
-	ts.Check(w.cluster.Led(ctx, views.Shards, settleMost))
+	ts.Check(w.cluster.WaitLed(ctx, views.Shards, settleMost))
 }
 
 // apply Through=a-1 Rate=3000 Base=current [Force=a-1,b-1] applies a changed
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -192,7 +192,7 @@
 	began := w.clock.Mono()
 	switch words[1] {
 	case "led":
-		ts.Check(w.cluster.Led(ctx, views.Shards, most))
+		ts.Check(w.cluster.WaitLed(ctx, views.Shards, most))
 	case "ready":
 		ts.Check(w.cluster.Ready(ctx, most))
 	case "force":
