--- a/croftload/bench/cluster.go
+++ b/croftload/bench/cluster.go
@@ -102,11 +102,11 @@
 			}
 		}
 	}
-	return c.Ready(ctx, startTerm)
+	return c.WaitReady(ctx, startTerm)
 }
 
-// Ready waits until all running instances are ready.
-func (c *Cluster) Ready(ctx context.Context, most clock.Millis) error {
+// WaitReady waits until all running instances are ready.
+func (c *Cluster) WaitReady(ctx context.Context, most clock.Millis) error {
 	return c.Until(ctx, most, "all instances ready", func() bool { return c.allReady(ctx) })
 }
 
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -194,7 +194,7 @@
 	case "led":
 		ts.Check(w.cluster.WaitLed(ctx, views.Shards, most))
 	case "ready":
-		ts.Check(w.cluster.Ready(ctx, most))
+		ts.Check(w.cluster.WaitReady(ctx, most))
 	case "force":
 		_, err := w.cluster.WaitInForce(ctx, w.seen["revision"], most)
 		ts.Check(err)
