--- a/croftload/bench/cluster.go
+++ b/croftload/bench/cluster.go
@@ -107,7 +107,7 @@
 
 // WaitReady waits until all running instances are ready.
 func (c *Cluster) WaitReady(ctx context.Context, most clock.Millis) error {
-	return c.Until(ctx, most, "all instances ready", func() bool { return c.allReady(ctx) })
+	return c.WaitUntil(ctx, most, "all instances ready", func() bool { return c.allReady(ctx) })
 }
 
 func (c *Cluster) startPlatform() error {
@@ -328,8 +328,8 @@
 
 const untilPause = 25 * clock.Millis(1)
 
-// Until waits for a condition.
-func (c *Cluster) Until(ctx context.Context, most clock.Millis, what string, holds func() bool) error {
+// WaitUntil waits for a condition.
+func (c *Cluster) WaitUntil(ctx context.Context, most clock.Millis, what string, holds func() bool) error {
 	end := c.Clock.Mono() + most
 	for !holds() {
 		if c.Clock.Mono() > end || !c.Clock.Sleep(ctx, untilPause) {
--- a/croftload/bench/control.go
+++ b/croftload/bench/control.go
@@ -150,7 +150,7 @@
 // and returns how long that took.
 func (c *Cluster) WaitInForce(ctx context.Context, revision int64, most clock.Millis) (clock.Millis, error) {
 	began := c.Clock.Mono()
-	err := c.Until(ctx, most, fmt.Sprintf("revision %d in force on all instances", revision), func() bool {
+	err := c.WaitUntil(ctx, most, fmt.Sprintf("revision %d in force on all instances", revision), func() bool {
 		for _, name := range c.Instances() {
 			s, err := c.Status(ctx, name)
 			if err != nil || s.Revision < revision {
@@ -165,7 +165,7 @@
 // WaitLed waits until every shard has a primary and a backup among the running
 // instances.
 func (c *Cluster) WaitLed(ctx context.Context, shards int, most clock.Millis) error {
-	return c.Until(ctx, most, "all shards led and backed up", func() bool {
+	return c.WaitUntil(ctx, most, "all shards led and backed up", func() bool {
 		led, backed := 0, 0
 		for _, name := range c.Instances() {
 			s, err := c.Status(ctx, name)
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -199,9 +199,9 @@
 		_, err := w.cluster.WaitInForce(ctx, w.seen["revision"], most)
 		ts.Check(err)
 	case "newest":
-		ts.Check(w.cluster.Until(ctx, most, "the engines run the newest version", func() bool { return w.newest(ctx, words[2:]) }))
+		ts.Check(w.cluster.WaitUntil(ctx, most, "the engines run the newest version", func() bool { return w.newest(ctx, words[2:]) }))
 	default:
-		ts.Check(w.cluster.Until(ctx, most, strings.Join(words[1:], " "), func() bool {
+		ts.Check(w.cluster.WaitUntil(ctx, most, strings.Join(words[1:], " "), func() bool {
 			ok, _ := w.holdsTrue(ts, words[1:])
 			return ok
 		}))
