--- a/croftload/bench/control.go
+++ b/croftload/bench/control.go
@@ -195,8 +195,8 @@
 	return sum, nil
 }
 
-// Made collects what all running engines made for each request.
-func (c *Cluster) Made(ctx context.Context) (map[string][]engine.TokenRun, error) {
+// TokenRuns collects what all running engines made for each request.
+func (c *Cluster) TokenRuns(ctx context.Context) (map[string][]engine.TokenRun, error) {
 	all := map[string][]engine.TokenRun{}
 	for _, name := range c.named("engine-") {
 		var list []engine.RequestRuns
--- a/croftload/demo/demo.go
+++ b/croftload/demo/demo.go
@@ -214,7 +214,7 @@
 
 // report collects the counts after the load has ended.
 func (l *load) report(ctx context.Context, c *bench.Cluster, timeToForce clock.Millis) (*Report, error) {
-	made, err := c.Made(ctx)
+	made, err := c.TokenRuns(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -246,7 +246,7 @@
 // row counts after the load has ended.
 func (l *load) row(ctx context.Context, r *Run) (*Row, error) {
 	row := &Row{Deployment: r.Deployment.Name, Scenario: r.Scenario.Name, Policy: r.Policy.Name, Seed: r.Seed}
-	made, err := r.cluster.Made(ctx)
+	made, err := r.cluster.TokenRuns(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -101,7 +101,7 @@
 	made := map[string][]engine.TokenRun{}
 	if name == "mislabelled" {
 		var err error
-		made, err = w.cluster.Made(context.Background())
+		made, err = w.cluster.TokenRuns(context.Background())
 		ts.Check(err)
 	}
 	for _, t := range w.trainer {
