--- a/croftload/bench/control.go
+++ b/croftload/bench/control.go
@@ -17,8 +17,8 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// Fault sets the faults of a stand-in.
-func (c *Cluster) Fault(ctx context.Context, name string, faults stand.Faults) error {
+// SetFaults sets the faults of a stand-in.
+func (c *Cluster) SetFaults(ctx context.Context, name string, faults stand.Faults) error {
 	_, err := stand.Post(ctx, &c.client, c.Proc(name).Listening, "/control/faults", faults)
 	return err
 }
--- a/croftload/exper/scene.go
+++ b/croftload/exper/scene.go
@@ -106,7 +106,7 @@
 
 func logOut(on bool) func(context.Context, *Run) error {
 	return func(ctx context.Context, r *Run) error {
-		return r.cluster.Fault(ctx, "log", stand.Faults{Out: on})
+		return r.cluster.SetFaults(ctx, "log", stand.Faults{Out: on})
 	}
 }
 
@@ -117,7 +117,7 @@
 			if i%2 == 1 {
 				continue
 			}
-			if err := r.cluster.Fault(ctx, "server-"+zone+"-1", stand.Faults{FailEvery: every}); err != nil {
+			if err := r.cluster.SetFaults(ctx, "server-"+zone+"-1", stand.Faults{FailEvery: every}); err != nil {
 				return err
 			}
 		}
--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -204,7 +204,7 @@
 	}
 	var f stand.Faults
 	ts.Check(json.Unmarshal([]byte(words[1]), &f))
-	ts.Check(w.cluster.Fault(ctx, words[0], f))
+	ts.Check(w.cluster.SetFaults(ctx, words[0], f))
 }
 
 // pass MILLIS lets time pass under load.
