--- a/croftload/bench/control.go
+++ b/croftload/bench/control.go
@@ -23,8 +23,8 @@
 	return err
 }
 
-// EngineFaults sets an engine's own faults.
-func (c *Cluster) EngineFaults(ctx context.Context, name string, faults engine.Faults) error {
+// SetEngineFaults sets an engine's own faults.
+func (c *Cluster) SetEngineFaults(ctx context.Context, name string, faults engine.Faults) error {
 	_, err := stand.Post(ctx, &c.client, c.Proc(name).Listening, "/control/engine", faults)
 	return err
 }
--- a/croftload/exper/scene.go
+++ b/croftload/exper/scene.go
@@ -71,7 +71,7 @@
 // crashEngine has an engine play dead for good. It is not killed, so that what
 // it made can still be compared with the labels.
 func crashEngine(ctx context.Context, r *Run) error {
-	if err := r.cluster.EngineFaults(ctx, r.firstEngine(), engine.Faults{Down: true}); err != nil {
+	if err := r.cluster.SetEngineFaults(ctx, r.firstEngine(), engine.Faults{Down: true}); err != nil {
 		return err
 	}
 	return r.cluster.Unlist(r.firstEngine())
@@ -79,14 +79,14 @@
 
 func slowEngine(factor float64) func(context.Context, *Run) error {
 	return func(ctx context.Context, r *Run) error {
-		return r.cluster.EngineFaults(ctx, r.firstEngine(), engine.Faults{Slow: factor})
+		return r.cluster.SetEngineFaults(ctx, r.firstEngine(), engine.Faults{Slow: factor})
 	}
 }
 
 func partialSwaps(ctx context.Context, r *Run) error {
 	const each = 2
 	for _, zone := range r.Deployment.Zones {
-		if err := r.cluster.EngineFaults(ctx, "engine-"+zone+"-1", engine.Faults{PartialSwaps: each}); err != nil {
+		if err := r.cluster.SetEngineFaults(ctx, "engine-"+zone+"-1", engine.Faults{PartialSwaps: each}); err != nil {
 			return err
 		}
 	}
--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -199,7 +199,7 @@
 	if strings.Contains(words[1], "Slow") || strings.Contains(words[1], "PartialSwaps") {
 		var f engine.Faults
 		ts.Check(json.Unmarshal([]byte(words[1]), &f))
-		ts.Check(w.cluster.EngineFaults(ctx, words[0], f))
+		ts.Check(w.cluster.SetEngineFaults(ctx, words[0], f))
 		return
 	}
 	var f stand.Faults
