--- a/croftload/bench/control.go
+++ b/croftload/bench/control.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// Rules sets the rules of the relays that lead from a zone to a place.
-func (c *Cluster) Rules(zone, place string, rules relay.Rules) {
+// SetRules sets the rules of the relays that lead from a zone to a place.
+func (c *Cluster) SetRules(zone, place string, rules relay.Rules) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key, r := range c.relays {
--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -171,7 +171,7 @@
 	}
 	for _, from := range r.Deployment.Zones {
 		for _, to := range r.Deployment.Zones {
-			c.Rules(from, to+"/", relay.Rules{DelayMillis: int64(r.Deployment.Latency)})
+			c.SetRules(from, to+"/", relay.Rules{DelayMillis: int64(r.Deployment.Latency)})
 		}
 	}
 	team := bench.Team{
--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -180,7 +180,7 @@
 func cmdRule(ts *testscript.TestScript, _ bool, words []string) {
 	var rules relay.Rules
 	ts.Check(json.Unmarshal([]byte(words[2]), &rules))
-	worldOf(ts).cluster.Rules(words[0], words[1], rules)
+	worldOf(ts).cluster.SetRules(words[0], words[1], rules)
 }
 
 func cmdHeal(ts *testscript.TestScript, _ bool, words []string) {
