--- a/croftload/bench/list.go
+++ b/croftload/bench/list.go
@@ -51,8 +51,8 @@
 	return c.List(fleet.MemberWire{Name: name, State: listsv.Removed})
 }
 
-// Leaving lists a member as leaving.
-func (c *Cluster) Leaving(name string) error {
+// ListLeaving lists a member as leaving.
+func (c *Cluster) ListLeaving(name string) error {
 	c.mu.Lock()
 	at := slices.IndexFunc(c.members, func(m fleet.MemberWire) bool { return m.Name == name })
 	if at < 0 {
--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -154,7 +154,7 @@
 	w := worldOf(ts)
 	for _, name := range words {
 		p := w.cluster.Proc(name)
-		ts.Check(w.cluster.Leaving(name))
+		ts.Check(w.cluster.ListLeaving(name))
 		p.Terminate()
 		code, err := p.Wait(w.clock, settleMost)
 		ts.Check(err)
@@ -188,7 +188,7 @@
 }
 
 func cmdLeave(ts *testscript.TestScript, _ bool, words []string) {
-	ts.Check(worldOf(ts).cluster.Leaving(words[0]))
+	ts.Check(worldOf(ts).cluster.ListLeaving(words[0]))
 }
 
 // fault NAME JSON sets a stand-in's faults; for engines, Slow and
