--- a/croftload/bench/proc.go
+++ b/croftload/bench/proc.go
@@ -80,9 +80,9 @@
 	return launch(c, dir, name, command, log, nil)
 }
 
-// Logged runs a program whose standard output is its log, from the first line
+// StartLogged runs a program whose standard output is its log, from the first line
 // on, and waits for that line. Env is added to this process's environment.
-func Logged(c *clock.Clock, dir, name string, env []string, program string, args ...string) (*Proc, error) {
+func StartLogged(c *clock.Clock, dir, name string, env []string, program string, args ...string) (*Proc, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, logMode)
 	if err != nil {
 		return nil, fault.Wrap("bench.Logged", Broken, err, name)
