--- a/croftload/exper/exper.go
+++ b/croftload/exper/exper.go
@@ -171,7 +171,7 @@
 	}
 	for _, from := range r.Deployment.Zones {
 		for _, to := range r.Deployment.Zones {
-			c.Rules(from, to+"/", relay.Rules{DelayMillis: int64(r.Deployment.Latency)})
+			c.SetRules(from, to+"/", relay.Rules{DelayMillis: int64(r.Deployment.Latency)})
 		}
 	}
 	team := bench.Team{
@@ -185,10 +185,10 @@
 	if v.Outcome != "Accepted" {
 		return fault.New("exper.prepare", Invalid, v.Outcome+" "+v.Reason+v.What)
 	}
-	if _, err := c.InForce(ctx, v.Revision, settleMost); err != nil {
+	if _, err := c.WaitInForce(ctx, v.Revision, settleMost); err != nil {
 		return err
 	}
-	if err := c.Led(ctx, views.Shards, settleMost); err != nil {
+	if err := c.WaitLed(ctx, views.Shards, settleMost); err != nil {
 		return err
 	}
 	r.Clock.Sleep(ctx, settleTerm)
@@ -199,9 +199,9 @@
 
 // load is the far ends of one run.
 type load struct {
-	live     *drive.Live
-	checks   *drive.Holds
-	holds    *drive.Holds
+	live     *drive.ModelCallers
+	checks   *drive.PlainCallers
+	holds    *drive.PlainCallers
 	trainers []*train.Trainer
 }
 
@@ -211,14 +211,14 @@
 	d := r.Deployment
 	balancer := &drive.Balancer{Addresses: r.cluster.Callers}
 	prefix := fmt.Sprintf("seed%d-", r.Seed)
-	plainCall := func(path string, rate float64, repeats int) *drive.Holds {
-		return &drive.Holds{
+	plainCall := func(path string, rate float64, repeats int) *drive.PlainCallers {
+		return &drive.PlainCallers{
 			Balancer: balancer, Clock: r.Clock, Tally: drive.NewTally(), Service: bench.HoldService, Path: path,
 			Class: "Terminal", Rate: rate, Deadline: checkTerm, Repeats: repeats, Prefix: prefix,
 		}
 	}
 	l := &load{
-		live: &drive.Live{
+		live: &drive.ModelCallers{
 			Balancer: balancer, Clock: r.Clock, Tally: drive.NewTally(), Service: bench.ModelService, Class: "Terminal",
 			Rate: r.Scenario.rate(d.LiveRate, r.Span), Deadline: liveTerm, MeanLength: meanLength, MaxTokens: 40, Stream: true, Prefix: prefix,
 		},
@@ -246,7 +246,7 @@
 // row counts after the load has ended.
 func (l *load) row(ctx context.Context, r *Run) (*Row, error) {
 	row := &Row{Deployment: r.Deployment.Name, Scenario: r.Scenario.Name, Policy: r.Policy.Name, Seed: r.Seed}
-	made, err := r.cluster.Made(ctx)
+	made, err := r.cluster.TokenRuns(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -256,15 +256,15 @@
 	}
 	l.countSamples(row, made)
 	live := l.live.Tally
-	row.LiveOnTimeShare = live.OnTime()
+	row.LiveOnTimeShare = live.OnTimeShare()
 	row.LiveP50Millis, row.LiveP99Millis = live.Quantile(50), live.Quantile(99)
 	row.RetryAmplification = amplification(l.checks.Tally, runs)
-	doubled, lied := drive.Doubled(unrepeatable(runs, l.holds.Tally), l.holds.Tally.ByID())
-	row.BrokenPromises += doubled + lied + live.Count(drive.WrongID)
+	doubled, lied := drive.CountRepeatedRuns(unrepeatable(runs, l.holds.Tally), l.holds.Tally.ByID())
+	row.BrokenPromises += doubled + lied + live.Count(drive.WrongAnswer)
 	return row, nil
 }
 
-func (l *load) countSamples(row *Row, made map[string][]engine.Made) {
+func (l *load) countSamples(row *Row, made map[string][]engine.TokenRun) {
 	var idle, wall, used, all int64
 	var staleness []int64
 	for _, t := range l.trainers {
@@ -273,8 +273,8 @@
 		wall += got.WallMillis
 		row.TrainerSteps += got.Steps
 		staleness = append(staleness, got.Staleness...)
-		row.BrokenPromises += got.Duplicated + got.Stale + got.Broken + drive.Mislabelled(t.Labels(), made)
-		for _, spans := range t.Labels() {
+		row.BrokenPromises += got.Duplicated + got.Stale + got.Broken + drive.CountMislabelled(t.SampleSpans(), made)
+		for _, spans := range t.SampleSpans() {
 			for _, span := range spans {
 				used += int64(span.Tokens)
 			}
--- a/croftload/exper/scene.go
+++ b/croftload/exper/scene.go
@@ -71,7 +71,7 @@
 // crashEngine has an engine play dead for good. It is not killed, so that what
 // it made can still be compared with the labels.
 func crashEngine(ctx context.Context, r *Run) error {
-	if err := r.cluster.EngineFaults(ctx, r.firstEngine(), engine.Faults{Down: true}); err != nil {
+	if err := r.cluster.SetEngineFaults(ctx, r.firstEngine(), engine.Faults{Down: true}); err != nil {
 		return err
 	}
 	return r.cluster.Unlist(r.firstEngine())
@@ -79,14 +79,14 @@
 
 func slowEngine(factor float64) func(context.Context, *Run) error {
 	return func(ctx context.Context, r *Run) error {
-		return r.cluster.EngineFaults(ctx, r.firstEngine(), engine.Faults{Slow: factor})
+		return r.cluster.SetEngineFaults(ctx, r.firstEngine(), engine.Faults{Slow: factor})
 	}
 }
 
 func partialSwaps(ctx context.Context, r *Run) error {
 	const each = 2
 	for _, zone := range r.Deployment.Zones {
-		if err := r.cluster.EngineFaults(ctx, "engine-"+zone+"-1", engine.Faults{PartialSwaps: each}); err != nil {
+		if err := r.cluster.SetEngineFaults(ctx, "engine-"+zone+"-1", engine.Faults{PartialSwaps: each}); err != nil {
 			return err
 		}
 	}
@@ -106,7 +106,7 @@
 
 func logOut(on bool) func(context.Context, *Run) error {
 	return func(ctx context.Context, r *Run) error {
-		return r.cluster.Fault(ctx, "log", stand.Faults{Out: on})
+		return r.cluster.SetFaults(ctx, "log", stand.Faults{Out: on})
 	}
 }
 
@@ -117,7 +117,7 @@
 			if i%2 == 1 {
 				continue
 			}
-			if err := r.cluster.Fault(ctx, "server-"+zone+"-1", stand.Faults{FailEvery: every}); err != nil {
+			if err := r.cluster.SetFaults(ctx, "server-"+zone+"-1", stand.Faults{FailEvery: every}); err != nil {
 				return err
 			}
 		}
--- a/croftload/proofs/cmds_test.go
+++ b/croftload/proofs/cmds_test.go
@@ -52,10 +52,10 @@
 	if v.Outcome != "Accepted" {
 		ts.Fatalf("not accepted: %+v", v)
 	}
-	_, err = w.cluster.InForce(ctx, v.Revision, forceMost)
+	_, err = w.cluster.WaitInForce(ctx, v.Revision, forceMost)
 	ts.Check(err)
 	w.seen["revision"] = v.Revision
-	ts.Check(w.cluster.Led(ctx, views.Shards, settleMost))
+	ts.Check(w.cluster.WaitLed(ctx, views.Shards, settleMost))
 }
 
 // apply Through=a-1 Rate=3000 Base=current [Force=a-1,b-1] applies a changed
@@ -83,7 +83,7 @@
 		ts.Fatalf("not accepted: %+v", v)
 	}
 	w.seen["revision"] = v.Revision
-	took, err := w.cluster.InForce(ctx, v.Revision, forceMost)
+	took, err := w.cluster.WaitInForce(ctx, v.Revision, forceMost)
 	ts.Check(err)
 	ts.Logf("in force after %d ms", took)
 }
@@ -154,7 +154,7 @@
 	w := worldOf(ts)
 	for _, name := range words {
 		p := w.cluster.Proc(name)
-		ts.Check(w.cluster.Leaving(name))
+		ts.Check(w.cluster.ListLeaving(name))
 		p.Terminate()
 		code, err := p.Wait(w.clock, settleMost)
 		ts.Check(err)
@@ -180,7 +180,7 @@
 func cmdRule(ts *testscript.TestScript, _ bool, words []string) {
 	var rules relay.Rules
 	ts.Check(json.Unmarshal([]byte(words[2]), &rules))
-	worldOf(ts).cluster.Rules(words[0], words[1], rules)
+	worldOf(ts).cluster.SetRules(words[0], words[1], rules)
 }
 
 func cmdHeal(ts *testscript.TestScript, _ bool, words []string) {
@@ -188,7 +188,7 @@
 }
 
 func cmdLeave(ts *testscript.TestScript, _ bool, words []string) {
-	ts.Check(worldOf(ts).cluster.Leaving(words[0]))
+	ts.Check(worldOf(ts).cluster.ListLeaving(words[0]))
 }
 
 // fault NAME JSON sets a stand-in's faults; for engines, Slow and
@@ -199,12 +199,12 @@
 	if strings.Contains(words[1], "Slow") || strings.Contains(words[1], "PartialSwaps") {
 		var f engine.Faults
 		ts.Check(json.Unmarshal([]byte(words[1]), &f))
-		ts.Check(w.cluster.EngineFaults(ctx, words[0], f))
+		ts.Check(w.cluster.SetEngineFaults(ctx, words[0], f))
 		return
 	}
 	var f stand.Faults
 	ts.Check(json.Unmarshal([]byte(words[1]), &f))
-	ts.Check(w.cluster.Fault(ctx, words[0], f))
+	ts.Check(w.cluster.SetFaults(ctx, words[0], f))
 }
 
 // pass MILLIS lets time pass under load.
@@ -221,7 +221,7 @@
 	w.cancel = cancel
 	balancer := &drive.Balancer{Addresses: w.cluster.Callers}
 	deadline := clock.Millis(a.number(ts, "Deadline", 4000))
-	w.holds = &drive.Holds{
+	w.holds = &drive.PlainCallers{
 		Balancer: balancer, Clock: w.clock, Tally: drive.NewTally(), Service: bench.HoldService, Path: a.text("Path", "/hold"),
 		Class: "Terminal", Rate: float64(a.number(ts, "Holds", 0)), Deadline: deadline, Repeats: int(a.number(ts, "Repeats", 10)),
 	}
@@ -229,7 +229,7 @@
 		w.group.Go(func() { w.holds.Run(ctx) })
 	}
 	rate := float64(a.number(ts, "Live", 0))
-	w.live = &drive.Live{
+	w.live = &drive.ModelCallers{
 		Balancer: balancer, Clock: w.clock, Tally: drive.NewTally(), Service: bench.ModelService, Class: "Terminal",
 		Rate: func(clock.Millis) float64 { return rate }, Deadline: deadline,
 		MeanLength: meanLength, MaxTokens: 200, Stream: a["Stream"] != "false",
@@ -267,12 +267,12 @@
 		address := w.cluster.Proc(name).Callers
 		to = func() []addressOf { return []addressOf{addressOf(address)} }
 	}
-	h := &drive.Holds{
+	h := &drive.PlainCallers{
 		Balancer: &drive.Balancer{Addresses: to}, Clock: w.clock, Tally: drive.NewTally(), Service: bench.HoldService,
 		Path: "/hold", Class: "Terminal", Deadline: clock.Millis(a.number(ts, "Deadline", 3000)),
 	}
 	run := func() {
-		outcome := h.Ask(words[0])
+		outcome := h.Call(words[0])
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.asking[words[0]] = outcome
--- a/croftload/proofs/count_test.go
+++ b/croftload/proofs/count_test.go
@@ -53,7 +53,7 @@
 	case "holdsOK":
 		return float64(t.Count(drive.OK))
 	case "holdsOnTime":
-		return t.OnTime()
+		return t.OnTimeShare()
 	case "holdsLost":
 		return float64(t.Count(drive.Lost))
 	case "holdsUnknown":
@@ -63,7 +63,7 @@
 	}
 	runs, err := w.cluster.Runs(context.Background())
 	ts.Check(err)
-	doubled, lied := drive.Doubled(runs, t.ByID())
+	doubled, lied := drive.CountRepeatedRuns(runs, t.ByID())
 	switch name {
 	case "holdsDoubled":
 		return float64(doubled)
@@ -74,7 +74,7 @@
 		for _, n := range runs {
 			all += n
 		}
-		return float64(all) / float64(max(t.Asked(), 1))
+		return float64(all) / float64(max(t.Requests(), 1))
 	}
 	ts.Fatalf("no figure named %s", name)
 	return 0
@@ -86,11 +86,11 @@
 	case "liveOK":
 		return float64(t.Count(drive.OK))
 	case "liveOnTime":
-		return t.OnTime()
+		return t.OnTimeShare()
 	case "liveLost":
 		return float64(t.Count(drive.Lost))
 	case "liveWrong":
-		return float64(t.Count(drive.WrongID))
+		return float64(t.Count(drive.WrongAnswer))
 	}
 	ts.Fatalf("no figure named %s", name)
 	return 0
@@ -98,10 +98,10 @@
 
 func (w *world) measureSamples(ts *testscript.TestScript, name string) float64 {
 	sum := 0.0
-	made := map[string][]engine.Made{}
+	made := map[string][]engine.TokenRun{}
 	if name == "mislabelled" {
 		var err error
-		made, err = w.cluster.Made(context.Background())
+		made, err = w.cluster.TokenRuns(context.Background())
 		ts.Check(err)
 	}
 	for _, t := range w.trainer {
@@ -120,7 +120,7 @@
 		case "reopened":
 			sum += float64(r.ReopenCount)
 		case "mislabelled":
-			sum += float64(drive.Mislabelled(t.Labels(), made))
+			sum += float64(drive.CountMislabelled(t.SampleSpans(), made))
 		case "mixed":
 			sum += float64(mixed(t))
 		default:
@@ -133,7 +133,7 @@
 // mixed counts the samples that name more than one version.
 func mixed(t *train.Trainer) int {
 	n := 0
-	for _, spans := range t.Labels() {
+	for _, spans := range t.SampleSpans() {
 		if len(spans) > 1 {
 			n++
 		}
@@ -192,16 +192,16 @@
 	began := w.clock.Mono()
 	switch words[1] {
 	case "led":
-		ts.Check(w.cluster.Led(ctx, views.Shards, most))
+		ts.Check(w.cluster.WaitLed(ctx, views.Shards, most))
 	case "ready":
-		ts.Check(w.cluster.Ready(ctx, most))
+		ts.Check(w.cluster.WaitReady(ctx, most))
 	case "force":
-		_, err := w.cluster.InForce(ctx, w.seen["revision"], most)
+		_, err := w.cluster.WaitInForce(ctx, w.seen["revision"], most)
 		ts.Check(err)
 	case "newest":
-		ts.Check(w.cluster.Until(ctx, most, "the engines run the newest version", func() bool { return w.newest(ctx, words[2:]) }))
+		ts.Check(w.cluster.WaitUntil(ctx, most, "the engines run the newest version", func() bool { return w.newest(ctx, words[2:]) }))
 	default:
-		ts.Check(w.cluster.Until(ctx, most, strings.Join(words[1:], " "), func() bool {
+		ts.Check(w.cluster.WaitUntil(ctx, most, strings.Join(words[1:], " "), func() bool {
 			ok, _ := w.holdsTrue(ts, words[1:])
 			return ok
 		}))
--- a/croftload/proofs/world_test.go
+++ b/croftload/proofs/world_test.go
@@ -50,8 +50,8 @@
 type world struct {
 	clock   *clock.Clock
 	cluster *bench.Cluster
-	holds   *drive.Holds
-	live    *drive.Live
+	holds   *drive.PlainCallers
+	live    *drive.ModelCallers
 	trainer []*train.Trainer
 	cancel  context.CancelFunc
 	group   conc.WaitGroup
