Claimed items don't begin from an outdated state

An instance whose state lacks records that the log already has, as after a cut or while it is frozen, began the items that this state assigns to it. The unread records may end the jobs or give the claims to others: such an item reached an engine after the end of its job, until the end was read. A state of any age was taken, also while the log was silent for minutes: the limit of 30 s only held for items without a claim, while an item whose run had broken was begun again and again under its old claim.

Claimed items now begin under the rule for all others: from a fresh state, or, while the log is silent, from one that was current within maxStateAge. Runs that have begun go on. Once the end of the log is read, the next look at the state begins what is still assigned.

--- a/croftmoor/batch/alone.go
+++ b/croftmoor/batch/alone.go
@@ -13,8 +13,8 @@
 	"croftmoor.dev/kernel/views"
 )
 
-// maxStateAge is the greatest age of the state from which items are begun without
-// claims. The age of a state that was never read is greater.
+// maxStateAge is the greatest age of the state from which items are begun. The age of a
+// state that was never read is greater.
 const maxStateAge = 30 * clock.Second
 
 // beginWithoutClaims starts items while the ledger is unreachable. Rendezvous hashing
--- /dev/null
+++ b/croftmoor/batch/arrears_test.go
@@ -0,0 +1,49 @@
+package batch
+
+import (
+	"context"
+	"testing"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
+)
+
+// agedLedger returns a state of a given age.
+type agedLedger struct {
+	*stateLedger
+	age  clock.Millis
+	away bool
+}
+
+func (l agedLedger) Fresh() bool       { return l.age == 0 }
+func (l agedLedger) Away() bool        { return l.away }
+func (l agedLedger) Age() clock.Millis { return l.age }
+
+func TestNoClaimedItemBeginsFromAnOutdatedState(t *testing.T) {
+	cases := []struct {
+		name   string
+		age    clock.Millis
+		away   bool
+		begins bool
+	}{
+		{"current", 0, false, true},
+		{"the log is silent", 2 * clock.Second, true, true},
+		{"records are still unread", 2 * clock.Second, false, false},
+		{"the log has been silent for long", maxStateAge + 1, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			r := newTestRunner(4, 4, 1)
+			base, _ := r.Ledger.(*stateLedger)
+			r.Ledger = agedLedger{stateLedger: base, age: c.age, away: c.away}
+			r.Engines, r.Blobs = &blockingEngines{begunAt: map[ident.Item][]ident.BackendName{}}, &replicaBlobs{}
+			r.syncRuns(ctx)
+			if running := r.Running(); (running > 0) != c.begins {
+				t.Errorf("%d claimed items began, want some: %t", running, c.begins)
+			}
+			stop()
+			r.group.Wait()
+		})
+	}
+}
--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -139,9 +139,9 @@
 	accept jobs.Accept
 }
 
-// syncRuns starts the items that this instance has claimed, and cancels the runs whose
-// claim is gone or whose engine has restarted, and the scoring of texts that can't be listed
-// any more.
+// syncRuns starts the items that this instance has claimed, unless the state is outdated. It
+// cancels the runs whose claim is gone or whose engine has restarted, and the scoring of texts
+// that can't be listed any more.
 func (r *Runner) syncRuns(ctx context.Context) {
 	assigned := map[jobs.ItemKey]claimed{}
 	open := map[ident.Job]bool{}
@@ -167,8 +167,11 @@
 			run.cancel()
 		}
 	}
+	if r.givenBack || !r.mayBegin() {
+		return
+	}
 	for key, c := range assigned {
-		if r.runs[key] == nil && !r.givenBack {
+		if r.runs[key] == nil {
 			r.begin(ctx, c)
 		}
 	}
@@ -184,6 +187,13 @@
 	}
 }
 
+// mayBegin reports whether items may be begun from the state: if it is fresh, or if the
+// ledger is silent and the state not older than maxStateAge. While records are still unread,
+// they may end the jobs or replace the claims.
+func (r *Runner) mayBegin() bool {
+	return r.Ledger.Fresh() || (r.Ledger.Away() && r.Ledger.Age() <= maxStateAge)
+}
+
 // engineStarts maps an engine's ListName, which a restart keeps, to the name of the start
 // that a view of the fleet lists. It is computed once per view, which may have thousands
 // of engines.
