A stream whose caller has left goes to no further server

A resumable stream was sent to the next server when passing a part of it to the caller failed, as if the server had broken off: the error's kind, Left, was not looked at, and for an answer other than 200 it had no kind at all. Up to the route's attempts, further servers started work that nobody reads. Behind net/http the failed write also ends the request's context, which stops the loop; only that kept the servers of the users' platform from it, and a sink of another kind has no such net.

TestNoFurtherServerForACallerThatLeft failed before, for events and for a failure: left_test.go:52: 2 servers got the call, want 1

Every part is now passed on in one place that gives a failure the kind Left, and the loop ends at that kind.

--- a/croftmoor/proxy/stream.go
+++ b/croftmoor/proxy/stream.go
@@ -62,7 +62,7 @@
 		}
 		s.lastErr = err
 		p.logDecision(r, trail.Retry, server, fmt.Sprintf("after event %q: %v", s.lastID, err))
-		if s.mayHaveRun && !r.Route.Resumable {
+		if fault.KindOf[Kind](err) == Left || (s.mayHaveRun && !r.Route.Resumable) {
 			break
 		}
 	}
@@ -81,6 +81,14 @@
 	lastID string
 }
 
+// pass passes a part of the answer on to the caller.
+func (s *streamState) pass(raw []byte) error {
+	if err := s.sink.Event(raw); err != nil {
+		return fault.Wrap("proxy.pass", Left, err, "the caller has gone")
+	}
+	return nil
+}
+
 // flow passes on the answer of one server: its events, or its body if the status is not 200.
 // It reports whether the answer was passed on whole.
 func (p *Proxy) flow(ctx context.Context, r Request, server *pool.Server, s *streamState) (bool, error) {
@@ -121,7 +129,7 @@
 		p.reportAnswered(&r, &s.callState)
 		body, err := io.ReadAll(io.LimitReader(stream.Body, maxBodyBytes))
 		if err == nil {
-			err = s.sink.Event(body)
+			err = s.pass(body)
 		}
 		return err == nil, err
 	}
@@ -184,8 +192,8 @@
 			continue
 		}
 		onEvent()
-		if err := s.sink.Event(event.Bytes()); err != nil {
-			return fault.Wrap("proxy.pump", Left, err, "the caller has gone")
+		if err := s.pass(event.Bytes()); err != nil {
+			return err
 		}
 		s.lastID = id
 		event.Reset()
