No item begins without a claim once the instance leaves

Whether the instance leaves was asked before the lock was taken again under which items begin without a claim. Of a GiveBack in between, which cancels all runs so that others take them over, nothing was seen: items began that nothing cancelled before the end of the process, some seconds later. The window is short and needs a log that is silent while the instance stops.

TestNoItemBeginsOnceTheInstanceLeaves failed before: arrears_test.go:60: 8 items began, want none

The question is now asked under the lock that Leave and GiveBack hold.

--- a/croftmoor/batch/alone.go
+++ b/croftmoor/batch/alone.go
@@ -28,6 +28,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.leaving {
+		return
+	}
 	var toBegin []claimed
 	r.Ledger.View(func(state *jobs.State) {
 		s := r.takeSnapshot(state, table, r.Ledger.QuietSince()-r.Ledger.Idle())
--- a/croftmoor/batch/arrears_test.go
+++ b/croftmoor/batch/arrears_test.go
@@ -47,3 +47,18 @@
 		})
 	}
 }
+
+func TestNoItemBeginsOnceTheInstanceLeaves(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	r := newTestRunner(4, 4, 1)
+	base, _ := r.Ledger.(*stateLedger)
+	r.Ledger = unreachableLedger{base}
+	r.Engines, r.Blobs = &blockingEngines{begunAt: map[ident.Item][]ident.BackendName{}}, &replicaBlobs{}
+	r.Leave()
+	r.beginWithoutClaims(ctx)
+	if running := r.Running(); running > 0 {
+		t.Errorf("%d items began, want none", running)
+	}
+	stop()
+	r.group.Wait()
+}
