--- a/croftmoor/rpcs/abandon_test.go
+++ b/croftmoor/rpcs/abandon_test.go
@@ -50,7 +50,11 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	caller := exec.CommandContext(t.Context(), os.Args[0])
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	caller := exec.CommandContext(t.Context(), program)
 	caller.Env = append(os.Environ(), stalledAddressEnv+"="+listener.Addr().String())
 	if output, err := caller.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, output)
--- a/kernel/httpc/abandon_test.go
+++ b/kernel/httpc/abandon_test.go
@@ -140,7 +140,11 @@
 
 func TestCallOfEndedProcessIsNotDelivered(t *testing.T) {
 	server := newStalledServer(t, "")
-	sender := exec.CommandContext(t.Context(), os.Args[0])
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	sender := exec.CommandContext(t.Context(), program)
 	sender.Env = append(os.Environ(), stalledAddressEnv+"="+string(server.address))
 	if output, err := sender.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, output)
