A stream that was read whole without MarkComplete is no longer reset

Callers would see: a server that answers a streamed request early, with a failure or a refusal, and then reads on gets a cut-off body and a reset connection, though its whole answer was read. Cause: Stream.Close took each stream without MarkComplete for abandoned. proxy.flow and wire.Engines.Run read the body of an answer other than 200 to its end and do not call it. Test: TestStreamReadWholeIsDeliveredWhole failed before in its three cases: "the server got 4030 bytes of the body, want 131072". Change: the body's reader notes io.EOF, which it returns only after the whole body. Such a stream is closed in the ordinary way; it is still kept for reuse only after MarkComplete.

--- a/kernel/httpc/abandon_test.go
+++ b/kernel/httpc/abandon_test.go
@@ -169,6 +169,30 @@
 	}
 }
 
+// Guards against cutting off the rest of a body after a stream that was read whole and not kept.
+func TestStreamReadWholeIsDeliveredWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length": "HTTP/1.1 422 Unprocessable Entity\r\nContent-Length: 2\r\n\r\nno",
+		"chunks": "HTTP/1.1 422 Unprocessable Entity\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		"empty":  "HTTP/1.1 422 Unprocessable Entity\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newStalledServer(t, answer)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			stream, err := (&Client{}).Open(ctx, stalledCall(server.address))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = io.ReadAll(stream.Body)
+			stream.Close()
+			if got := len(server.receivedBody()); err != nil || got != stalledBody {
+				t.Errorf("the server got %d bytes of the body, want %d (%v)", got, stalledBody, err)
+			}
+		})
+	}
+}
+
 func TestUnackedCallIsReported(t *testing.T) {
 	server := newStalledServer(t, "")
 	ctx, cancel := context.WithTimeout(t.Context(), giveUpAfter)
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -24,6 +24,8 @@
 	stop     func() bool
 	head     fasthttp.ResponseHeader
 	complete bool
+	// ended is set once Body has returned io.EOF.
+	ended bool
 }
 
 // Header returns the named header's value, or "".
@@ -70,7 +72,7 @@
 		stream.Close()
 		return nil, fault.New("httpc.Open", Lost, string(call.Address)+" sent the answer of another call")
 	}
-	stream.Body = bufio.NewReader(stream.body())
+	stream.Body = bufio.NewReader(&endReader{reader: stream.body(), ended: &stream.ended})
 	return stream, nil
 }
 
@@ -91,6 +93,21 @@
 	}
 }
 
+// endReader sets ended when reader returns io.EOF.
+type endReader struct {
+	reader io.Reader
+	ended  *bool
+}
+
+// Read reads from the reader.
+func (r *endReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if err == io.EOF {
+		*r.ended = true
+	}
+	return n, err
+}
+
 // exactReader reads a body of a known length.
 type exactReader struct {
 	reader    io.Reader
@@ -132,15 +149,15 @@
 	s.complete = true
 }
 
-// Close ends the call. If the body was read to its end, it keeps the connection for reuse or
-// closes it; otherwise it resets the connection.
+// Close ends the call. If the body was read to its end, it closes the connection, or keeps it for
+// reuse if MarkComplete was called; otherwise it resets the connection.
 func (s *Stream) Close() {
-	if !s.complete {
+	if !s.complete && !s.ended {
 		s.stop()
 		s.link.abandon()
 		return
 	}
-	if !s.call.FreshConn && s.reusable() && s.stop() {
+	if s.complete && !s.call.FreshConn && s.reusable() && s.stop() {
 		s.client.putIdle(s.call.Address, s.link, idleTimeout(&s.head))
 		return
 	}
