An abandoned call no longer takes the answered one before it along

Callers would see: a server that answers early and reads on later gets a cut-off body of an answered call, because the next call on the same connection was given up. Cause: a connection was reused while the kernel still held bytes of the answered request; the reset of the next call discards them as well. A call that is queued behind them can't be read before them either. Test: TestAnsweredCallIsNotResetByTheNext failed before: "the server got 4030 bytes of the answered call's body, want 131072". Change: takeIdle closes, in the ordinary way, an idle connection with unacknowledged bytes, and the next call opens one of its own.

--- a/kernel/httpc/abandon_test.go
+++ b/kernel/httpc/abandon_test.go
@@ -193,6 +193,26 @@
 	}
 }
 
+// Guards against resetting an answered call along with a later one on the same connection.
+func TestAnsweredCallIsNotResetByTheNext(t *testing.T) {
+	server := newStalledServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	client := &Client{}
+	if _, err := client.Do(t.Context(), stalledCall(server.address)); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), giveUpAfter)
+	defer cancel()
+	if answer, err := client.Do(ctx, stalledCall(server.address)); err == nil {
+		t.Fatalf("the second call was answered with %d", answer.Status)
+	}
+	client.CloseIdle(server.address)
+	close(server.resume)
+	request := <-server.received
+	if _, body, _ := bytes.Cut(request, []byte("\r\n\r\n")); len(body) != stalledBody {
+		t.Errorf("the server got %d bytes of the answered call's body, want %d", len(body), stalledBody)
+	}
+}
+
 func TestUnackedCallIsReported(t *testing.T) {
 	server := newStalledServer(t, "")
 	ctx, cancel := context.WithTimeout(t.Context(), giveUpAfter)
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -150,8 +150,9 @@
 	return l, false, err
 }
 
-// takeIdle returns the most recently used idle connection that has not expired and is still
-// open, or nil. It closes the unusable ones that it meets.
+// takeIdle returns the most recently used idle connection that has not expired, is still open and
+// has no unacknowledged bytes, or nil. It closes the unusable ones that it meets: if a call is
+// abandoned, the reset also discards what is unacknowledged of the answered call before it.
 func (c *Client) takeIdle(address ident.Address) *link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -164,7 +165,7 @@
 		}
 		l := links[n-1]
 		c.idle[address] = links[:n-1]
-		if c.now() < l.idleUntil && gone.Reusable(l.Conn) {
+		if c.now() < l.idleUntil && gone.Reusable(l.Conn) && unackedBytes(l.Conn) == 0 {
 			l.idleUntil = 0
 			return l
 		}
