Reward calls are stopped at the end of their job while the runner stops, too

Callers would see: during a planned stop a reward call of a job goes on, for up to 15 s or the exit, after the end of the job was acknowledged. Cause: only syncRuns stops unwanted scoring, and Run no longer calls it once its context has ended, while it waits for the runs that are left. Test: TestRewardCallIsCancelledWhileTheRunnerStops failed before: "the reward call goes on". Change: while Run waits, it looks at each change of the state and stops unwanted scoring. It needs a ledger that still follows the log then.

--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -91,9 +91,10 @@
 	r.wakeups = make(chan struct{}, 1)
 }
 
-// Run claims and runs items until ctx ends. It returns when all runs have ended.
+// Run claims and runs items until ctx ends. It returns when all runs have ended; until then it
+// stops the scoring of texts that can't be listed any more.
 func (r *Runner) Run(ctx context.Context) {
-	defer r.group.Wait()
+	defer r.awaitRuns()
 	for ctx.Err() == nil {
 		changed := r.Ledger.Changed()
 		r.syncRuns(ctx)
@@ -107,6 +108,28 @@
 	}
 }
 
+// awaitRuns waits until all runs have ended.
+func (r *Runner) awaitRuns() {
+	ended := make(chan struct{})
+	var waiting conc.WaitGroup
+	defer waiting.Wait()
+	waiting.Go(func() {
+		defer close(ended)
+		r.group.Wait()
+	})
+	for {
+		changed := r.Ledger.Changed()
+		r.mu.Lock()
+		r.Ledger.View(r.stopUnwantedScoring)
+		r.mu.Unlock()
+		select {
+		case <-ended:
+			return
+		case <-changed:
+		}
+	}
+}
+
 // Leave stops claiming items; runs continue.
 func (r *Runner) Leave() {
 	r.mu.Lock()
--- a/croftmoor/batch/score_test.go
+++ b/croftmoor/batch/score_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"croftmoor.dev/croftmoor/work"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
@@ -85,3 +88,72 @@
 		})
 	}
 }
+
+// Guards against reward calls that outlast the end of their job while the runner stops.
+func TestRewardCallIsCancelledWhileTheRunnerStops(t *testing.T) {
+	r := newTestRunner(1, 2, 1)
+	ledger, _ := r.Ledger.(*stateLedger)
+	rewards := &blockingRewards{began: make(chan struct{}), cancelled: make(chan struct{})}
+	changing := &changingLedger{stateLedger: ledger, changed: make(chan struct{})}
+	r.Ledger = changing
+	r.Rewards, r.Blobs, r.Engines = rewards, &scoredBlobs{}, &blockingEngines{begunAt: map[ident.Item][]ident.BackendName{}}
+	item := jobs.ItemKey{Job: "job-0"}
+	job := ledger.state.Jobs[item.Job]
+	complete := job.Items[item.Index]
+	complete.Partial = jobs.Partial{Events: 1, Complete: true}
+	ctx, cancel := context.WithCancel(t.Context())
+	r.mu.Lock()
+	r.begin(ctx, claimed{key: item, item: complete, accept: job.Accept})
+	own := r.runs[item]
+	r.mu.Unlock()
+	<-rewards.began
+	cancel()
+	ended := make(chan struct{})
+	var running conc.WaitGroup
+	defer running.Wait()
+	running.Go(func() {
+		defer close(ended)
+		r.Run(ctx)
+	})
+	changing.apply(jobs.End{Job: item.Job})
+	select {
+	case <-rewards.cancelled:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the reward call goes on")
+		(*own.stopScoring.Load())()
+	}
+	<-ended
+}
+
+// changingLedger is a ledger whose state changes while it is read.
+type changingLedger struct {
+	*stateLedger
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+func (l *changingLedger) View(visit func(*jobs.State)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	visit(l.state)
+}
+
+func (l *changingLedger) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+func (l *changingLedger) Append(context.Context, ...jobs.Record) (ident.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Next, nil
+}
+
+func (l *changingLedger) apply(record jobs.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.Apply(l.state.Next+1, record, l.clock.Mono())
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
