The servers that an instance uses are bounded, by one function for pool and platform

Cause: an instance of the whole fleet was to hold, rank and log all 10,000 servers. fleet.Nearest gives an instance its own 64 of a service at most, fleet.PerZone the same 64 engines of each zone to all instances, so that weights aren't loaded where no items go. pool's own subset was the same ranking and now calls it.

--- a/croftmoor/pool/follow.go
+++ b/croftmoor/pool/follow.go
@@ -1,8 +1,6 @@
 package pool
 
 import (
-	"slices"
-
 	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/ident"
 )
@@ -27,25 +25,12 @@
 }
 
 // subset returns the members that this instance uses: those of its own availability zone
-// first, then by rendezvous hashing, which spreads the instances over the servers.
+// first.
 func (p *Pool) subset(members []fleet.Member) []fleet.Member {
-	if p.Subset <= 0 || len(members) <= p.Subset {
+	if p.Subset <= 0 {
 		return members
 	}
-	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b fleet.Member) int {
-		if (a.Zone == p.Zone) != (b.Zone == p.Zone) {
-			if a.Zone == p.Zone {
-				return -1
-			}
-			return 1
-		}
-		if ident.Hash(p.Self, a.Name) > ident.Hash(p.Self, b.Name) {
-			return -1
-		}
-		return 1
-	})
-	return ranked[:p.Subset]
+	return fleet.Nearest(members, p.Zone, p.Self, p.Subset, 0)
 }
 
 // setMembers replaces the server list of a service and keeps the state of known servers.
