Instances that don't follow are told to their own zone only, and more seldom in a large one

Members now post in a scope: followers in the fleet's, all others in their zone's, and a zone's others together post 6 times a second however large it is; each post tells its own period, so that silence is judged by it (before, 15 s were asked of members that post each 24). The ten that would follow next keep 5 s. The number of instances comes from the followers' counts of their zones. An instance is elected only by a read made after settleTime: one second of pause between reads let it judge by the first read, made before the others had posted. Tests: TestHeartbeatsOfAZone (190, 400, 2,000 members), TestScopeOfPosts, TestInstances.

--- a/croftmoor/roster/roster.go
+++ b/croftmoor/roster/roster.go
@@ -1,10 +1,14 @@
 // Package roster maintains the membership list of the instances: which ones exist, their
-// addresses, and which ones follow the ledger. All instances read it, including those that
-// do not follow the ledger. Package elect selects the followers.
+// addresses, and which ones follow the ledger. Package elect selects the followers.
+//
+// An instance knows the members of its own availability zone and the followers of all zones.
+// Members that do not follow are announced to their zone only, so that what an instance reads
+// does not grow with the other zones.
 package roster
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -16,8 +20,8 @@
 )
 
 const (
-	// settleTime is how long an instance waits after its first read before it may
-	// follow, because instances that start at the same time may not be listed yet. An
+	// settleTime is how long after its first read an instance must have read again before it
+	// may follow, because instances that start at the same time may not be listed yet. An
 	// instance whose previous process is listed does not wait.
 	settleTime = 400 * clock.Millis(1)
 	// electionPeriod is the interval between two evaluations of whether to follow.
@@ -33,45 +37,62 @@
 	// Peers includes other availability zones if the monotonic time in milliseconds is a
 	// multiple of allZonesInterval, in case all peers in this zone share a failure.
 	allZonesInterval = 4
-	// maxPostShare is the share of the log's write rate that heartbeats of all instances
-	// may use together.
-	maxPostShare = 0.05
+	postJitter       = 0.25
 )
 
-// Board stores the members; the newest post of each counts.
+// Scope tells which instances read a post.
+type Scope int
+
+// Scopes.
+const (
+	// ZoneScope holds the members of this instance's availability zone.
+	ZoneScope Scope = iota
+	// FleetScope holds the followers of all zones, and members that followed before.
+	FleetScope
+	scopes
+)
+
+// Board stores the members; the newest post of each in a scope counts.
 type Board interface {
 	// Post stores the state of a member.
-	Post(ctx context.Context, member elect.Member) error
+	Post(ctx context.Context, scope Scope, member elect.Member) error
 }
 
 // Roster is this instance's copy of the membership list. Set the exported fields, then call
 // Setup before Run. mu guards the unexported fields except the channels.
 type Roster struct {
-	// Self is this instance as posted; the roster sets Follows and Leaving.
+	// Self is this instance as posted; the roster sets Follows, Leaving, Period and
+	// ZoneMembers.
 	Self  elect.Member
 	Board Board
 	Clock *clock.Clock
 	Log   zerolog.Logger
-	// WritesPerSecond is the log's write limit for all instances together.
-	WritesPerSecond int
 
-	mu      sync.Mutex
-	members map[ident.InstanceName]listedMember
-	// everCurrent is set by the first MarkCurrent. firstCurrent and lastCurrent are the
-	// times of the first and the last one.
-	everCurrent  bool
-	firstCurrent clock.Millis
+	mu     sync.Mutex
+	scopes [scopes]scope
+	// members are those of all scopes, by the name that all processes of an instance share.
+	members map[string]listedMember
 	// restarted is true if a previous process of this instance was listed.
-	restarted   bool
-	lastCurrent clock.Millis
-	follows     bool
-	leaving     bool
+	restarted bool
+	follows   bool
+	leaving   bool
 	// elected is closed when this instance starts to follow the ledger.
 	elected chan struct{}
-	// membersSet is closed by the first SetMembers.
+	// membersSet is closed when members of all scopes were set.
 	membersSet chan struct{}
 }
 
+// scope is what was read of one scope.
+type scope struct {
+	// members is nil until they were set.
+	members map[string]listedMember
+	// everCurrent is set by the first MarkCurrent. firstCurrent and lastCurrent are the
+	// times of the first and the last one.
+	everCurrent  bool
+	firstCurrent clock.Millis
+	lastCurrent  clock.Millis
+}
+
 // listedMember is a member with the offset of its last post.
 type listedMember struct {
 	elect.Member
@@ -109,9 +130,12 @@
 }
 
 // waitForNextPost waits until the next post is due or elected is closed, and calls tryElect
-// meanwhile.
+// meanwhile. The period may change during the wait. Up to postJitter of it is left out at
+// random, so that instances that started together do not go on posting together.
 func (r *Roster) waitForNextPost(ctx context.Context, elected <-chan struct{}) {
-	for next := r.Clock.Mono() + r.period(); r.Clock.Mono() < next; {
+	postedAt := r.Clock.Mono()
+	share := 1 - postJitter*rand.Float64()
+	for r.Clock.Mono() < postedAt+clock.Millis(share*float64(r.self().HeartbeatPeriod())) {
 		select {
 		case <-ctx.Done():
 			return
@@ -136,21 +160,50 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Mono()
-	if r.follows || r.leaving || !r.everCurrent || now-r.lastCurrent > maxReadGap {
+	if r.follows || r.leaving || !r.everCurrent() || now-r.lastCurrent() > maxReadGap {
 		return false
 	}
-	if !r.restarted && now-r.firstCurrent < settleTime {
+	if !r.restarted && r.lastCurrent()-r.firstCurrent() < settleTime {
 		return false
 	}
-	if !elect.ShouldFollow(r.Self, r.list(), r.lastCurrent) {
+	if !elect.ShouldFollow(r.Self, r.list(), r.lastCurrent()) {
 		return false
 	}
 	r.follows = true
 	close(r.elected)
-	r.Log.Info().Int("Members", len(r.members)).Int64("AgeMillis", int64(now-r.lastCurrent)).Bool("Again", r.restarted).Msg("elected to follow the ledger")
+	r.Log.Info().Int("Members", len(r.members)).Int64("AgeMillis", int64(now-r.lastCurrent())).Bool("Again", r.restarted).Msg("elected to follow the ledger")
+	return true
+}
+
+// everCurrent reports whether all scopes have been current. The caller must hold mu, as for
+// firstCurrent and lastCurrent.
+func (r *Roster) everCurrent() bool {
+	for _, s := range r.scopes {
+		if !s.everCurrent {
+			return false
+		}
+	}
 	return true
 }
 
+// firstCurrent returns when all scopes had been current once.
+func (r *Roster) firstCurrent() clock.Millis {
+	first := r.scopes[ZoneScope].firstCurrent
+	for _, s := range r.scopes {
+		first = max(first, s.firstCurrent)
+	}
+	return first
+}
+
+// lastCurrent returns the last time at which no scope was behind.
+func (r *Roster) lastCurrent() clock.Millis {
+	last := r.scopes[ZoneScope].lastCurrent
+	for _, s := range r.scopes {
+		last = min(last, s.lastCurrent)
+	}
+	return last
+}
+
 // list returns the members. The caller must hold mu.
 func (r *Roster) list() []elect.Member {
 	all := make([]elect.Member, 0, len(r.members))
@@ -160,17 +213,16 @@
 	return all
 }
 
-// period returns the interval between two posts. For instances that do not follow, it
-// grows with the number of members to respect maxPostShare.
-func (r *Roster) period() clock.Millis {
-	self := r.self()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	minPeriod := clock.Millis(float64(len(r.members)) * float64(clock.Second) / max(float64(r.WritesPerSecond)*maxPostShare, 1))
-	if self.Follows {
-		return self.HeartbeatPeriod()
+// zoneMembers returns the number of live members of this instance's availability zone, itself
+// included. The caller must hold mu.
+func (r *Roster) zoneMembers() int {
+	n := 1
+	for name, m := range r.members {
+		if name != r.Self.Name.ListName() && m.Zone == r.Self.Zone && m.Alive(r.lastCurrent()) {
+			n++
+		}
 	}
-	return max(self.HeartbeatPeriod(), minPeriod)
+	return n
 }
 
 // self returns this instance with its current state.
@@ -178,74 +230,116 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	self := r.Self
-	self.Follows, self.Leaving = r.follows, r.leaving
+	self.Follows, self.Leaving, self.ZoneMembers = r.follows, r.leaving, r.zoneMembers()
+	if !r.follows {
+		self.Period = elect.PeriodOf(elect.Preceding(self, r.list(), r.lastCurrent()), self.ZoneMembers)
+	}
 	return self
 }
 
 func (r *Roster) post(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, postTimeout.Duration())
 	defer cancel()
-	if err := r.Board.Post(ctx, r.self()); err != nil {
+	if err := r.postSelf(ctx); err != nil {
 		r.Log.Warn().Err(err).Msg("could not post this instance on the roster")
 	}
 }
 
+// postSelf posts this instance to the whole fleet if it follows, or if a previous process of
+// it did and is listed there, else to its availability zone.
+func (r *Roster) postSelf(ctx context.Context) error {
+	self := r.self()
+	r.mu.Lock()
+	_, listed := r.scopes[FleetScope].members[self.Name.ListName()]
+	r.mu.Unlock()
+	if self.Follows || listed {
+		return r.Board.Post(ctx, FleetScope, self)
+	}
+	return r.Board.Post(ctx, ZoneScope, self)
+}
+
 // Leave announces that this instance is about to stop.
 func (r *Roster) Leave(ctx context.Context) error {
 	r.mu.Lock()
 	r.leaving = true
 	r.mu.Unlock()
-	return r.Board.Post(ctx, r.self())
+	return r.postSelf(ctx)
 }
 
-// MarkCurrent records that the roster was current at the given time. If it could not be read
-// for longer than maxReadGap, that time does not count towards the age of the members.
-func (r *Roster) MarkCurrent(now clock.Millis) {
+// MarkCurrent records that a scope was current at the given time. If it could not be read
+// for longer than maxReadGap, that time does not count towards the age of its members.
+func (r *Roster) MarkCurrent(of Scope, now clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if gap := now - r.lastCurrent; r.everCurrent && gap > maxReadGap {
-		for name, m := range r.members {
+	s := &r.scopes[of]
+	if gap := now - s.lastCurrent; s.everCurrent && gap > maxReadGap {
+		for name, m := range s.members {
 			m.LastHeartbeat += gap
-			r.members[name] = m
+			s.members[name] = m
 		}
+		r.merge()
 	}
-	if !r.everCurrent {
-		r.everCurrent, r.firstCurrent = true, now
+	if !s.everCurrent {
+		s.everCurrent, s.firstCurrent = true, now
 	}
-	r.lastCurrent = now
+	s.lastCurrent = now
 }
 
-// SetMembers replaces the members with those that were read, and evaluates whether to
-// follow.
-func (r *Roster) SetMembers(posted []Posted) {
-	first := r.replaceMembers(posted)
+// SetMembers replaces the members of a scope with those that were read, and evaluates whether
+// to follow.
+func (r *Roster) SetMembers(of Scope, posted []Posted) {
+	whole := r.replaceMembers(of, posted)
 	r.tryElect()
-	if first {
+	if whole {
 		close(r.membersSet)
 	}
 }
 
-// replaceMembers sets the members and reports whether this is the first time. A member with
-// an unchanged post keeps its Heard time.
-func (r *Roster) replaceMembers(posted []Posted) bool {
+// replaceMembers sets the members of a scope and reports whether this made the roster whole
+// for the first time. A member with an unchanged post keeps its LastHeartbeat.
+func (r *Roster) replaceMembers(of Scope, posted []Posted) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Mono()
-	fresh := make(map[ident.InstanceName]listedMember, len(posted))
+	wasWhole := r.whole()
+	old := r.scopes[of].members
+	fresh := make(map[string]listedMember, len(posted))
 	for _, p := range posted {
+		name := p.Name.ListName()
 		m := listedMember{Member: p.Member, offset: p.Offset}
 		m.LastHeartbeat = now
-		if old, known := r.members[p.Name]; known && old.offset == p.Offset {
-			m.LastHeartbeat = old.LastHeartbeat
+		if before, known := old[name]; known && before.offset == p.Offset {
+			m.LastHeartbeat = before.LastHeartbeat
 		}
-		fresh[p.Name] = m
-		if p.Name != r.Self.Name && p.Name.ListName() == r.Self.Name.ListName() {
+		fresh[name] = m
+		if p.Name != r.Self.Name && name == r.Self.Name.ListName() {
 			r.restarted = true
 		}
 	}
-	first := r.members == nil
-	r.members = fresh
-	return first
+	r.scopes[of].members = fresh
+	r.merge()
+	return r.whole() && !wasWhole
+}
+
+// whole reports whether the members of all scopes were set. The caller must hold mu.
+func (r *Roster) whole() bool {
+	for _, s := range r.scopes {
+		if s.members == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// merge joins the scopes. A member that is listed in both posts itself to the fleet only. The
+// caller must hold mu.
+func (r *Roster) merge() {
+	r.members = make(map[string]listedMember, len(r.scopes[ZoneScope].members)+len(r.scopes[FleetScope].members))
+	for _, of := range []Scope{ZoneScope, FleetScope} {
+		for name, m := range r.scopes[of].members {
+			r.members[name] = m
+		}
+	}
 }
 
 // Elected returns a channel that is closed when this instance starts to follow the ledger.
@@ -256,7 +350,25 @@
 func (r *Roster) Age() (age clock.Millis, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.Clock.Mono() - r.lastCurrent, r.everCurrent
+	return r.Clock.Mono() - r.lastCurrent(), r.everCurrent()
+}
+
+// Instances returns the number of live instances of all availability zones, this one
+// included: of its own zone as it knows them, of the others as their followers told.
+func (r *Roster) Instances() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	zones := map[ident.Zone]int{}
+	for _, m := range r.members {
+		if m.Zone != r.Self.Zone && m.Alive(r.lastCurrent()) {
+			zones[m.Zone] = max(zones[m.Zone], m.ZoneMembers, 1)
+		}
+	}
+	all := r.zoneMembers()
+	for _, n := range zones {
+		all += n
+	}
+	return all
 }
 
 // Followers returns the other live instances that follow the ledger: those of this
@@ -265,9 +377,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var near, far []views.Member
-	for _, m := range r.members {
+	for name, m := range r.members {
 		switch {
-		case !m.Follows || !m.Alive(r.lastCurrent) || m.Name.ListName() == r.Self.Name.ListName():
+		case !m.Follows || !m.Alive(r.lastCurrent()) || name == r.Self.Name.ListName():
 		case m.Zone == r.Self.Zone:
 			near = append(near, views.Member{Name: m.Name, Zone: m.Zone})
 		default:
@@ -277,7 +389,7 @@
 	ranked := append(views.Rank(key, near), views.Rank(key, far)...)
 	followers := make([]elect.Member, 0, len(ranked))
 	for _, m := range ranked {
-		followers = append(followers, r.members[m.Name].Member)
+		followers = append(followers, r.members[m.Name.ListName()].Member)
 	}
 	return followers
 }
@@ -295,7 +407,8 @@
 	return all
 }
 
-// AllPeers returns the addresses of the other live instances in all availability zones.
+// AllPeers returns the addresses of the other live instances that are known: those of this
+// availability zone and the followers of the others.
 func (r *Roster) AllPeers() []ident.Address {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -306,8 +419,8 @@
 // livingAddresses returns the addresses of the other live instances: near holds those in
 // this availability zone, all those in every zone. The caller must hold mu.
 func (r *Roster) livingAddresses() (near, all []ident.Address) {
-	for _, m := range r.members {
-		if m.Name.ListName() == r.Self.Name.ListName() || !m.Alive(r.lastCurrent) {
+	for name, m := range r.members {
+		if name == r.Self.Name.ListName() || !m.Alive(r.lastCurrent()) {
 			continue
 		}
 		all = append(all, m.Address)
--- a/croftmoor/roster/roster_test.go
+++ b/croftmoor/roster/roster_test.go
@@ -12,19 +12,20 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// fakeBoard keeps the last post.
+// fakeBoard keeps the last post and its scope.
 type fakeBoard struct {
-	last elect.Member
+	last  elect.Member
+	scope Scope
 }
 
-func (b *fakeBoard) Post(_ context.Context, m elect.Member) error {
-	b.last = m
+func (b *fakeBoard) Post(_ context.Context, of Scope, m elect.Member) error {
+	b.last, b.scope = m, of
 	return nil
 }
 
 func rosterOf(name ident.InstanceName) (*Roster, *fakeBoard) {
 	board := &fakeBoard{}
-	r := &Roster{Self: elect.Member{Name: name, Zone: "z"}, Board: board, Clock: clock.New(), Log: zerolog.Nop(), WritesPerSecond: 800}
+	r := &Roster{Self: elect.Member{Name: name, Zone: "z"}, Board: board, Clock: clock.New(), Log: zerolog.Nop()}
 	r.Setup()
 	return r, board
 }
@@ -41,11 +42,47 @@
 	return posted
 }
 
-// load reads the posts into the roster and backdates the read by settleTime.
+// load reads the posts into the roster, those of followers in the fleet's scope, and
+// backdates the read by settleTime.
 func load(r *Roster, posted []Posted) {
-	r.MarkCurrent(r.Clock.Mono())
-	r.replaceMembers(posted)
-	r.firstCurrent -= settleTime
+	var followers, others []Posted
+	for _, p := range posted {
+		if p.Follows {
+			followers = append(followers, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	markCurrent(r)
+	r.replaceMembers(ZoneScope, others)
+	r.replaceMembers(FleetScope, followers)
+	backdate(r, settleTime, 0)
+}
+
+// markCurrent marks all scopes as current now.
+func markCurrent(r *Roster) {
+	for of := range scopes {
+		r.MarkCurrent(of, r.Clock.Mono())
+	}
+}
+
+// backdate moves the first and the last time at which the scopes were current.
+func backdate(r *Roster, first, last clock.Millis) {
+	for of := range scopes {
+		r.scopes[of].firstCurrent -= first
+		r.scopes[of].lastCurrent -= last
+	}
+}
+
+// silence moves the heartbeats of all members back.
+func silence(r *Roster, span clock.Millis) {
+	for of := range scopes {
+		for name, m := range r.scopes[of].members {
+			m.LastHeartbeat -= span
+			r.scopes[of].members[name] = m
+		}
+	}
+	r.merge()
 }
 
 func wantElected(t *testing.T, r *Roster, want bool) {
@@ -62,14 +99,28 @@
 	})
 	t.Run("nobody follows while the others may not be listed yet", func(t *testing.T) {
 		r, _ := rosterOf("front-x~1")
-		r.MarkCurrent(r.Clock.Mono())
-		r.SetMembers(nil)
+		markCurrent(r)
+		r.SetMembers(ZoneScope, nil)
+		r.SetMembers(FleetScope, nil)
+		wantElected(t, r, false)
+	})
+	t.Run("nobody follows by a read from before the others were listed", func(t *testing.T) {
+		r, _ := rosterOf("front-x~1")
+		load(r, nil)
+		backdate(r, 0, settleTime)
+		wantElected(t, r, false)
+	})
+	t.Run("nobody follows who knows only a part of the roster", func(t *testing.T) {
+		r, _ := rosterOf("front-x~1")
+		r.MarkCurrent(ZoneScope, r.Clock.Mono())
+		r.SetMembers(ZoneScope, nil)
+		backdate(r, settleTime, 0)
 		wantElected(t, r, false)
 	})
 	t.Run("an instance that started again follows at once", func(t *testing.T) {
 		r, _ := rosterOf("front-3~9")
-		r.MarkCurrent(r.Clock.Mono())
-		r.SetMembers(followerPosts(elect.FollowersPerZone))
+		markCurrent(r)
+		r.SetMembers(FleetScope, followerPosts(elect.FollowersPerZone))
 		if _, open := <-r.Elected(); open {
 			t.Error("it is not elected although its previous process is listed")
 		}
@@ -80,8 +131,8 @@
 		wantElected(t, r, true)
 		wantElected(t, r, false)
 		r.post(t.Context())
-		if !board.last.Follows {
-			t.Error("the post does not say that the instance follows")
+		if !board.last.Follows || board.scope != FleetScope {
+			t.Errorf("posted %+v in scope %d, want a follower in the fleet's", board.last, board.scope)
 		}
 	})
 	t.Run("where enough follow it does not", func(t *testing.T) {
@@ -92,23 +143,16 @@
 	t.Run("silence of followers is noticed", func(t *testing.T) {
 		r, _ := rosterOf("front-x~1")
 		load(r, followerPosts(elect.FollowersPerZone))
-		for name, m := range r.members {
-			m.LastHeartbeat -= 4 * elect.FollowerHeartbeatPeriod
-			r.members[name] = m
-		}
+		silence(r, 4*elect.FollowerHeartbeatPeriod)
 		wantElected(t, r, true)
 	})
 	t.Run("time in which the roster could not be read ages nobody", func(t *testing.T) {
 		r, _ := rosterOf("front-x~1")
 		load(r, followerPosts(elect.FollowersPerZone))
 		const outage = 20 * clock.Second
-		r.firstCurrent -= outage
-		r.lastCurrent -= outage
-		for name, m := range r.members {
-			m.LastHeartbeat -= outage
-			r.members[name] = m
-		}
-		r.MarkCurrent(r.Clock.Mono())
+		backdate(r, outage, outage)
+		silence(r, outage)
+		markCurrent(r)
 		wantElected(t, r, false)
 	})
 	t.Run("an instance that leaves does not follow", func(t *testing.T) {
@@ -134,3 +178,37 @@
 		t.Errorf("followers are %+v, want front-9 of this zone, then front-2 of the other", followers)
 	}
 }
+
+// An instance that does not follow must not be announced to other zones, and its earlier
+// post as a follower must not outlive it there.
+func TestScopeOfPosts(t *testing.T) {
+	t.Run("one that does not follow is told to its zone", func(t *testing.T) {
+		r, board := rosterOf("front-x~1")
+		load(r, followerPosts(elect.FollowersPerZone))
+		r.post(t.Context())
+		if board.scope != ZoneScope || board.last.Follows {
+			t.Errorf("posted %+v in scope %d, want no follower in the zone's", board.last, board.scope)
+		}
+	})
+	t.Run("one whose earlier process followed replaces that post", func(t *testing.T) {
+		r, board := rosterOf("front-3~9")
+		load(r, followerPosts(elect.FollowersPerZone))
+		r.post(t.Context())
+		if board.scope != FleetScope || board.last.Follows {
+			t.Errorf("posted %+v in scope %d, want no follower in the fleet's", board.last, board.scope)
+		}
+	})
+}
+
+func TestInstances(t *testing.T) {
+	r, _ := rosterOf("front-x~1")
+	posted := followerPosts(4)
+	posted[2].Zone, posted[2].ZoneMembers = "y", 90
+	posted[3].Zone, posted[3].ZoneMembers = "y", 80
+	posted = append(posted, Posted{Offset: 9, Member: elect.Member{Name: "front-9~1", Zone: "z"}})
+	load(r, posted)
+	const own, other = 4, 90
+	if got := r.Instances(); got != own+other {
+		t.Errorf("%d instances, want %d", got, own+other)
+	}
+}
--- a/kernel/elect/elect.go
+++ b/kernel/elect/elect.go
@@ -22,9 +22,14 @@
 	// FollowerHeartbeatPeriod is the pause between two heartbeats of a follower on the
 	// roster.
 	FollowerHeartbeatPeriod = 1500 * clock.Millis(1)
-	// NonFollowerHeartbeatPeriod is the pause for members that do not follow the ledger.
-	// It is longer to limit the load on the roster.
-	NonFollowerHeartbeatPeriod = 5 * clock.Second
+	// StandbyHeartbeatPeriod is the pause for members that would follow next.
+	StandbyHeartbeatPeriod = 5 * clock.Second
+	// StandbysPerZone is the number of members of an availability zone that would follow
+	// next. Their loss must be noticed soon, as they replace followers.
+	StandbysPerZone = 10
+	// postsPerSecond bounds the heartbeats of the other members of an availability zone
+	// together, since all of the zone read them.
+	postsPerSecond = 6
 	// missedHeartbeats is the number of overdue heartbeats after which a member counts as
 	// gone.
 	missedHeartbeats = 3
@@ -42,16 +47,36 @@
 	// Follows means that the member follows the ledger.
 	Follows bool
 	Leaving bool
+	// Period is the pause between two of its heartbeats, as it announced; 0 stands for the
+	// period of a follower or a standby.
+	Period clock.Millis
+	// ZoneMembers is the number of live members of its availability zone that it knows; 0
+	// if it did not tell.
+	ZoneMembers int
 	// LastHeartbeat is when this instance received the member's last heartbeat.
 	LastHeartbeat clock.Millis
 }
 
 // HeartbeatPeriod returns the pause between two heartbeats of the member.
 func (m Member) HeartbeatPeriod() clock.Millis {
-	if m.Follows {
+	switch {
+	case m.Period > 0:
+		return m.Period
+	case m.Follows:
 		return FollowerHeartbeatPeriod
+	default:
+		return StandbyHeartbeatPeriod
 	}
-	return NonFollowerHeartbeatPeriod
+}
+
+// PeriodOf returns the heartbeat period of a member that does not follow and that preceding
+// members of its availability zone precede, of members in all. It grows with the zone, but
+// for the standbys.
+func PeriodOf(preceding, members int) clock.Millis {
+	if preceding < FollowersPerZone+StandbysPerZone {
+		return StandbyHeartbeatPeriod
+	}
+	return max(StandbyHeartbeatPeriod, clock.Millis(members)*clock.Second/postsPerSecond)
 }
 
 // Alive reports whether the member is running and not leaving. rosterTime is the last time
@@ -75,11 +100,16 @@
 // FollowersPerZone living members of its availability zone precede it. rosterTime is as in
 // Alive.
 func ShouldFollow(self Member, all []Member, rosterTime clock.Millis) bool {
+	return Preceding(self, all, rosterTime) < FollowersPerZone
+}
+
+// Preceding returns how many living members of its availability zone precede a member.
+func Preceding(self Member, all []Member, rosterTime clock.Millis) int {
 	preceding := 0
 	for _, m := range all {
 		if m.Zone == self.Zone && m.Name.ListName() != self.Name.ListName() && m.Alive(rosterTime) && m.precedes(self) {
 			preceding++
 		}
 	}
-	return preceding < FollowersPerZone
+	return preceding
 }
--- a/kernel/elect/elect_test.go
+++ b/kernel/elect/elect_test.go
@@ -101,3 +101,31 @@
 		}
 	})
 }
+
+// The heartbeats of a zone must not grow with it, or reading them costs the log the square
+// of the instances; and a member must not count as gone between two of its own heartbeats.
+func TestHeartbeatsOfAZone(t *testing.T) {
+	for _, n := range []int{3, 30, 190, 400, 2000} {
+		t.Run(fmt.Sprintf("%d members", n), func(t *testing.T) {
+			members := zoneOf(n)
+			rate := 0.0
+			for i := range members {
+				preceding := Preceding(members[i], members, now)
+				members[i].Follows = preceding < FollowersPerZone
+				if !members[i].Follows {
+					members[i].Period = PeriodOf(preceding, n)
+					rate += float64(clock.Second) / float64(members[i].HeartbeatPeriod())
+				}
+			}
+			const most = 9
+			if rate > most {
+				t.Errorf("%.1f heartbeats a second of members that do not follow, want %d at most", rate, most)
+			}
+			for _, m := range members {
+				if m.LastHeartbeat = now - 2*m.HeartbeatPeriod(); !m.Alive(now) {
+					t.Errorf("%s is not alive two of its periods after a heartbeat", m.Name)
+				}
+			}
+		})
+	}
+}
