Followers read the list of servers; the others get their few from them

Now five followers of each zone hold the whole list (lists.Catalog) and publish to themselves what they use; every other instance long-polls one follower of its zone for its own servers (lists.Client): 64 of a service, none of engines that no live route names. A follower that has read less than another told is passed over, so that no server that left comes back. Entries that changed are worked out alone, in place of the whole list. Two ways were weighed for the list: partitions of a copy in the store itself (a writer with a lease, 48 partitions, 208 entries each: 56 MB at a start for 985 instances, 230 MB for 2,000 with 20,000, and a second of delay more) and followers (81 and 162 MB, nothing from the store for the others, and a cut zone keeps its own). Only the second was built.

--- /dev/null
+++ b/croftmoor/lists/catalog.go
@@ -0,0 +1,259 @@
+package lists
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/fleet"
+	"croftmoor.dev/kernel/ident"
+)
+
+// Catalog is a follower's copy of the whole list. Set the exported fields and call Setup
+// before use. Readers are woken by Commit.
+type Catalog struct {
+	Clock *clock.Clock
+	// IsEngines reports whether the servers of a service are engines, which hold versions of
+	// weights.
+	IsEngines func(ident.Service) bool
+
+	mu       sync.Mutex
+	services map[ident.Service]*service
+	// serviceOf is the service of each listed server.
+	serviceOf map[string]ident.Service
+	// placements counts the changes of anything but versions, of all services.
+	placements int64
+	// evacuated are the availability zones whose servers get nothing new.
+	evacuated map[ident.Zone]bool
+	// next is the offset up to which the list was read; 0 until it was loaded.
+	next ident.Offset
+	// currentAt is when the list was last known to be current.
+	currentAt clock.Millis
+	// changed is closed by each Commit.
+	changed chan struct{}
+}
+
+// service holds the servers of a service. It is kept when they are gone, so that its counts
+// only rise.
+type service struct {
+	members map[string]fleet.Member
+	// placement counts the changes of anything but versions, revision all changes.
+	placement int64
+	revision  int64
+	// shared are the servers that all instances use, of a service of engines, as of
+	// sharedAt, a placement.
+	shared   []string
+	sharedAt int64
+}
+
+// Setup makes an empty catalog, which is not loaded.
+func (c *Catalog) Setup() {
+	c.services = map[ident.Service]*service{}
+	c.serviceOf = map[string]ident.Service{}
+	c.changed = make(chan struct{})
+}
+
+// Put adds or replaces a server.
+func (c *Catalog) Put(m fleet.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id := listName(m)
+	if before, known := c.serviceOf[id]; known && before != m.Service {
+		c.remove(id)
+	}
+	s := c.services[m.Service]
+	if s == nil {
+		s = &service{members: map[string]fleet.Member{}, sharedAt: -1}
+		c.services[m.Service] = s
+	}
+	if old, known := s.members[id]; !known || !samePlacement(old, m) {
+		s.placement++
+		c.placements++
+	}
+	s.revision++
+	s.members[id] = m
+	c.serviceOf[id] = m.Service
+}
+
+// samePlacement reports whether two entries of a server differ in nothing but versions.
+func samePlacement(a, b fleet.Member) bool {
+	return a.Name == b.Name && a.Zone == b.Zone && a.Address == b.Address && a.State == b.State && a.Slots == b.Slots && a.Spot == b.Spot
+}
+
+// Remove removes a server by the name that all its starts share.
+func (c *Catalog) Remove(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.remove(id)
+}
+
+// remove implements Remove; the caller holds mu.
+func (c *Catalog) remove(id string) {
+	name, known := c.serviceOf[id]
+	if !known {
+		return
+	}
+	delete(c.serviceOf, id)
+	s := c.services[name]
+	delete(s.members, id)
+	s.placement++
+	s.revision++
+	c.placements++
+}
+
+// Evacuate sets the availability zones whose servers get nothing new: they are listed as
+// leaving.
+func (c *Catalog) Evacuate(zones map[ident.Zone]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuated = zones
+	c.placements++
+	for _, s := range c.services {
+		s.placement++
+	}
+}
+
+// Commit makes the changes visible; next is the offset up to which the list was read.
+func (c *Catalog) Commit(next ident.Offset) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next = max(next, c.next, 1)
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// MarkCurrent records that the list was current at a time.
+func (c *Catalog) MarkCurrent(at clock.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.currentAt = at
+}
+
+// All returns all servers of a service.
+func (c *Catalog) All(name ident.Service) []fleet.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.services[name]; s != nil {
+		return slices.Collect(maps.Values(s.members))
+	}
+	return nil
+}
+
+// reader is an instance that uses servers of the list.
+type reader struct {
+	instance string
+	zone     ident.Zone
+	// engines are the services of engines that it uses; a follower uses all.
+	engines  []ident.Service
+	follower bool
+}
+
+// Used returns the servers that the follower itself uses.
+func (c *Catalog) Used(instance string, zone ident.Zone) []fleet.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.subset(reader{instance: instance, zone: zone, follower: true})
+}
+
+// subset returns the servers that a reader uses; the caller holds mu.
+func (c *Catalog) subset(r reader) []fleet.Member {
+	var all []fleet.Member
+	for name, s := range c.services {
+		switch {
+		case !c.IsEngines(name):
+			all = append(all, fleet.Nearest(c.listed(s), r.zone, r.instance, maxServers, maxFar)...)
+		case r.follower:
+			all = append(all, c.shared(name, s)...)
+		case slices.Contains(r.engines, name):
+			all = append(all, fleet.Nearest(c.shared(name, s), r.zone, r.instance, maxServers, maxFar)...)
+		}
+	}
+	return all
+}
+
+// listed returns the servers of a service; the caller holds mu.
+func (c *Catalog) listed(s *service) []fleet.Member {
+	members := make([]fleet.Member, 0, len(s.members))
+	for _, m := range s.members {
+		members = append(members, c.withState(m))
+	}
+	return members
+}
+
+// withState returns a server with the state that it has for its users; the caller holds mu.
+func (c *Catalog) withState(m fleet.Member) fleet.Member {
+	if c.evacuated[m.Zone] {
+		m.State = fleet.Leaving
+	}
+	return m
+}
+
+// shared returns the engines of a service that all instances use. They are chosen again only
+// when a server came, went or changed its state. The caller holds mu.
+func (c *Catalog) shared(name ident.Service, s *service) []fleet.Member {
+	if s.sharedAt != s.placement {
+		s.shared, s.sharedAt = nil, s.placement
+		for _, m := range fleet.PerZone(c.listed(s), name, maxEnginesPerZone) {
+			s.shared = append(s.shared, listName(m))
+		}
+	}
+	members := make([]fleet.Member, 0, len(s.shared))
+	for _, id := range s.shared {
+		members = append(members, c.withState(s.members[id]))
+	}
+	return members
+}
+
+// revisionFor returns a number that rises whenever the reader's servers may have changed; the
+// caller holds mu.
+func (c *Catalog) revisionFor(r reader) int64 {
+	sum := c.placements
+	for _, name := range r.engines {
+		if s := c.services[name]; s != nil {
+			sum += s.revision
+		}
+	}
+	return sum
+}
+
+// state is the list as one reader sees it.
+type state struct {
+	next    ident.Offset
+	age     clock.Millis
+	members []fleet.Member
+	digest  uint64
+}
+
+// await returns the reader's servers as soon as their digest is not known, or after wait.
+func (c *Catalog) await(ctx context.Context, r reader, known uint64, wait clock.Millis) (state, error) {
+	timeout := c.Clock.After(wait)
+	seen := int64(-1)
+	var s state
+	for {
+		c.mu.Lock()
+		changed := c.changed
+		loaded := c.next > 0
+		s.next, s.age = c.next, c.Clock.Mono()-c.currentAt
+		if revision := c.revisionFor(r); loaded && revision != seen {
+			seen, s.members = revision, c.subset(r)
+			s.digest = digest(s.members)
+		}
+		c.mu.Unlock()
+		if loaded && s.digest != known {
+			return s, nil
+		}
+		select {
+		case <-ctx.Done():
+			return s, ctx.Err()
+		case <-timeout:
+			if !loaded {
+				return s, fault.New("lists.await", NotLoaded, "this instance has not read the list of servers")
+			}
+			return s, nil
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/croftmoor/lists/client.go
@@ -0,0 +1,159 @@
+package lists
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+
+	"github.com/rs/zerolog"
+
+	"croftmoor.dev/croftmoor/rpcs"
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/elect"
+	"croftmoor.dev/kernel/fleet"
+	"croftmoor.dev/kernel/ident"
+)
+
+const (
+	// pollWait is how long a follower holds an answer that has nothing new, and pollTimeout
+	// bounds the whole call.
+	pollWait    = 1 * clock.Second
+	pollTimeout = 1800 * clock.Millis(1)
+	// changePause is the pause after an answer with changes, so that changes that come one
+	// by one share an answer.
+	changePause = 200 * clock.Millis(1)
+	// minRetryDelay is the pause after a call that failed; it doubles up to maxRetryDelay.
+	minRetryDelay = 50 * clock.Millis(1)
+	maxRetryDelay = 500 * clock.Millis(1)
+	// avoidTime is how long a follower that failed, or whose list is old, is asked only if
+	// all others are avoided too.
+	avoidTime = 2 * clock.Second
+	// maxAge is the age of a follower's list beyond which other followers are asked.
+	maxAge = 3 * clock.Second
+	// lostAfter is the number of failures in a row after which the list counts as lost.
+	lostAfter = 8
+)
+
+// Client follows the servers that this instance uses, as followers tell them. Set the exported
+// fields before Run.
+type Client struct {
+	Instance string
+	Zone     ident.Zone
+	// Followers returns the instances to ask, in the order of preference.
+	Followers func(key string) []elect.Member
+	// Engines returns the services of engines that this instance sends requests to.
+	Engines func() []ident.Service
+	// OnChange is called with the servers whenever they have changed, from one goroutine.
+	OnChange func([]fleet.Member)
+	Clock    *clock.Clock
+	Log      zerolog.Logger
+
+	client *http.Client
+	// next is the highest offset up to which a follower had read the list.
+	next    ident.Offset
+	digest  uint64
+	avoided map[ident.Address]clock.Millis
+	// failures counts the calls in a row that failed.
+	failures int
+	// lost is set while no follower answers.
+	lost bool
+}
+
+// Run follows the list until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	c.client = rpcs.NewClient()
+	c.avoided = map[ident.Address]clock.Millis{}
+	for ctx.Err() == nil {
+		c.Clock.Sleep(ctx, c.poll(ctx))
+	}
+}
+
+// poll asks one follower and returns the pause until the next call.
+func (c *Client) poll(ctx context.Context) clock.Millis {
+	follower, ok := c.follower()
+	if !ok {
+		return c.failed("", nil)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
+	defer cancel()
+	request := &listWire{Instance: c.Instance, Zone: string(c.Zone), Digest: c.digest, WaitMillis: int64(pollWait)}
+	for _, name := range c.Engines() {
+		request.Engines = append(request.Engines, string(name))
+	}
+	answer, err := rpcs.Call[listWire, listedWire](callCtx, c.client, follower.Address, listPath, request)
+	if ctx.Err() != nil {
+		return 0
+	}
+	if err != nil {
+		return c.failed(follower.Address, err)
+	}
+	if ident.Offset(answer.Next) < c.next {
+		// A follower that has read less would bring back servers that have left.
+		c.avoid(follower.Address)
+		return minRetryDelay
+	}
+	if clock.Millis(answer.AgeMillis) > maxAge {
+		c.avoid(follower.Address)
+	}
+	c.answered(follower)
+	c.next = ident.Offset(answer.Next)
+	if !answer.Changed {
+		return 0
+	}
+	c.digest = answer.Digest
+	members := make([]fleet.Member, 0, len(answer.Members))
+	for _, w := range answer.Members {
+		members = append(members, memberFromWire(w))
+	}
+	c.OnChange(members)
+	return changePause
+}
+
+// follower returns the follower to ask: the first that is not avoided, else any.
+func (c *Client) follower() (elect.Member, bool) {
+	all := c.Followers(c.Instance)
+	now := c.Clock.Mono()
+	for _, m := range all {
+		if now >= c.avoided[m.Address] {
+			return m, true
+		}
+	}
+	if len(all) == 0 {
+		return elect.Member{}, false
+	}
+	return all[rand.IntN(len(all))], true
+}
+
+// avoid marks a follower as one to ask last for a while.
+func (c *Client) avoid(at ident.Address) {
+	now := c.Clock.Mono()
+	for address, until := range c.avoided {
+		if until <= now {
+			delete(c.avoided, address)
+		}
+	}
+	c.avoided[at] = now + avoidTime
+}
+
+// failed records a call without an answer and returns the pause until the next.
+func (c *Client) failed(at ident.Address, err error) clock.Millis {
+	if at != "" {
+		c.avoid(at)
+	}
+	c.failures++
+	if c.failures == lostAfter && c.digest != 0 {
+		c.lost = true
+		c.Log.Warn().Err(err).Str("Dependency", "servers").Str("Follower", string(at)).Msg("lost")
+	}
+	delay := min(minRetryDelay<<min(c.failures, lostAfter), maxRetryDelay)
+	return delay/2 + clock.Millis(rand.Int64N(int64(delay)))
+}
+
+// answered records that a follower answered.
+func (c *Client) answered(from elect.Member) {
+	c.failures = 0
+	if c.lost {
+		c.lost = false
+		c.Log.Info().Str("Dependency", "servers").Str("Follower", string(from.Name)).Msg("regained")
+	}
+}
--- a/croftmoor/scaler/scaler.go
+++ b/croftmoor/scaler/scaler.go
@@ -88,10 +88,11 @@
 	Self     ident.InstanceName
 	Ledger   Ledger
 	Platform Platform
-	Fleet    *fleet.Table
-	Routes   func() *paths.Table
-	Clock    *clock.Clock
-	Trail    Decisions
+	// Engines returns all engines of a service.
+	Engines func(ident.Service) []fleet.Member
+	Routes  func() *paths.Table
+	Clock   *clock.Clock
+	Trail   Decisions
 	// LeaseTerm is the least time between the orders of two holders.
 	LeaseTerm clock.Millis
 	Without   toggle.Set
@@ -168,7 +169,7 @@
 
 // orderFor gives the orders that a service's need asks for.
 func (s *Scaler) orderFor(ctx context.Context, service paths.Service, fence ident.Fence) {
-	engines := s.Fleet.View().Backends[service.Name]
+	engines := s.Engines(service.Name)
 	zones, spot := s.zones(service, engines)
 	items := s.needs[service.Name].Peak()
 	desired := scale.DesiredSpot(*service.Scaling, zones, s.usualOf(service.Name, zones), items, service.Slots)
