--- a/croftmoor/detour/detour.go
+++ b/croftmoor/detour/detour.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"croftmoor.dev/croftmoor/rpcs"
+	"croftmoor.dev/kernel/avoid"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
@@ -80,14 +81,13 @@
 	// through is the instance that answered last; shunned are those that gave no
 	// answer of the log, until a time.
 	through ident.Address
-	shunned map[ident.Address]clock.Millis
+	shunned avoid.Set[ident.Address]
 	client  *http.Client
 }
 
 // Setup makes the store usable.
 func (s *Store) Setup() {
 	s.client = rpcs.NewClient()
-	s.shunned = map[ident.Address]clock.Millis{}
 }
 
 // Run tries the direct way again and again while it is not used, until ctx ends.
@@ -160,12 +160,7 @@
 // shun passes an instance over for a while; mu is held.
 func (s *Store) shun(at ident.Address) {
 	now := s.Clock.Mono()
-	for address, until := range s.shunned {
-		if until <= now {
-			delete(s.shunned, address)
-		}
-	}
-	s.shunned[at] = now + shunTerm
+	s.shunned.Add(at, now, now+shunTerm)
 	if s.through == at {
 		s.through = ""
 	}
@@ -186,7 +181,7 @@
 		return s.through, true
 	}
 	now := s.Clock.Mono()
-	sound := slices.DeleteFunc(slices.Clone(peers), func(at ident.Address) bool { return now < s.shunned[at] })
+	sound := slices.DeleteFunc(slices.Clone(peers), func(at ident.Address) bool { return s.shunned.Has(at, now) })
 	if len(sound) == 0 {
 		sound = peers
 	}
--- a/croftmoor/detour/detour_test.go
+++ b/croftmoor/detour/detour_test.go
@@ -207,7 +207,7 @@
 			t.Errorf("call %d: error %v", n, err)
 		}
 	}
-	if len(s.shunned) > 0 {
+	if s.shunned.Len() > 0 {
 		t.Error("the other instance is passed over")
 	}
 }
--- a/croftmoor/lists/client.go
+++ b/croftmoor/lists/client.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"croftmoor.dev/croftmoor/rpcs"
+	"croftmoor.dev/kernel/avoid"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/elect"
 	"croftmoor.dev/kernel/fleet"
@@ -52,7 +53,7 @@
 	// next is the highest offset up to which a follower had read the list.
 	next    ident.Offset
 	digest  uint64
-	avoided map[ident.Address]clock.Millis
+	avoided avoid.Set[ident.Address]
 	// failures counts the calls in a row that failed.
 	failures int
 	// lost is set while no follower answers.
@@ -62,7 +63,6 @@
 // Run follows the list until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	c.client = rpcs.NewClient()
-	c.avoided = map[ident.Address]clock.Millis{}
 	for ctx.Err() == nil {
 		c.Clock.Sleep(ctx, c.poll(ctx))
 	}
@@ -114,7 +114,7 @@
 	all := c.Followers(c.Instance)
 	now := c.Clock.Mono()
 	for _, m := range all {
-		if now >= c.avoided[m.Address] {
+		if !c.avoided.Has(m.Address, now) {
 			return m, true
 		}
 	}
@@ -127,12 +127,7 @@
 // avoid marks a follower as one to ask last for a while.
 func (c *Client) avoid(at ident.Address) {
 	now := c.Clock.Mono()
-	for address, until := range c.avoided {
-		if until <= now {
-			delete(c.avoided, address)
-		}
-	}
-	c.avoided[at] = now + avoidTime
+	c.avoided.Add(at, now, now+avoidTime)
 }
 
 // failed records a call without an answer and returns the pause until the next.
