Instances ask less often for their servers while all of them change

When all servers start, each answer of a follower has changes: the pause before the next question doubles up to 0.8 s.

--- a/croftmoor/lists/client.go
+++ b/croftmoor/lists/client.go
@@ -20,9 +20,11 @@
 	// bounds the whole call.
 	pollWait    = 1 * clock.Second
 	pollTimeout = 1800 * clock.Millis(1)
-	// changePause is the pause after an answer with changes, so that changes that come one
-	// by one share an answer.
-	changePause = 200 * clock.Millis(1)
+	// minChangePause is the pause after an answer with changes, so that changes that come one
+	// by one share an answer. It doubles up to maxChangePause while each answer has some, as
+	// when all servers start. A server that leaves must be known within 2 s.
+	minChangePause = 200 * clock.Millis(1)
+	maxChangePause = 800 * clock.Millis(1)
 	// minRetryDelay is the pause after a call that failed; it doubles up to maxRetryDelay.
 	minRetryDelay = 50 * clock.Millis(1)
 	maxRetryDelay = 500 * clock.Millis(1)
@@ -33,6 +35,8 @@
 	maxAge = 3 * clock.Second
 	// lostAfter is the number of failures in a row after which the list counts as lost.
 	lostAfter = 8
+	// maxDoublings is more than it takes to reach any of the longest pauses.
+	maxDoublings = 8
 )
 
 // Client follows the servers that this instance uses, as followers tell them. Set the exported
@@ -54,8 +58,10 @@
 	next    ident.Offset
 	digest  uint64
 	avoided avoid.Set[ident.Address]
-	// failures counts the calls in a row that failed.
+	// failures counts the calls in a row that failed, changes the answers in a row that had
+	// changes.
 	failures int
+	changes  int
 	// lost is set while no follower answers.
 	lost bool
 }
@@ -98,6 +104,7 @@
 	c.answered(follower)
 	c.next = ident.Offset(answer.Next)
 	if !answer.Changed {
+		c.changes = 0
 		return 0
 	}
 	c.digest = answer.Digest
@@ -106,7 +113,8 @@
 		members = append(members, memberFromWire(w))
 	}
 	c.OnChange(members)
-	return changePause
+	c.changes++
+	return doubled(minChangePause, c.changes-1, maxChangePause)
 }
 
 // follower returns the follower to ask: the first that is not avoided, else any.
@@ -140,7 +148,7 @@
 		c.lost = true
 		c.Log.Warn().Err(err).Str("Dependency", "servers").Str("Follower", string(at)).Msg("lost")
 	}
-	delay := min(minRetryDelay<<min(c.failures, lostAfter), maxRetryDelay)
+	delay := doubled(minRetryDelay, c.failures, maxRetryDelay)
 	return delay/2 + clock.Millis(rand.Int64N(int64(delay)))
 }
 
@@ -152,3 +160,8 @@
 		c.Log.Info().Str("Dependency", "servers").Str("Follower", string(from.Name)).Msg("regained")
 	}
 }
+
+// doubled returns a pause that was doubled some times, most at most.
+func doubled(first clock.Millis, times int, most clock.Millis) clock.Millis {
+	return min(first<<min(times, maxDoublings), most)
+}
