--- a/croftmoor/lists/catalog.go
+++ b/croftmoor/lists/catalog.go
@@ -40,13 +40,12 @@
 // only rise.
 type service struct {
 	members map[string]fleet.Member
-	// placement counts the changes of anything but versions, revision all changes.
-	placement int64
-	revision  int64
-	// shared are the servers that all instances use, of a service of engines, as of
-	// sharedAt, a placement.
-	shared   []string
-	sharedAt int64
+	// revision counts all changes.
+	revision int64
+	// index holds the servers, and shared those of them that all instances use if they are
+	// engines. Both are nil after a change of the placement.
+	index  *fleet.Index
+	shared []string
 }
 
 // Setup makes an empty catalog, which is not loaded.
@@ -66,12 +65,11 @@
 	}
 	s := c.services[m.Service]
 	if s == nil {
-		s = &service{members: map[string]fleet.Member{}, sharedAt: -1}
+		s = &service{members: map[string]fleet.Member{}}
 		c.services[m.Service] = s
 	}
 	if old, known := s.members[id]; !known || !samePlacement(old, m) {
-		s.placement++
-		c.placements++
+		c.moved(s)
 	}
 	s.revision++
 	s.members[id] = m
@@ -99,9 +97,14 @@
 	delete(c.serviceOf, id)
 	s := c.services[name]
 	delete(s.members, id)
-	s.placement++
 	s.revision++
+	c.moved(s)
+}
+
+// moved notes a change of anything but versions of a service's servers; the caller holds mu.
+func (c *Catalog) moved(s *service) {
 	c.placements++
+	s.index, s.shared = nil, nil
 }
 
 // Evacuate sets the availability zones whose servers get nothing new: they are listed as
@@ -110,9 +113,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.evacuated = zones
-	c.placements++
 	for _, s := range c.services {
-		s.placement++
+		c.moved(s)
 	}
 }
 
@@ -164,23 +166,26 @@
 	for name, s := range c.services {
 		switch {
 		case !c.IsEngines(name):
-			all = append(all, fleet.Nearest(c.listed(s), r.zone, r.instance, maxServers, maxFar)...)
+			all = append(all, c.indexOf(s).Nearest(r.zone, r.instance, maxServers, maxFar)...)
 		case r.follower:
 			all = append(all, c.shared(name, s)...)
 		case slices.Contains(r.engines, name):
-			all = append(all, fleet.Nearest(c.shared(name, s), r.zone, r.instance, maxServers, maxFar)...)
+			all = append(all, fleet.NewIndex(c.shared(name, s)).Nearest(r.zone, r.instance, maxServers, maxFar)...)
 		}
 	}
 	return all
 }
 
-// listed returns the servers of a service; the caller holds mu.
-func (c *Catalog) listed(s *service) []fleet.Member {
-	members := make([]fleet.Member, 0, len(s.members))
-	for _, m := range s.members {
-		members = append(members, c.withState(m))
+// indexOf returns the index of a service; the caller holds mu.
+func (c *Catalog) indexOf(s *service) *fleet.Index {
+	if s.index == nil {
+		members := make([]fleet.Member, 0, len(s.members))
+		for _, m := range s.members {
+			members = append(members, c.withState(m))
+		}
+		s.index = fleet.NewIndex(members)
 	}
-	return members
+	return s.index
 }
 
 // withState returns a server with the state that it has for its users; the caller holds mu.
@@ -194,9 +199,8 @@
 // shared returns the engines of a service that all instances use. They are chosen again only
 // when a server came, went or changed its state. The caller holds mu.
 func (c *Catalog) shared(name ident.Service, s *service) []fleet.Member {
-	if s.sharedAt != s.placement {
-		s.shared, s.sharedAt = nil, s.placement
-		for _, m := range fleet.PerZone(c.listed(s), name, maxEnginesPerZone) {
+	if s.shared == nil {
+		for _, m := range c.indexOf(s).PerZone(string(name), maxEnginesPerZone) {
 			s.shared = append(s.shared, listName(m))
 		}
 	}
--- a/croftmoor/pool/follow.go
+++ b/croftmoor/pool/follow.go
@@ -27,10 +27,10 @@
 // subset returns the members that this instance uses: those of its own availability zone
 // first.
 func (p *Pool) subset(members []fleet.Member) []fleet.Member {
-	if p.Subset <= 0 {
+	if p.Subset <= 0 || len(members) <= p.Subset {
 		return members
 	}
-	return fleet.Nearest(members, p.Zone, p.Self, p.Subset, 0)
+	return fleet.NewIndex(members).Nearest(p.Zone, p.Self, p.Subset, 0)
 }
 
 // setMembers replaces the server list of a service and keeps the state of known servers.
--- a/kernel/fleet/subset_test.go
+++ b/kernel/fleet/subset_test.go
@@ -48,7 +48,7 @@
 func TestNearest(t *testing.T) {
 	for _, perZone := range []int{640, 3300} {
 		t.Run(fmt.Sprintf("bounded with %d servers a zone", perZone), func(t *testing.T) {
-			got := Nearest(membersIn(6, perZone), "zone-1", "front-1", perInstance, farServers)
+			got := NewIndex(membersIn(6, perZone)).Nearest("zone-1", "front-1", perInstance, farServers)
 			wantNumber(t, got, perInstance)
 			if own := inZone(got, "zone-1"); own != perInstance-farServers {
 				t.Errorf("%d of them in the own zone, want %d", own, perInstance-farServers)
@@ -56,10 +56,21 @@
 		})
 	}
 	t.Run("a small service is used whole", func(t *testing.T) {
-		wantNumber(t, Nearest(membersIn(6, 10), "zone-1", "front-1", perInstance, farServers), 60)
+		wantNumber(t, NewIndex(membersIn(6, 10)).Nearest("zone-1", "front-1", perInstance, farServers), 60)
+	})
+	t.Run("a zone with few servers uses all of them and those of others", func(t *testing.T) {
+		got := NewIndex(append(membersIn(1, 20), membersIn(3, 100)[100:]...)).Nearest("zone-0", "front-1", perInstance, farServers)
+		wantNumber(t, got, perInstance)
+		if own := inZone(got, "zone-0"); own != 20 {
+			t.Errorf("%d of them in the own zone, want 20", own)
+		}
+	})
+	t.Run("a zone whose servers are nearly all there are uses more of them", func(t *testing.T) {
+		got := NewIndex(append(membersIn(1, 100), membersIn(2, 5)[5:]...)).Nearest("zone-0", "front-1", perInstance, farServers)
+		wantNumber(t, got, perInstance)
 	})
 	t.Run("a zone without servers uses those of others", func(t *testing.T) {
-		wantNumber(t, Nearest(membersIn(6, 100), "zone-9", "front-1", perInstance, farServers), perInstance)
+		wantNumber(t, NewIndex(membersIn(6, 100)).Nearest("zone-9", "front-1", perInstance, farServers), perInstance)
 	})
 	t.Run("leaving servers take no live one's place", func(t *testing.T) {
 		members := membersIn(1, 200)
@@ -68,17 +79,17 @@
 				members[i].State = Leaving
 			}
 		}
-		got := Nearest(members, "zone-0", "front-1", perInstance, farServers)
+		got := NewIndex(members).Nearest("zone-0", "front-1", perInstance, farServers)
 		if live := countLive(got); live != perInstance {
 			t.Errorf("%d live servers, want %d", live, perInstance)
 		}
 	})
 	t.Run("instances are spread over the servers", func(t *testing.T) {
 		const instances = 160
-		members := membersIn(1, 640)
+		index := NewIndex(membersIn(1, 640))
 		uses := map[string]int{}
 		for i := range instances {
-			for _, m := range Nearest(members, "zone-0", fmt.Sprintf("front-%d", i), perInstance, farServers) {
+			for _, m := range index.Nearest("zone-0", fmt.Sprintf("front-%d", i), perInstance, farServers) {
 				uses[m.Name]++
 			}
 		}
@@ -96,7 +107,7 @@
 
 func TestPerZone(t *testing.T) {
 	members := membersIn(6, 1030)
-	before := PerZone(members, "s", enginesEach)
+	before := NewIndex(members).PerZone("s", enginesEach)
 	t.Run("bounded in each zone", func(t *testing.T) {
 		wantNumber(t, before, 6*enginesEach)
 		for z := range 6 {
@@ -106,7 +117,7 @@
 		}
 	})
 	t.Run("a small service is used whole", func(t *testing.T) {
-		wantNumber(t, PerZone(membersIn(3, 17), "s", enginesEach), 51)
+		wantNumber(t, NewIndex(membersIn(3, 17)).PerZone("s", enginesEach), 51)
 	})
 	t.Run("one that goes is replaced and moves no other", func(t *testing.T) {
 		gone := before[0].Name
@@ -121,7 +132,7 @@
 			used[m.Name] = true
 		}
 		added := 0
-		for _, m := range PerZone(left, "s", enginesEach) {
+		for _, m := range NewIndex(left).PerZone("s", enginesEach) {
 			if !used[m.Name] {
 				added++
 			}
@@ -137,7 +148,7 @@
 			again[i].Name = string(ident.NewBackend(ident.BackendName(m.Name).ListName(), 2))
 		}
 		after := map[string]bool{}
-		for _, m := range PerZone(again, "s", enginesEach) {
+		for _, m := range NewIndex(again).PerZone("s", enginesEach) {
 			after[ident.BackendName(m.Name).ListName()] = true
 		}
 		for _, m := range before {
@@ -148,13 +159,13 @@
 	})
 }
 
-func BenchmarkPerZone(b *testing.B) {
-	for _, engines := range []int{300, 1000, 3000, 20000} {
-		b.Run(fmt.Sprintf("of %d", engines), func(b *testing.B) {
-			members := membersIn(6, engines/6)
+func BenchmarkNearest(b *testing.B) {
+	for _, servers := range []int{300, 1000, 3000, 20000} {
+		b.Run(fmt.Sprintf("of %d", servers), func(b *testing.B) {
+			index := NewIndex(membersIn(6, servers/6))
 			b.ReportAllocs()
 			for b.Loop() {
-				PerZone(members, "s", enginesEach)
+				index.Nearest("zone-1", "front-1", perInstance, farServers)
 			}
 		})
 	}
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -138,7 +138,12 @@
 		_, _ = sum.Write([]byte(part))
 		_, _ = sum.Write([]byte{0})
 	}
-	x := sum.Sum64()
+	return Mix(sum.Sum64())
+}
+
+// Mix returns a hash of a number whose bits are unrelated to those of the hashes of similar
+// numbers.
+func Mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
