--- a/croftmoor/batch/alone.go
+++ b/croftmoor/batch/alone.go
@@ -200,6 +200,10 @@
 // are asked. It is long enough for a slow answer of the log.
 const bodyReadTimeout = 1 * clock.Second
 
+// lastBodyReadTimeout bounds the read of a body that no replica has either. It exceeds all
+// attempts of a read; an item whose body does not come is yielded to another instance.
+const lastBodyReadTimeout = 6 * clock.Second
+
 // readBody returns the encoded item. It asks the log first, unless the log is
 // unreachable, then the instances that prefetched the body, then the log again.
 func (r *Runner) readBody(ctx context.Context, item *jobs.Item) ([]byte, error) {
@@ -216,7 +220,9 @@
 			return data, nil
 		}
 	}
-	return r.Blobs.Get(ctx, item.Body)
+	last, cancel := context.WithTimeout(ctx, lastBodyReadTimeout.Duration())
+	defer cancel()
+	return r.Blobs.Get(last, item.Body)
 }
 
 // replicaAddresses returns the addresses of the other instances that may have prefetched
--- a/croftmoor/batch/away_test.go
+++ b/croftmoor/batch/away_test.go
@@ -137,3 +137,27 @@
 		t.Errorf("error %v after %d ms, want the body after %d", err, elapsed, bodyReadTimeout)
 	}
 }
+
+// lostBlobs answers no reads from the log, and no other instance has the body.
+type lostBlobs struct{ silentBlobs }
+
+func (b *lostBlobs) FetchFrom(context.Context, ident.Address, jobs.Span) ([]byte, error) {
+	return nil, errors.New("away")
+}
+
+// A read that hangs must not keep an item at this instance for good: nothing else replaces
+// the claim of an instance that lives.
+func TestBodyThatNeverComes(t *testing.T) {
+	r := newTestRunner(4, 4, 1)
+	r.Blobs = &lostBlobs{}
+	var item jobs.Item
+	r.Ledger.View(func(state *jobs.State) { item = state.Jobs["job-0"].Items[0] })
+	const most = bodyReadTimeout + lastBodyReadTimeout + clock.Second
+	ctx, cancel := context.WithTimeout(t.Context(), (2 * most).Duration())
+	defer cancel()
+	began := r.Clock.Mono()
+	_, err := r.readBody(ctx, &item)
+	if elapsed := r.Clock.Mono() - began; err == nil || elapsed > most {
+		t.Errorf("error %v after %d ms, want one within %d ms", err, elapsed, most)
+	}
+}
