A long list of servers is read by two instances of each zone

One that holds the list gives it up only to members that tell that they hold it. Holders tell so on the roster; an instance that does not hold the list says so at once. The scaler orders engines only where the whole list is known. Versions alone no longer end a follower's wait: they come with the next answer, within a second, and in the ledger before.

--- a/croftmoor/lists/catalog.go
+++ b/croftmoor/lists/catalog.go
@@ -36,12 +36,9 @@
 	changed chan struct{}
 }
 
-// service holds the servers of a service. It is kept when they are gone, so that its counts
-// only rise.
+// service holds the servers of a service.
 type service struct {
 	members map[string]fleet.Member
-	// revision counts all changes.
-	revision int64
 	// index holds the servers, and shared those of them that all instances use if they are
 	// engines. Both are nil after a change of the placement.
 	index  *fleet.Index
@@ -50,11 +47,28 @@
 
 // Setup makes an empty catalog, which is not loaded.
 func (c *Catalog) Setup() {
+	c.changed = make(chan struct{})
+	c.Reset()
+}
+
+// Reset empties the catalog; it is not loaded then.
+func (c *Catalog) Reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.services = map[ident.Service]*service{}
 	c.serviceOf = map[string]ident.Service{}
+	c.next = 0
+	close(c.changed)
 	c.changed = make(chan struct{})
 }
 
+// Loaded reports whether the whole list was read.
+func (c *Catalog) Loaded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next > 0
+}
+
 // Put adds or replaces a server.
 func (c *Catalog) Put(m fleet.Member) {
 	c.mu.Lock()
@@ -71,7 +85,6 @@
 	if old, known := s.members[id]; !known || !samePlacement(old, m) {
 		c.moved(s)
 	}
-	s.revision++
 	s.members[id] = m
 	c.serviceOf[id] = m.Service
 }
@@ -97,7 +110,6 @@
 	delete(c.serviceOf, id)
 	s := c.services[name]
 	delete(s.members, id)
-	s.revision++
 	c.moved(s)
 }
 
@@ -211,18 +223,6 @@
 	return members
 }
 
-// revisionFor returns a number that rises whenever the reader's servers may have changed; the
-// caller holds mu.
-func (c *Catalog) revisionFor(r reader) int64 {
-	sum := c.placements
-	for _, name := range r.engines {
-		if s := c.services[name]; s != nil {
-			sum += s.revision
-		}
-	}
-	return sum
-}
-
 // state is the list as one reader sees it.
 type state struct {
 	next    ident.Offset
@@ -232,32 +232,42 @@
 }
 
 // await returns the reader's servers as soon as their digest is not known, or after wait.
+// Changes of versions alone end no wait: engines load them all the time, and followers learn
+// of them from the ledger first.
 func (c *Catalog) await(ctx context.Context, r reader, known uint64, wait clock.Millis) (state, error) {
 	timeout := c.Clock.After(wait)
-	seen := int64(-1)
-	var s state
-	for {
-		c.mu.Lock()
-		changed := c.changed
-		loaded := c.next > 0
-		s.next, s.age = c.next, c.Clock.Mono()-c.currentAt
-		if revision := c.revisionFor(r); loaded && revision != seen {
-			seen, s.members = revision, c.subset(r)
-			s.digest = digest(s.members)
+	for seen := int64(-1); ; {
+		s, placements, changed, err := c.look(r, seen)
+		if err != nil {
+			return state{}, err
 		}
-		c.mu.Unlock()
-		if loaded && s.digest != known {
+		if placements != seen && s.digest != known {
 			return s, nil
 		}
+		seen = placements
 		select {
 		case <-ctx.Done():
-			return s, ctx.Err()
+			return state{}, ctx.Err()
 		case <-timeout:
-			if !loaded {
-				return s, fault.New("lists.await", NotLoaded, "this instance has not read the list of servers")
-			}
-			return s, nil
+			s, _, _, err = c.look(r, -1)
+			return s, err
 		case <-changed:
 		}
 	}
 }
+
+// look returns the list as a reader sees it if it may have changed since the placements were
+// seen, the placements, and what is closed by the next change.
+func (c *Catalog) look(r reader, seen int64) (s state, placements int64, changed <-chan struct{}, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next == 0 {
+		return state{}, 0, nil, fault.New("lists.await", NotLoaded, "this instance has not read the list of servers")
+	}
+	s = state{next: c.next, age: c.Clock.Mono() - c.currentAt}
+	if c.placements != seen {
+		s.members = c.subset(r)
+		s.digest = digest(s.members)
+	}
+	return s, c.placements, c.changed, nil
+}
--- a/croftmoor/lists/client.go
+++ b/croftmoor/lists/client.go
@@ -44,8 +44,11 @@
 type Client struct {
 	Instance string
 	Zone     ident.Zone
-	// Followers returns the instances to ask, in the order of preference.
-	Followers func(key string) []elect.Member
+	// Holders returns the instances to ask, in the order of preference.
+	Holders func(key string) []elect.Member
+	// Follows reports whether this instance follows the ledger; it gets the engines that all
+	// followers use then.
+	Follows func() bool
 	// Engines returns the services of engines that this instance sends requests to.
 	Engines func() []ident.Service
 	// OnChange is called with the servers whenever they have changed, from one goroutine.
@@ -66,9 +69,12 @@
 	lost bool
 }
 
-// Run follows the list until ctx ends.
+// Run follows the list until ctx ends. It may be called again then.
 func (c *Client) Run(ctx context.Context) {
-	c.client = rpcs.NewClient()
+	if c.client == nil {
+		c.client = rpcs.NewClient()
+	}
+	c.digest = 0
 	for ctx.Err() == nil {
 		c.Clock.Sleep(ctx, c.poll(ctx))
 	}
@@ -82,7 +88,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
 	defer cancel()
-	request := &listWire{Instance: c.Instance, Zone: string(c.Zone), Digest: c.digest, WaitMillis: int64(pollWait)}
+	request := &listWire{Instance: c.Instance, Zone: string(c.Zone), Digest: c.digest, WaitMillis: int64(pollWait), Follower: c.Follows()}
 	for _, name := range c.Engines() {
 		request.Engines = append(request.Engines, string(name))
 	}
@@ -119,7 +125,7 @@
 
 // follower returns the follower to ask: the first that is not avoided, else any.
 func (c *Client) follower() (elect.Member, bool) {
-	all := c.Followers(c.Instance)
+	all := c.Holders(c.Instance)
 	now := c.Clock.Mono()
 	for _, m := range all {
 		if !c.avoided.Has(m.Address, now) {
--- a/croftmoor/lists/lists_test.go
+++ b/croftmoor/lists/lists_test.go
@@ -101,8 +101,8 @@
 	f := &followed{}
 	client := &Client{
 		Instance: "front-9", Zone: "z", Clock: clock.New(), Log: zerolog.Nop(), OnChange: f.set,
-		Followers: func(string) []elect.Member { return followers },
-		Engines:   func() []ident.Service { return engines },
+		Holders: func(string) []elect.Member { return followers }, Follows: func() bool { return false },
+		Engines: func() []ident.Service { return engines },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var group conc.WaitGroup
@@ -159,6 +159,19 @@
 		wantNames(t, run(t, nil, follower(t, c)), "a")
 		wantNames(t, run(t, []ident.Service{engineService}, follower(t, c)), "a e")
 	})
+	t.Run("versions of engines that it uses come with the next answer", func(t *testing.T) {
+		c := catalogOf(engineWith("e", "z", 3))
+		f := run(t, []ident.Service{engineService}, follower(t, c))
+		wantNames(t, f, "e")
+		c.Put(engineWith("e", "z", 4))
+		c.Commit(2)
+		time.Sleep((pollWait + clock.Second/2).Duration())
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if got := f.members["e"].Versions["m"]; got != 4 {
+			t.Errorf("the client has version %d, want 4", got)
+		}
+	})
 	t.Run("versions of engines that it does not use are not told", func(t *testing.T) {
 		c := catalogOf(plainServer("a", "z"), engineWith("e", "z", 3))
 		f := run(t, nil, follower(t, c))
@@ -196,6 +209,15 @@
 		f := run(t, nil, dead, follower(t, empty), follower(t, catalogOf(plainServer("a", "z"))))
 		wantNames(t, f, "a")
 	})
+	t.Run("a holder that gives the list up is no longer asked", func(t *testing.T) {
+		first, second := catalogOf(plainServer("a", "z")), catalogOf(plainServer("a", "z"))
+		f := run(t, nil, follower(t, first), follower(t, second))
+		wantNames(t, f, "a")
+		first.Reset()
+		second.Put(plainServer("b", "z"))
+		second.Commit(2)
+		wantNames(t, f, "a b")
+	})
 	t.Run("a list without servers is a list", func(t *testing.T) {
 		f := run(t, nil, follower(t, catalogOf()))
 		deadline := time.Now().Add(5 * time.Second)
--- a/croftmoor/lists/wire.go
+++ b/croftmoor/lists/wire.go
@@ -25,6 +25,8 @@
 	// Digest is that of the servers that it has; 0 if it has none.
 	Digest     uint64
 	WaitMillis int64
+	// Follower asks for the engines that all instances use.
+	Follower bool
 }
 
 // listedWire is the answer. Members are sent only if Changed is set.
@@ -91,7 +93,7 @@
 // Handle answers the instances that do not hold the list.
 func Handle(mux *http.ServeMux, c *Catalog) {
 	rpcs.Handle(mux, listPath, toConnect, func(ctx context.Context, w *listWire) (*listedWire, error) {
-		r := reader{instance: w.Instance, zone: ident.Zone(w.Zone)}
+		r := reader{instance: w.Instance, zone: ident.Zone(w.Zone), follower: w.Follower}
 		for _, name := range w.Engines {
 			r.engines = append(r.engines, ident.Service(name))
 		}
--- a/croftmoor/roster/roster.go
+++ b/croftmoor/roster/roster.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -61,12 +62,13 @@
 // Roster is this instance's copy of the membership list. Set the exported fields, then call
 // Setup before Run. mu guards the unexported fields except the channels.
 type Roster struct {
-	// Self is this instance as posted; the roster sets Follows, Leaving, Period and
-	// ZoneMembers.
+	// Self is this instance as posted; the roster sets the fields that change.
 	Self  elect.Member
 	Board Board
-	Clock *clock.Clock
-	Log   zerolog.Logger
+	// HoldsList reports whether this instance has the whole list of servers; it may be nil.
+	HoldsList func() bool
+	Clock     *clock.Clock
+	Log       zerolog.Logger
 
 	mu     sync.Mutex
 	scopes [scopes]scope
@@ -78,6 +80,8 @@
 	leaving   bool
 	// elected is closed when this instance starts to follow the ledger.
 	elected chan struct{}
+	// postNow ends the wait for the next post.
+	postNow chan struct{}
 	// membersSet is closed when members of all scopes were set.
 	membersSet chan struct{}
 }
@@ -108,6 +112,7 @@
 // Setup initialises the roster. It must be called before any other method.
 func (r *Roster) Setup() {
 	r.elected = make(chan struct{})
+	r.postNow = make(chan struct{}, 1)
 	r.membersSet = make(chan struct{})
 }
 
@@ -141,6 +146,8 @@
 			return
 		case <-elected:
 			return
+		case <-r.postNow:
+			return
 		case <-r.Clock.After(electionPeriod):
 			r.tryElect()
 		}
@@ -231,6 +238,7 @@
 	defer r.mu.Unlock()
 	self := r.Self
 	self.Follows, self.Leaving, self.ZoneMembers = r.follows, r.leaving, r.zoneMembers()
+	self.HoldsList = r.follows && r.HoldsList != nil && r.HoldsList()
 	if !r.follows {
 		self.Period = elect.PeriodOf(elect.Preceding(self, r.list(), r.lastCurrent()), self.ZoneMembers)
 	}
@@ -342,6 +350,45 @@
 	}
 }
 
+// Announce posts this instance soon, because its state has changed. It does not block.
+func (r *Roster) Announce() {
+	select {
+	case r.postNow <- struct{}{}:
+	default:
+	}
+}
+
+// ShouldHoldList reports whether this instance is one of the first members of its availability
+// zone, which hold a long list of servers. One that holds it gives it up only to members that
+// hold it already.
+func (r *Roster) ShouldHoldList() bool {
+	holds := r.HoldsList != nil && r.HoldsList()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	others := r.list()
+	if holds {
+		others = slices.DeleteFunc(others, func(m elect.Member) bool { return !m.HoldsList })
+	}
+	return r.follows && elect.Preceding(r.Self, others, r.lastCurrent()) < elect.HoldersPerZone
+}
+
+// ListHolders returns the other live instances that hold the list of servers, in the order of
+// Followers, and behind them the other followers.
+func (r *Roster) ListHolders(key string) []elect.Member {
+	followers := r.Followers(key)
+	slices.SortStableFunc(followers, func(a, b elect.Member) int {
+		switch {
+		case a.HoldsList == b.HoldsList:
+			return 0
+		case a.HoldsList:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return followers
+}
+
 // Elected returns a channel that is closed when this instance starts to follow the ledger.
 func (r *Roster) Elected() <-chan struct{} { return r.elected }
 
--- a/croftmoor/scaler/scaler.go
+++ b/croftmoor/scaler/scaler.go
@@ -88,6 +88,9 @@
 	Self     ident.InstanceName
 	Ledger   Ledger
 	Platform Platform
+	// ListLoaded reports whether this instance has the whole list of engines; without it, it
+	// orders none.
+	ListLoaded func() bool
 	// Engines returns all engines of a service.
 	Engines func(ident.Service) []fleet.Member
 	Routes  func() *paths.Table
@@ -131,7 +134,7 @@
 
 func (s *Scaler) round(ctx context.Context) {
 	table := s.Routes()
-	if table == nil || !s.Ledger.Fresh() {
+	if table == nil || !s.Ledger.Fresh() || !s.ListLoaded() {
 		return
 	}
 	s.note(table)
--- a/croftmoor/scaler/scaler_test.go
+++ b/croftmoor/scaler/scaler_test.go
@@ -79,7 +79,7 @@
 		Max: 9, BootTime: 2 * clock.Second, SpotPrice: 0.2, Prices: map[ident.Zone]float64{"a": 1, "b": 2},
 	}}, {Name: "plain"}}, paths.Limits{})
 	s.scaler = &Scaler{
-		Self: "i~1", Ledger: s.ledger, Platform: s.cloud, Engines: func(name ident.Service) []fleet.Member { return s.fleet.View().Backends[name] }, Routes: func() *paths.Table { return routes },
+		Self: "i~1", Ledger: s.ledger, Platform: s.cloud, ListLoaded: func() bool { return true }, Engines: func(name ident.Service) []fleet.Member { return s.fleet.View().Backends[name] }, Routes: func() *paths.Table { return routes },
 		Clock: c, Trail: noDecisions{},
 	}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/kernel/elect/elect.go
+++ b/kernel/elect/elect.go
@@ -22,6 +22,9 @@
 	// FollowerHeartbeatPeriod is the pause between two heartbeats of a follower on the
 	// roster.
 	FollowerHeartbeatPeriod = 1500 * clock.Millis(1)
+	// HoldersPerZone is the number of followers of an availability zone that hold a list of
+	// servers which is too long for all of them to read.
+	HoldersPerZone = 2
 	// StandbyHeartbeatPeriod is the pause for members that would follow next.
 	StandbyHeartbeatPeriod = 5 * clock.Second
 	// StandbysPerZone is the number of members of an availability zone that would follow
@@ -46,7 +49,9 @@
 	CPU     Millicores
 	// Follows means that the member follows the ledger.
 	Follows bool
-	Leaving bool
+	// HoldsList means that the member has the whole list of servers.
+	HoldsList bool
+	Leaving   bool
 	// Period is the pause between two of its heartbeats, as it announced; 0 stands for the
 	// period of a follower or a standby.
 	Period clock.Millis
