--- a/croftmoor/lists/catalog.go
+++ b/croftmoor/lists/catalog.go
@@ -12,8 +12,8 @@
 	"croftmoor.dev/kernel/ident"
 )
 
-// Catalog is a follower's copy of the whole list. Set the exported fields and call Setup
-// before use. Readers are woken by Commit.
+// Catalog is a holder's copy of the whole list. Set the exported fields and call Setup before
+// use. Readers are woken by Commit.
 type Catalog struct {
 	Clock *clock.Clock
 	// IsEngines reports whether the servers of a service are engines, which hold versions of
@@ -165,7 +165,7 @@
 	follower bool
 }
 
-// Used returns the servers that the follower itself uses.
+// Used returns the servers that the holder itself uses.
 func (c *Catalog) Used(instance string, zone ident.Zone) []fleet.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/croftmoor/lists/client.go
+++ b/croftmoor/lists/client.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// pollWait is how long a follower holds an answer that has nothing new, and pollTimeout
+	// pollWait is how long a holder keeps a call without news waiting, and pollTimeout
 	// bounds the whole call.
 	pollWait    = 1 * clock.Second
 	pollTimeout = 1800 * clock.Millis(1)
@@ -28,10 +28,10 @@
 	// minRetryDelay is the pause after a call that failed; it doubles up to maxRetryDelay.
 	minRetryDelay = 50 * clock.Millis(1)
 	maxRetryDelay = 500 * clock.Millis(1)
-	// avoidTime is how long a follower that failed, or whose list is old, is asked only if
+	// avoidTime is how long a holder that failed, or whose list is old, is asked only if
 	// all others are avoided too.
 	avoidTime = 2 * clock.Second
-	// maxAge is the age of a follower's list beyond which other followers are asked.
+	// maxAge is the age of a holder's list beyond which other holders are asked.
 	maxAge = 3 * clock.Second
 	// lostAfter is the number of failures in a row after which the list counts as lost.
 	lostAfter = 8
@@ -39,7 +39,7 @@
 	maxDoublings = 8
 )
 
-// Client follows the servers that this instance uses, as followers tell them. Set the exported
+// Client follows the servers that this instance uses, as holders tell them. Set the exported
 // fields before Run.
 type Client struct {
 	Instance string
@@ -57,7 +57,7 @@
 	Log      zerolog.Logger
 
 	client *http.Client
-	// next is the highest offset up to which a follower had read the list.
+	// next is the highest offset up to which a holder had read the list.
 	next    ident.Offset
 	digest  uint64
 	avoided avoid.Set[ident.Address]
@@ -65,7 +65,7 @@
 	// changes.
 	failures int
 	changes  int
-	// lost is set while no follower answers.
+	// lost is set while no holder answers.
 	lost bool
 }
 
@@ -80,9 +80,9 @@
 	}
 }
 
-// poll asks one follower and returns the pause until the next call.
+// poll asks one holder and returns the pause until the next call.
 func (c *Client) poll(ctx context.Context) clock.Millis {
-	follower, ok := c.follower()
+	holder, ok := c.holder()
 	if !ok {
 		return c.failed("", nil)
 	}
@@ -92,22 +92,22 @@
 	for _, name := range c.Engines() {
 		request.Engines = append(request.Engines, string(name))
 	}
-	answer, err := rpcs.Call[listWire, listedWire](callCtx, c.client, follower.Address, listPath, request)
+	answer, err := rpcs.Call[listWire, listedWire](callCtx, c.client, holder.Address, listPath, request)
 	if ctx.Err() != nil {
 		return 0
 	}
 	if err != nil {
-		return c.failed(follower.Address, err)
+		return c.failed(holder.Address, err)
 	}
 	if ident.Offset(answer.Next) < c.next {
-		// A follower that has read less would bring back servers that have left.
-		c.avoid(follower.Address)
+		// A holder that has read less would bring back servers that have left.
+		c.avoid(holder.Address)
 		return minRetryDelay
 	}
 	if clock.Millis(answer.AgeMillis) > maxAge {
-		c.avoid(follower.Address)
+		c.avoid(holder.Address)
 	}
-	c.answered(follower)
+	c.answered(holder)
 	c.next = ident.Offset(answer.Next)
 	if !answer.Changed {
 		c.changes = 0
@@ -123,8 +123,8 @@
 	return doubled(minChangePause, c.changes-1, maxChangePause)
 }
 
-// follower returns the follower to ask: the first that is not avoided, else any.
-func (c *Client) follower() (elect.Member, bool) {
+// holder returns the holder to ask: the first that is not avoided, else any.
+func (c *Client) holder() (elect.Member, bool) {
 	all := c.Holders(c.Instance)
 	now := c.Clock.Mono()
 	for _, m := range all {
@@ -138,7 +138,7 @@
 	return all[rand.IntN(len(all))], true
 }
 
-// avoid marks a follower as one to ask last for a while.
+// avoid marks a holder as one to ask last for a while.
 func (c *Client) avoid(at ident.Address) {
 	now := c.Clock.Mono()
 	c.avoided.Add(at, now, now+avoidTime)
@@ -152,18 +152,18 @@
 	c.failures++
 	if c.failures == lostAfter && c.digest != 0 {
 		c.lost = true
-		c.Log.Warn().Err(err).Str("Dependency", "servers").Str("Follower", string(at)).Msg("lost")
+		c.Log.Warn().Err(err).Str("Dependency", "servers").Str("Holder", string(at)).Msg("lost")
 	}
 	delay := doubled(minRetryDelay, c.failures, maxRetryDelay)
 	return delay/2 + clock.Millis(rand.Int64N(int64(delay)))
 }
 
-// answered records that a follower answered.
+// answered records that a holder answered.
 func (c *Client) answered(from elect.Member) {
 	c.failures = 0
 	if c.lost {
 		c.lost = false
-		c.Log.Info().Str("Dependency", "servers").Str("Follower", string(from.Name)).Msg("regained")
+		c.Log.Info().Str("Dependency", "servers").Str("Holder", string(from.Name)).Msg("regained")
 	}
 }
 
--- a/croftmoor/lists/lists.go
+++ b/croftmoor/lists/lists.go
@@ -1,7 +1,8 @@
-// Package lists gives each instance the backend servers that it may use. Followers hold the
-// whole list, a Catalog; every other instance gets its own few servers from a follower of its
-// availability zone, by a Client. So the platform's log serves the whole list to a bounded
-// number of readers, and what the others hold does not grow with the fleet.
+// Package lists gives each instance the backend servers that it may use. Holders, which are
+// some or all of the followers, have the whole list, a Catalog; every other instance gets its
+// own few servers from a holder of its availability zone, by a Client. So the platform's log
+// serves the whole list to a bounded number of readers, and what the others hold does not grow
+// with the fleet.
 package lists
 
 import (
--- a/croftmoor/lists/wire.go
+++ b/croftmoor/lists/wire.go
@@ -16,7 +16,7 @@
 
 const listPath = "/croftmoor.Lists/List"
 
-// listWire asks a follower for the servers of an instance.
+// listWire asks a holder for the servers of an instance.
 type listWire struct {
 	Instance string
 	Zone     string
@@ -90,7 +90,7 @@
 	return strings.Join(parts, ",")
 }
 
-// Handle answers the instances that do not hold the list.
+// Handle answers the instances that do not hold the list whole.
 func Handle(mux *http.ServeMux, c *Catalog) {
 	rpcs.Handle(mux, listPath, toConnect, func(ctx context.Context, w *listWire) (*listedWire, error) {
 		r := reader{instance: w.Instance, zone: ident.Zone(w.Zone), follower: w.Follower}
