Whoever asks a holder that is reading the list waits for it

Read while reviewing the diff: after the loss of all processes each holder answered at once that it had no list, and its clients' pauses grew to half a second and more behind the moment when it had one. Test: a client has the list within 200 ms of its being read.

--- a/croftmoor/lists/catalog.go
+++ b/croftmoor/lists/catalog.go
@@ -28,8 +28,10 @@
 	placements int64
 	// evacuated are the availability zones whose servers get nothing new.
 	evacuated map[ident.Zone]bool
-	// next is the offset up to which the list was read; 0 until it was loaded.
-	next ident.Offset
+	// next is the offset up to which the list was read; 0 until it was loaded. reading is set
+	// while that is to be expected.
+	next    ident.Offset
+	reading bool
 	// currentAt is when the list was last known to be current.
 	currentAt clock.Millis
 	// changed is closed by each Commit.
@@ -57,11 +59,18 @@
 	defer c.mu.Unlock()
 	c.services = map[ident.Service]*service{}
 	c.serviceOf = map[string]ident.Service{}
-	c.next = 0
+	c.next, c.reading = 0, false
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
 
+// ExpectList tells that the list is being read: readers wait for it.
+func (c *Catalog) ExpectList() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+}
+
 // Loaded reports whether the whole list was read.
 func (c *Catalog) Loaded() bool {
 	c.mu.Lock()
@@ -233,7 +242,8 @@
 
 // await returns the reader's servers as soon as their digest is not known, or after wait.
 // Changes of versions alone end no wait: engines load them all the time, and followers learn
-// of them from the ledger first.
+// of them from the ledger first. The error is NotLoaded if the list is not read by then, or not
+// to be expected.
 func (c *Catalog) await(ctx context.Context, r reader, known uint64, wait clock.Millis) (state, error) {
 	timeout := c.Clock.After(wait)
 	for seen := int64(-1); ; {
@@ -241,7 +251,7 @@
 		if err != nil {
 			return state{}, err
 		}
-		if placements != seen && s.digest != known {
+		if s.next > 0 && placements != seen && s.digest != known {
 			return s, nil
 		}
 		seen = placements
@@ -249,7 +259,9 @@
 		case <-ctx.Done():
 			return state{}, ctx.Err()
 		case <-timeout:
-			s, _, _, err = c.look(r, -1)
+			if s, _, _, err = c.look(r, -1); err == nil && s.next == 0 {
+				err = notLoaded()
+			}
 			return s, err
 		case <-changed:
 		}
@@ -257,12 +269,17 @@
 }
 
 // look returns the list as a reader sees it if it may have changed since the placements were
-// seen, the placements, and what is closed by the next change.
+// seen, the placements, and what is closed by the next change. The state's next is 0 while the
+// list is being read.
 func (c *Catalog) look(r reader, seen int64) (s state, placements int64, changed <-chan struct{}, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.next == 0 {
-		return state{}, 0, nil, fault.New("lists.await", NotLoaded, "this instance has not read the list of servers")
+	switch {
+	case c.next > 0:
+	case c.reading:
+		return state{}, -1, c.changed, nil
+	default:
+		return state{}, 0, nil, notLoaded()
 	}
 	s = state{next: c.next, age: c.Clock.Mono() - c.currentAt}
 	if c.placements != seen {
@@ -271,3 +288,7 @@
 	}
 	return s, c.placements, c.changed, nil
 }
+
+func notLoaded() error {
+	return fault.New("lists.await", NotLoaded, "this instance has not read the list of servers")
+}
--- a/croftmoor/lists/lists_test.go
+++ b/croftmoor/lists/lists_test.go
@@ -218,6 +218,20 @@
 		second.Commit(2)
 		wantNames(t, f, "a b")
 	})
+	t.Run("a holder that is reading the list is waited for", func(t *testing.T) {
+		c := emptyCatalog()
+		c.ExpectList()
+		began := c.Clock.Mono()
+		f := run(t, nil, follower(t, c))
+		const load = 600 * clock.Millis(1)
+		c.Clock.Sleep(t.Context(), load)
+		c.Put(plainServer("a", "z"))
+		c.Commit(1)
+		wantNames(t, f, "a")
+		if took := c.Clock.Mono() - began; took > load+200 {
+			t.Errorf("the client has the list after %d ms, it was read after %d", took, load)
+		}
+	})
 	t.Run("a list without servers is a list", func(t *testing.T) {
 		f := run(t, nil, follower(t, catalogOf()))
 		deadline := time.Now().Add(5 * time.Second)
