--- a/kernel/fleet/subset.go
+++ b/kernel/fleet/subset.go
@@ -46,12 +46,11 @@
 		}
 	}
 	near := choose(own, seed, most-far)
-	chosen := append(near, choose(other, seed, most-countLive(near))...)
-	if missing := most - countLive(chosen); missing > 0 && far > 0 {
-		others := chosen[len(near):]
-		chosen = append(choose(own, seed, most-far+missing), others...)
+	others := choose(other, seed, most-countLive(near))
+	if missing := most - countLive(near) - countLive(others); missing > 0 && far > 0 {
+		near = choose(own, seed, most-far+missing)
 	}
-	return chosen
+	return slices.Concat(near, others)
 }
 
 // PerZone returns the servers that all instances use together: in each availability zone
