--- a/croftmoor/lists/lists_test.go
+++ b/croftmoor/lists/lists_test.go
@@ -143,6 +143,10 @@
 		c.Commit(3)
 		wantNames(t, f, "b c")
 	})
+}
+
+// What an instance is told must be what it sends requests to, and as it may use it.
+func TestWhatIsTold(t *testing.T) {
 	t.Run("an evacuated zone gets nothing until that is taken back", func(t *testing.T) {
 		c := catalogOf(plainServer("a", "z"), plainServer("b", "y"), engineWith("e", "z", 1))
 		f := run(t, []ident.Service{engineService}, follower(t, c))
@@ -192,6 +196,11 @@
 		odd.Versions = map[ident.Model]ident.Version{"m": 1}
 		wantNames(t, run(t, nil, follower(t, catalogOf(plainServer("a", "z"), odd))), "a b")
 	})
+}
+
+// A holder that knows less, is gone, or has no list must cost an instance neither its servers
+// nor much time.
+func TestHolders(t *testing.T) {
 	t.Run("a follower that has read less brings nothing back", func(t *testing.T) {
 		behind, ahead := catalogOf(plainServer("a", "z"), plainServer("b", "z")), catalogOf(plainServer("b", "z"))
 		ahead.Commit(9)
