--- a/croftmoor/lists/client.go
+++ b/croftmoor/lists/client.go
@@ -11,6 +11,7 @@
 	"croftmoor.dev/kernel/avoid"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/elect"
+	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/ident"
 )
@@ -101,8 +102,7 @@
 	}
 	if ident.Offset(answer.Next) < c.next {
 		// A holder that has read less would bring back servers that have left.
-		c.avoid(holder.Address)
-		return minRetryDelay
+		return c.failed(holder.Address, fault.New("lists.poll", Behind, string(holder.Name)+" has read less than another holder"))
 	}
 	if clock.Millis(answer.AgeMillis) > maxAge {
 		c.avoid(holder.Address)
--- a/croftmoor/lists/lists.go
+++ b/croftmoor/lists/lists.go
@@ -19,8 +19,13 @@
 // Kind classifies the errors of this package.
 type Kind string
 
-// NotLoaded means that an instance does not hold the whole list.
-const NotLoaded Kind = "NotLoaded"
+// Kinds of errors.
+const (
+	// NotLoaded means that an instance does not hold the whole list.
+	NotLoaded Kind = "NotLoaded"
+	// Behind means that a holder has read less of the list than another told before.
+	Behind Kind = "Behind"
+)
 
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
