Calls of the store that end without an answer tell how long they took and when another was answered

Cause: of the hypotheses on the incident none could be told from another: 'lost' comes once an outage, with the error alone. No decision changes.

--- a/croftmoor/detour/detour.go
+++ b/croftmoor/detour/detour.go
@@ -70,6 +70,9 @@
 	Log   zerolog.Logger
 	// DirectOnly has other instances never asked.
 	DirectOnly bool
+	// CountUnanswered is called with the name and the time of each call that ended without an
+	// answer after longCall or more; it may be nil.
+	CountUnanswered func(call string, took clock.Millis)
 
 	mu     sync.Mutex
 	failed int
@@ -83,6 +86,10 @@
 	through ident.Address
 	shunned avoid.Set[ident.Address]
 	client  *http.Client
+	// lastAnswer is when any call was last answered, lastLine when a call without an answer
+	// was last logged.
+	lastAnswer clock.Millis
+	lastLine   clock.Millis
 }
 
 // Setup makes the store usable.
@@ -189,12 +196,13 @@
 }
 
 // reach does a call directly, or at a peer while the direct way is not used.
-func reach[A any](ctx context.Context, s *Store, direct func() (A, error), there func(ident.Address) (A, error)) (A, error) {
+func reach[A any](ctx context.Context, s *Store, op operation, direct func() (A, error), there func(ident.Address) (A, error)) (A, error) {
 	var none A
 	var failure error
 	if !s.isAway() {
 		began := s.Clock.Mono()
 		answer, err := direct()
+		s.ended(ctx, op, "", began, err)
 		if err == nil {
 			s.back()
 			return answer, nil
@@ -223,7 +231,9 @@
 	if !ok {
 		return direct()
 	}
+	began := s.Clock.Mono()
 	answer, err := there(address)
+	s.ended(ctx, op, address, began, err)
 	s.asked(ctx, address, err)
 	if err != nil && fault.KindOf[tail.Kind](failure) == tail.Unknown {
 		// The peer's refusal says nothing of the call that got no answer here.
@@ -234,7 +244,7 @@
 
 // AppendOnce appends records under a ticket.
 func (s *Store) AppendOnce(ctx context.Context, stream ident.Stream, ticket tail.Ticket, records [][]byte) (ident.Offset, error) {
-	return reach(ctx, s, func() (ident.Offset, error) {
+	return reach(ctx, s, operation{name: "append", stream: stream}, func() (ident.Offset, error) {
 		return s.Direct.AppendOnce(ctx, stream, ticket, records)
 	}, func(address ident.Address) (ident.Offset, error) {
 		message := appendToWire(stream, ticket, records)
@@ -248,7 +258,7 @@
 
 // ReadSome returns records from offset on.
 func (s *Store) ReadSome(ctx context.Context, stream ident.Stream, from ident.Offset, most int, wait clock.Millis) (tail.Batch, error) {
-	return reach(ctx, s, func() (tail.Batch, error) {
+	return reach(ctx, s, operation{name: "read", stream: stream}, func() (tail.Batch, error) {
 		return s.Direct.ReadSome(ctx, stream, from, most, wait)
 	}, func(address ident.Address) (tail.Batch, error) {
 		message := readWire{Stream: string(stream), From: int64(from), Most: most, WaitMillis: int64(wait)}
@@ -268,7 +278,7 @@
 // Newest returns a page of the newest records of a keyed stream. Each page may come
 // either way.
 func (s *Store) Newest(ctx context.Context, stream ident.Stream, after string) (tail.Page, error) {
-	return reach(ctx, s, func() (tail.Page, error) {
+	return reach(ctx, s, operation{name: "newest", stream: stream}, func() (tail.Page, error) {
 		return s.Direct.Newest(ctx, stream, after)
 	}, func(address ident.Address) (tail.Page, error) {
 		message := newestWire{Stream: string(stream), After: after}
--- a/croftmoor/metric/metric.go
+++ b/croftmoor/metric/metric.go
@@ -34,6 +34,7 @@
 	asks     *prometheus.CounterVec
 	pages    *prometheus.HistogramVec
 	texts    prometheus.Counter
+	vain     *prometheus.HistogramVec
 }
 
 // New returns a set with all metrics registered.
@@ -90,11 +91,15 @@
 		texts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "croftmoor_page_results_total", Help: "Results in pages that were given.",
 		}),
+		vain: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "croftmoor_store_unanswered_seconds", Help: "Time after which calls to the platform's store ended without an answer, of those that took a second or more, by call.",
+			Buckets: prometheus.LinearBuckets(1, 0.5, 14),
+		}, []string{"call"}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "croftmoor_log_lines_dropped_total", Help: "Log lines that no reader took in time.",
 		}),
 	}
-	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.windows, s.ends, s.skipped, s.dropped, s.rate, s.waiting, s.noRoom, s.saved, s.asks, s.pages, s.texts, collectors.NewGoCollector(),
+	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.windows, s.ends, s.skipped, s.dropped, s.rate, s.waiting, s.noRoom, s.saved, s.asks, s.pages, s.texts, s.vain, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -131,6 +136,12 @@
 	s.bytes.WithLabelValues(call, topic).Add(float64(bytes))
 }
 
+// StoreUnanswered notes a call to the platform's store that ended without an answer after a
+// long time.
+func (s *Set) StoreUnanswered(call string, took clock.Millis) {
+	s.vain.WithLabelValues(call).Observe(took.Duration().Seconds())
+}
+
 // Claimed counts items that were claimed, Listed one that was listed: the first
 // over the second, for all instances together, tells how often items are claimed.
 func (s *Set) Claimed(items int) {
