A call of the store ends once the store has answered a later one

Cause: a wait that grows with failures, to spare a busy store, on a path whose promise counts from the store's return. Change: kernel/pulse watches all calls of an instance to the store, in the one place through which they go (detour). A call whose time is up ends as soon as a call that was sent later is answered; its reader asks again at once. While calls are late small ones are made, each 0.9 s at most, so that the return shows. What is overtaken while the store answers all the time is slow and not dropped: these calls get twice the time. A busy store that answers in order overtakes nothing.

--- a/croftmoor/detour/detour.go
+++ b/croftmoor/detour/detour.go
@@ -12,12 +12,14 @@
 	"sync"
 
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"croftmoor.dev/croftmoor/rpcs"
 	"croftmoor.dev/kernel/avoid"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/pulse"
 	"croftmoor.dev/kernel/tail"
 )
 
@@ -41,6 +43,13 @@
 	probePeriod  = 1 * clock.Second
 	probeTimeout = 700 * clock.Millis(1)
 	probeBytes   = 1024
+	// lateProbePause is the pause between two probes while calls are late.
+	lateProbePause = 200 * clock.Millis(1)
+	// A read should be answered within readTime after its wait, and a page of newest records
+	// and an append within pageTime and appendTime: several times what a slow log takes.
+	readTime   = 600 * clock.Millis(1)
+	pageTime   = 1800 * clock.Millis(1)
+	appendTime = 800 * clock.Millis(1)
 	// fruitless is how many others in a row must say that the log fails them too
 	// before the trouble is taken for the log's own; then nobody is asked for holdTerm.
 	// A log that is slow or full for all must not get each call twice. Others that
@@ -90,25 +99,57 @@
 	// was last logged.
 	lastAnswer clock.Millis
 	lastLine   clock.Millis
+	// watch ends calls that the log will not answer any more.
+	watch pulse.Watch
 }
 
 // Setup makes the store usable.
 func (s *Store) Setup() {
 	s.client = rpcs.NewClient()
+	s.watch.Clock = s.Clock
 }
 
-// Run tries the direct way again and again while it is not used, until ctx ends.
+// Run makes small calls until ctx ends: of the direct way while it is not used, and of
+// either while calls are late.
 func (s *Store) Run(ctx context.Context) {
-	s.Clock.Every(ctx, probePeriod, func() {
-		if !s.isAway() {
-			return
-		}
-		callCtx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
-		defer cancel()
-		if _, err := s.Direct.ReadSome(callCtx, probeStream, 0, probeBytes, 0); err == nil {
-			s.back()
+	var group conc.WaitGroup
+	group.Go(func() {
+		s.Clock.Every(ctx, probePeriod, func() {
+			if s.isAway() {
+				s.probeDirect(ctx)
+			}
+		})
+	})
+	group.Go(func() {
+		for s.watch.AwaitLate(ctx) {
+			s.probe(ctx)
+			s.Clock.Sleep(ctx, lateProbePause)
 		}
 	})
+	group.Wait()
+}
+
+// probe makes a small call by the way that is used. Its failure is no reason to ask others.
+func (s *Store) probe(ctx context.Context) {
+	if !s.isAway() {
+		s.probeDirect(ctx)
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	_, _ = s.ReadSome(callCtx, probeStream, 0, probeBytes, 0)
+}
+
+// probeDirect makes a small call of the direct way, which is used again if it is answered.
+func (s *Store) probeDirect(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	callCtx, call := s.watch.Begin(limited, "probe", probeTimeout)
+	_, err := s.Direct.ReadSome(callCtx, probeStream, 0, probeBytes, 0)
+	call.End(err == nil)
+	if err == nil {
+		s.back()
+	}
 }
 
 func (s *Store) isAway() bool {
@@ -196,17 +237,19 @@
 }
 
 // reach does a call directly, or at a peer while the direct way is not used.
-func reach[A any](ctx context.Context, s *Store, op operation, direct func() (A, error), there func(ident.Address) (A, error)) (A, error) {
+func reach[A any](ctx context.Context, s *Store, op operation, direct func(context.Context) (A, error), there func(context.Context, ident.Address) (A, error)) (A, error) {
 	var none A
 	var failure error
 	if !s.isAway() {
 		began := s.Clock.Mono()
-		answer, err := direct()
-		s.ended(ctx, op, "", began, err)
+		answer, err := watched(ctx, s, op, "", direct)
 		if err == nil {
 			s.back()
 			return answer, nil
 		}
+		if isOvertaken(err) {
+			return none, err
+		}
 		if errors.Is(ctx.Err(), context.Canceled) || (ctx.Err() != nil && s.Clock.Mono()-began < fairTime) {
 			// Whoever wanted the answer has left, or left no time for it; that says nothing
 			// of the log. Callers that leave while texts are read would otherwise turn an
@@ -229,12 +272,12 @@
 		return none, failure
 	}
 	if !ok {
-		return direct()
+		return watched(ctx, s, op, "", direct)
+	}
+	answer, err := watched(ctx, s, op, address, func(ctx context.Context) (A, error) { return there(ctx, address) })
+	if !isOvertaken(err) {
+		s.asked(ctx, address, err)
 	}
-	began := s.Clock.Mono()
-	answer, err := there(address)
-	s.ended(ctx, op, address, began, err)
-	s.asked(ctx, address, err)
 	if err != nil && fault.KindOf[tail.Kind](failure) == tail.Unknown {
 		// The peer's refusal says nothing of the call that got no answer here.
 		return none, failure
@@ -244,9 +287,9 @@
 
 // AppendOnce appends records under a ticket.
 func (s *Store) AppendOnce(ctx context.Context, stream ident.Stream, ticket tail.Ticket, records [][]byte) (ident.Offset, error) {
-	return reach(ctx, s, operation{name: "append", stream: stream}, func() (ident.Offset, error) {
+	return reach(ctx, s, operation{name: "append", stream: stream, within: appendTime}, func(ctx context.Context) (ident.Offset, error) {
 		return s.Direct.AppendOnce(ctx, stream, ticket, records)
-	}, func(address ident.Address) (ident.Offset, error) {
+	}, func(ctx context.Context, address ident.Address) (ident.Offset, error) {
 		message := appendToWire(stream, ticket, records)
 		answer, err := rpcs.Call[appendWire, offsetWire](ctx, s.client, address, appendPath, &message)
 		if err != nil {
@@ -258,9 +301,9 @@
 
 // ReadSome returns records from offset on.
 func (s *Store) ReadSome(ctx context.Context, stream ident.Stream, from ident.Offset, most int, wait clock.Millis) (tail.Batch, error) {
-	return reach(ctx, s, operation{name: "read", stream: stream}, func() (tail.Batch, error) {
+	return reach(ctx, s, operation{name: "read", stream: stream, within: wait + readTime}, func(ctx context.Context) (tail.Batch, error) {
 		return s.Direct.ReadSome(ctx, stream, from, most, wait)
-	}, func(address ident.Address) (tail.Batch, error) {
+	}, func(ctx context.Context, address ident.Address) (tail.Batch, error) {
 		message := readWire{Stream: string(stream), From: int64(from), Most: most, WaitMillis: int64(wait)}
 		answer, err := rpcs.Call[readWire, batchWire](ctx, s.client, address, readPath, &message)
 		if err != nil {
@@ -278,9 +321,9 @@
 // Newest returns a page of the newest records of a keyed stream. Each page may come
 // either way.
 func (s *Store) Newest(ctx context.Context, stream ident.Stream, after string) (tail.Page, error) {
-	return reach(ctx, s, operation{name: "newest", stream: stream}, func() (tail.Page, error) {
+	return reach(ctx, s, operation{name: "newest", stream: stream, within: pageTime}, func(ctx context.Context) (tail.Page, error) {
 		return s.Direct.Newest(ctx, stream, after)
-	}, func(address ident.Address) (tail.Page, error) {
+	}, func(ctx context.Context, address ident.Address) (tail.Page, error) {
 		message := newestWire{Stream: string(stream), After: after}
 		answer, err := rpcs.Call[newestWire, pageWire](ctx, s.client, address, newestPath, &message)
 		if err != nil {
--- a/croftmoor/detour/ended.go
+++ b/croftmoor/detour/ended.go
@@ -5,13 +5,17 @@
 	"errors"
 
 	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/pulse"
+	"croftmoor.dev/kernel/tail"
 )
 
-// operation names a call of the log.
+// operation names a call of the log, and within what time it should be answered.
 type operation struct {
 	name   string
 	stream ident.Stream
+	within clock.Millis
 }
 
 const (
@@ -21,6 +25,33 @@
 	linePeriod = 50 * clock.Millis(1)
 )
 
+// watched makes a call directly, or through another instance. It ends early if the log has
+// answered a call that was sent later.
+func watched[A any](ctx context.Context, s *Store, op operation, through ident.Address, do func(context.Context) (A, error)) (A, error) {
+	began := s.Clock.Mono()
+	callCtx, call := s.watch.Begin(ctx, pulse.Key(op.name+" "+string(op.stream)), op.within)
+	answer, err := do(callCtx)
+	call.End(err == nil)
+	if err != nil && pulse.IsOvertaken(callCtx) {
+		err = overtaken(err)
+	}
+	s.ended(ctx, op, through, began, err)
+	return answer, err
+}
+
+// overtaken returns the error of a call that was overtaken. The log may have made an append
+// that it did not answer.
+func overtaken(err error) error {
+	kind := fault.KindOf[tail.Kind](err)
+	if kind == tail.Unavailable {
+		kind = tail.Overtaken
+	}
+	return fault.Wrap("detour.watched", kind, fault.Wrap("detour.watched", pulse.Overtaken, err, "a later call was answered"), "not answered")
+}
+
+// isOvertaken reports whether an error is that of a call that was overtaken.
+func isOvertaken(err error) bool { return fault.KindOf[pulse.Kind](err) == pulse.Overtaken }
+
 // ended records how a call ended that began at a time, directly or through another instance.
 // A long one without an answer is logged with how long ago another call was answered: the log
 // was reachable then, and this call was not worth waiting for.
--- a/kernel/tail/tail.go
+++ b/kernel/tail/tail.go
@@ -24,6 +24,9 @@
 	Unknown Kind = "Unknown"
 	// Unavailable means that the log could not be read.
 	Unavailable Kind = "Unavailable"
+	// Overtaken means that the log did not answer a read, but one that was sent later: it
+	// dropped the read, and answers now. Ask again at once.
+	Overtaken Kind = "Overtaken"
 )
 
 // Error is the error type of this package.
@@ -165,6 +168,9 @@
 			if t.OnError != nil && ctx.Err() == nil {
 				t.OnError(err)
 			}
+			if fault.KindOf[Kind](err) == Overtaken {
+				continue
+			}
 			if t.Clock.Mono()-startedAt >= timeout {
 				timeout = min(2*timeout, maxTimeoutFactor*baseTimeout)
 			}
