--- a/croftmoor/serve/serve.go
+++ b/croftmoor/serve/serve.go
@@ -48,6 +48,8 @@
 	tail   tail.Client
 	reader *fold.Reader
 	tailer *tail.Tailer
+	// watched is the log as readers use it: reads that it dropped end.
+	watched *tail.Watched
 	// logReadAt is when the log last answered, in milliseconds of the monotonic clock.
 	logReadAt atomic.Int64
 	fleet     *fleet.Table
@@ -156,6 +158,7 @@
 	run := func(do func(context.Context)) { group.Go(func() { do(ctx) }) }
 	run(i.fleet.Run)
 	run(i.health.Run)
+	run(i.watched.Run)
 	run(i.tailer.Run)
 	run(i.home.Run)
 	run(i.pool.Run)
@@ -231,9 +234,11 @@
 	}
 	directory.Connect(c.List.Address)
 	i.tail = log
+	i.watched = &tail.Watched{Log: log, Clock: i.clock}
+	i.watched.Setup()
 	i.logReadAt.Store(-int64(clock.Minute))
 	i.reader = &fold.Reader{OnChange: i.onState}
-	i.tailer = &tail.Tailer{Source: log, Stream: fold.Stream, Clock: i.clock, Apply: i.onBatch, OnError: i.onLogFailure}
+	i.tailer = &tail.Tailer{Source: i.watched, Stream: fold.Stream, Clock: i.clock, Apply: i.onBatch, OnError: i.onLogFailure}
 	i.fleet = &fleet.Table{Directory: directory, Clock: i.clock, Period: c.ListPeriod}
 	return nil
 }
@@ -259,7 +264,7 @@
 		Fleet: i.fleet, Reporter: protocol, Clock: i.clock, Self: c.Instance, Zone: c.Zone,
 		ZoneLatency: c.ZoneLatency, PollInterval: c.LoadPeriod, Subset: c.Subset,
 	}
-	i.guard = &guard.Guard{Self: i.self, Clock: i.clock, Log: i.log, Reader: i.tail, Writer: &logWriter{log: i.tail, clock: i.clock}, Peers: i.peerAddresses}
+	i.guard = &guard.Guard{Self: i.self, Clock: i.clock, Log: i.log, Reader: i.watched, Writer: &logWriter{log: i.tail, clock: i.clock}, Peers: i.peerAddresses}
 	i.guard.Setup()
 	i.calls = &calls.Caller{Self: i.self, Pool: i.pool, Claimer: i.home, Clock: i.clock, Trail: decisions, Guard: i.guard}
 	gen := &gener.Generator{Pool: i.pool, Engine: protocol, Clock: i.clock, Trail: decisions, OnVersionMismatch: i.sendObservedVersion}
