Large files split, and the two gates of admit wait in one place

The time for a read is tail.ResponseTime in both places. No logic changes; the error of an overtaken call says so.

--- a/croftmoor/detour/detour.go
+++ b/croftmoor/detour/detour.go
@@ -12,7 +12,6 @@
 	"sync"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"croftmoor.dev/croftmoor/rpcs"
 	"croftmoor.dev/kernel/avoid"
@@ -38,18 +37,6 @@
 	// failures is how many calls in a row must fail before others are asked:
 	// one lost answer is no reason.
 	failures = 2
-	// probePeriod is the pause between two tries of the direct way while it is
-	// not used, and probeTimeout bounds one.
-	probePeriod  = 1 * clock.Second
-	probeTimeout = 700 * clock.Millis(1)
-	probeBytes   = 1024
-	// lateProbePause is the pause between two probes while calls are late.
-	lateProbePause = 200 * clock.Millis(1)
-	// A read should be answered within readTime after its wait, and a page of newest records
-	// and an append within pageTime and appendTime: several times what a slow log takes.
-	readTime   = 600 * clock.Millis(1)
-	pageTime   = 1800 * clock.Millis(1)
-	appendTime = 800 * clock.Millis(1)
 	// fruitless is how many others in a row must say that the log fails them too
 	// before the trouble is taken for the log's own; then nobody is asked for holdTerm.
 	// A log that is slow or full for all must not get each call twice. Others that
@@ -66,9 +53,6 @@
 	fairTime = 100 * clock.Millis(1)
 )
 
-// probeStream is read by a probe; every deployment has it.
-const probeStream ident.Stream = "ledger.0"
-
 // Store reaches the log by either way. Set the exported fields before use. The
 // state of the direct way is guarded by mu.
 type Store struct {
@@ -109,49 +93,6 @@
 	s.watch.Clock = s.Clock
 }
 
-// Run makes small calls until ctx ends: of the direct way while it is not used, and of
-// either while calls are late.
-func (s *Store) Run(ctx context.Context) {
-	var group conc.WaitGroup
-	group.Go(func() {
-		s.Clock.Every(ctx, probePeriod, func() {
-			if s.isAway() {
-				s.probeDirect(ctx)
-			}
-		})
-	})
-	group.Go(func() {
-		for s.watch.AwaitLate(ctx) {
-			s.probe(ctx)
-			s.Clock.Sleep(ctx, lateProbePause)
-		}
-	})
-	group.Wait()
-}
-
-// probe makes a small call by the way that is used. Its failure is no reason to ask others.
-func (s *Store) probe(ctx context.Context) {
-	if !s.isAway() {
-		s.probeDirect(ctx)
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
-	defer cancel()
-	_, _ = s.ReadSome(callCtx, probeStream, 0, probeBytes, 0)
-}
-
-// probeDirect makes a small call of the direct way, which is used again if it is answered.
-func (s *Store) probeDirect(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
-	defer cancel()
-	callCtx, call := s.watch.Begin(limited, "probe", probeTimeout)
-	_, err := s.Direct.ReadSome(callCtx, probeStream, 0, probeBytes, 0)
-	call.End(err == nil)
-	if err == nil {
-		s.back()
-	}
-}
-
 func (s *Store) isAway() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -301,7 +242,7 @@
 
 // ReadSome returns records from offset on.
 func (s *Store) ReadSome(ctx context.Context, stream ident.Stream, from ident.Offset, most int, wait clock.Millis) (tail.Batch, error) {
-	return reach(ctx, s, operation{name: "read", stream: stream, within: wait + readTime}, func(ctx context.Context) (tail.Batch, error) {
+	return reach(ctx, s, operation{name: "read", stream: stream, within: wait + tail.ResponseTime}, func(ctx context.Context) (tail.Batch, error) {
 		return s.Direct.ReadSome(ctx, stream, from, most, wait)
 	}, func(ctx context.Context, address ident.Address) (tail.Batch, error) {
 		message := readWire{Stream: string(stream), From: int64(from), Most: most, WaitMillis: int64(wait)}
--- a/croftmoor/detour/ended.go
+++ b/croftmoor/detour/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 
+	"github.com/sourcegraph/conc"
+
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
@@ -18,13 +20,71 @@
 	within clock.Millis
 }
 
+// probeStream is read by a probe; every deployment has it.
+const probeStream ident.Stream = "ledger.0"
+
 const (
+	// probePeriod is the pause between two tries of the direct way while it is
+	// not used, and probeTimeout bounds one.
+	probePeriod  = 1 * clock.Second
+	probeTimeout = 700 * clock.Millis(1)
+	probeBytes   = 1024
+	// lateProbePause is the pause between two probes while calls are late.
+	lateProbePause = 200 * clock.Millis(1)
+	// A page of newest records should be answered within pageTime, an append within appendTime,
+	// also by a slow log.
+	pageTime   = 1800 * clock.Millis(1)
+	appendTime = 800 * clock.Millis(1)
 	// longCall is how long a call must have taken for its end without an answer to be logged.
 	longCall = 1 * clock.Second
 	// linePeriod is the shortest pause between two such lines; the counter counts all.
 	linePeriod = 50 * clock.Millis(1)
 )
 
+// Run makes small calls until ctx ends: of the direct way while it is not used, and of
+// either while calls are late.
+func (s *Store) Run(ctx context.Context) {
+	var group conc.WaitGroup
+	group.Go(func() {
+		s.Clock.Every(ctx, probePeriod, func() {
+			if s.isAway() {
+				s.probeDirect(ctx)
+			}
+		})
+	})
+	group.Go(func() {
+		for s.watch.AwaitLate(ctx) {
+			s.probe(ctx)
+			s.Clock.Sleep(ctx, lateProbePause)
+		}
+	})
+	group.Wait()
+}
+
+// probe makes a small call by the way that is used. A failure of the direct way does not count
+// among those after which others are asked: a log that is late for all is not to be asked twice.
+func (s *Store) probe(ctx context.Context) {
+	if !s.isAway() {
+		s.probeDirect(ctx)
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	_, _ = s.ReadSome(callCtx, probeStream, 0, probeBytes, 0)
+}
+
+// probeDirect makes a small call of the direct way, which is used again if it is answered.
+func (s *Store) probeDirect(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	callCtx, call := s.watch.Begin(limited, "probe", probeTimeout)
+	_, err := s.Direct.ReadSome(callCtx, probeStream, 0, probeBytes, 0)
+	call.End(err == nil)
+	if err == nil {
+		s.back()
+	}
+}
+
 // watched makes a call directly, or through another instance. It ends early if the log has
 // answered a call that was sent later.
 func watched[A any](ctx context.Context, s *Store, op operation, through ident.Address, do func(context.Context) (A, error)) (A, error) {
@@ -46,7 +106,8 @@
 	if kind == tail.Unavailable {
 		kind = tail.Overtaken
 	}
-	return fault.Wrap("detour.watched", kind, fault.Wrap("detour.watched", pulse.Overtaken, err, "a later call was answered"), "not answered")
+	cause := fault.Wrap("detour.watched", pulse.Overtaken, err, "")
+	return fault.Wrap("detour.watched", kind, cause, "a call that was sent later was answered first")
 }
 
 // isOvertaken reports whether an error is that of a call that was overtaken.
--- a/kernel/admit/allocator_gate.go
+++ b/kernel/admit/allocator_gate.go
@@ -59,21 +59,12 @@
 
 // await returns the decision on a waiting ticket. It cancels the ticket when ctx ends.
 func (g *AllocatorGate) await(ctx context.Context, ticket Ticket, decided chan Decision) Decision {
-	select {
-	case decision := <-decided:
-		return decision
-	case <-ctx.Done():
-	}
-	g.mu.Lock()
-	canceled := g.allocator.Cancel(ticket)
-	delete(g.waiters, ticket.ID)
-	g.mu.Unlock()
-	if !canceled {
-		if decision := <-decided; decision.Verdict == Start {
-			g.End(decision.Grant, Signal{})
-		}
-	}
-	return withdrawn(ctx, ticket)
+	return awaitDecision(ctx, ticket, decided, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.waiters, ticket.ID)
+		return g.allocator.Cancel(ticket)
+	}, func(decision Decision) { g.End(decision.Grant, Signal{}) })
 }
 
 // deliver sends decisions to the goroutines that wait for them, and sets the timer for the
--- a/kernel/admit/gate.go
+++ b/kernel/admit/gate.go
@@ -143,18 +143,25 @@
 
 // await returns the decision on a waiting ticket. It cancels the ticket when ctx ends.
 func (g *Gate) await(ctx context.Context, ticket Ticket, decided chan Decision) Decision {
+	return awaitDecision(ctx, ticket, decided, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.waiters, ticket.ID)
+		return g.limiter.Cancel(ticket)
+	}, func(Decision) { g.done(g.Clock.Mono()) })
+}
+
+// awaitDecision returns the decision on a waiting ticket. When ctx ends it calls cancel, which
+// reports whether the ticket was still waiting; if it was started meanwhile, it calls end.
+func awaitDecision(ctx context.Context, ticket Ticket, decided <-chan Decision, cancel func() bool, end func(Decision)) Decision {
 	select {
 	case decision := <-decided:
 		return decision
 	case <-ctx.Done():
 	}
-	g.mu.Lock()
-	canceled := g.limiter.Cancel(ticket)
-	delete(g.waiters, ticket.ID)
-	g.mu.Unlock()
-	if !canceled {
+	if !cancel() {
 		if decision := <-decided; decision.Verdict == Start {
-			g.done(g.Clock.Mono())
+			end(decision)
 		}
 	}
 	return withdrawn(ctx, ticket)
