Items take the places at engines that gone owners hold

Cause: an item of an owner that is gone waits and may be claimed anew, but until then it counted as load of its engine, and a claim needs room at an engine. When the gone held every place nothing could be claimed, for any job of the service. Cost still counts them, since a frozen or cut-off owner may still run them: engines that are free come first.

--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,8 @@
 # 3: callers press, as in every third seed.
 # 2: a long job is read while the log is late, as in every third seed.
 # 4: the store is silent again and again, as in every fourth seed.
-SOAK := --seed 1 --seed 2 --seed 3 --seed 4 --seed 1796258065843 --seconds 8
+# 5: all end at once while every place at the engines is taken, as in every fifth seed.
+SOAK := --seed 1 --seed 2 --seed 3 --seed 4 --seed 5 --seed 1796258065843 --seconds 8
 soak:
 	@mkdir -p bin
 	@go build -o bin/platform ./platform && go build -o bin/soak ./platform/soak
--- a/croftmoor/batch/alone.go
+++ b/croftmoor/batch/alone.go
@@ -108,7 +108,7 @@
 	var own []deal.Engine
 	for _, e := range s.engines {
 		if s.actor[e.Name] == r.Self {
-			e.Load.Items = loads[e.Name]
+			e.Load.Items, e.Abandoned = loads[e.Name], 0
 			own = append(own, e)
 		}
 	}
--- a/croftmoor/batch/meter.go
+++ b/croftmoor/batch/meter.go
@@ -163,16 +163,20 @@
 // another engine that could continue the item; 0 if there is none.
 func (r *Runner) fastestOtherPace(state *jobs.State, c claimed, slots int) float64 {
 	now := r.Clock.Mono()
+	abandoned := state.ClaimedBy(state.GoneOwners(r.Ledger.QuietSince()))
 	best := 0.0
 	for _, m := range r.Fleet.View().Backends[c.accept.Service] {
 		name := ident.BackendName(m.Name)
 		pace := state.Paces[name].MillisPerEvent
 		version, ready := Version(state, m, c.accept.Model, now)
-		engine := deal.Engine{Name: name, Slots: cmp.Or(m.Slots, slots, 1), Load: state.Loads[name], MillisPerEvent: pace, FailureRate: state.FailureRates[name]}
+		engine := deal.Engine{
+			Name: name, Slots: cmp.Or(m.Slots, slots, 1), Load: state.Loads[name], Abandoned: abandoned[name],
+			MillisPerEvent: pace, FailureRate: state.FailureRates[name],
+		}
 		switch {
 		case name == c.item.Engine, m.State == fleet.Leaving, now < state.AvoidedUntil[name], pace == 0:
 			continue
-		case engine.Load.Items >= engine.Slots, !ready, version < c.accept.MinVersion:
+		case !engine.HasRoom(engine.Slots), !ready, version < c.accept.MinVersion:
 			continue
 		}
 		if cost := engine.Cost(pace); best == 0 || cost < best {
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -36,8 +36,8 @@
 	now       clock.Millis
 	// toggles reports which mechanisms are enabled: all but those in its set.
 	toggles toggle.Set
-	// silent are the owners of claims that count as gone.
-	silent map[ident.InstanceName]bool
+	// gone are the owners of claims that count as gone.
+	gone map[ident.InstanceName]bool
 }
 
 // item returns the job item behind a ranked item.
@@ -64,7 +64,7 @@
 func (r *Runner) takeSnapshot(state *jobs.State, table *paths.Table, since clock.Millis) *snapshot {
 	s := &snapshot{
 		state: state, versions: map[jobs.EngineModel]ident.Version{}, services: map[ident.BackendName]ident.Service{},
-		accepts: map[ident.Job]jobs.Accept{}, silent: silentOwners(state, since), deadlines: map[ident.Job]clock.Millis{}, now: r.Clock.Mono(),
+		accepts: map[ident.Job]jobs.Accept{}, gone: state.GoneOwners(since), deadlines: map[ident.Job]clock.Millis{}, now: r.Clock.Mono(),
 		toggles: r.Without,
 	}
 	open := s.jobsWithWaitingItems()
@@ -84,22 +84,11 @@
 	return s
 }
 
-// silentOwners returns the owners of claims that were last heard before since.
-func silentOwners(state *jobs.State, since clock.Millis) map[ident.InstanceName]bool {
-	silent := map[ident.InstanceName]bool{}
-	for owner := range state.Claims {
-		if !state.Alive(owner, since) {
-			silent[owner] = true
-		}
-	}
-	return silent
-}
-
 // jobsWithWaitingItems returns, in order, the open jobs with items that are unclaimed or
-// whose owner is silent.
+// whose owner is gone.
 func (s *snapshot) jobsWithWaitingItems() []*jobs.Job {
 	abandoned := map[ident.Job]bool{}
-	for owner := range s.silent {
+	for owner := range s.gone {
 		for key := range s.state.Claims[owner] {
 			abandoned[key.Job] = true
 		}
@@ -125,7 +114,7 @@
 		var waiting []deal.WaitingItem
 		for n := range job.Items {
 			item := &job.Items[n]
-			if item.Done || (item.Claim != 0 && !s.silent[item.Owner]) || s.now < item.DeferredUntil {
+			if item.Done || (item.Claim != 0 && !s.gone[item.Owner]) || s.now < item.DeferredUntil {
 				continue
 			}
 			waiting = append(waiting, deal.WaitingItem{
@@ -170,7 +159,7 @@
 // plus over.
 func (s *snapshot) hasRoom(match func(deal.Engine) bool, over int) bool {
 	return slices.ContainsFunc(s.engines, func(e deal.Engine) bool {
-		return e.Load.Items < e.Slots+over && match(e)
+		return e.HasRoom(e.Slots+over) && match(e)
 	})
 }
 
@@ -188,6 +177,7 @@
 // addEngines adds the engines that may get items.
 func (r *Runner) addEngines(s *snapshot, table *paths.Table) {
 	now := r.Clock.Mono()
+	abandoned := s.state.ClaimedBy(s.gone)
 	services := map[ident.Service]bool{}
 	for _, accept := range s.accepts {
 		services[accept.Service] = true
@@ -201,8 +191,8 @@
 			}
 			s.services[name] = service
 			s.engines = append(s.engines, deal.Engine{
-				Name: name, Slots: cmp.Or(m.Slots, settings.Slots, 1), Load: s.state.Loads[name], MillisPerEvent: s.state.Paces[name].MillisPerEvent,
-				FailureRate: s.state.FailureRates[name],
+				Name: name, Slots: cmp.Or(m.Slots, settings.Slots, 1), Load: s.state.Loads[name], Abandoned: abandoned[name],
+				MillisPerEvent: s.state.Paces[name].MillisPerEvent, FailureRate: s.state.FailureRates[name],
 			})
 			for _, model := range settings.Models {
 				if version, ready := Version(s.state, m, model, now); ready {
--- a/kernel/deal/deal.go
+++ b/kernel/deal/deal.go
@@ -18,6 +18,10 @@
 	Slots int
 	// Load is the sum of the items that are claimed for the engine.
 	Load jobs.Load
+	// Abandoned is the number of these items whose owner is gone. The engine may still run
+	// them, so Cost counts them. They leave their places to others: if they kept them, and
+	// held all, none of them could ever be claimed anew.
+	Abandoned int
 	// MillisPerEvent is the observed time per event, in milliseconds, of an item that runs
 	// alone; 0 means unknown.
 	MillisPerEvent float64
@@ -163,7 +167,7 @@
 		cost := math.Inf(1)
 		for i := range engines {
 			e := &engines[i]
-			if !eligible[i] || e.Load.Items >= e.capacity(item, overbook) || (avoidFailed && slices.Contains(item.FailedOn, e.Name)) {
+			if !eligible[i] || !e.HasRoom(e.capacity(item, overbook)) || (avoidFailed && slices.Contains(item.FailedOn, e.Name)) {
 				continue
 			}
 			if c := e.Cost(median); c < cost {
@@ -180,6 +184,10 @@
 	return assignments
 }
 
+// HasRoom reports whether the engine holds fewer items than capacity, without the abandoned
+// ones.
+func (e *Engine) HasRoom(capacity int) bool { return e.Load.Items-e.Abandoned < capacity }
+
 // capacity returns how many items the engine may hold when the given item is assigned to
 // it.
 func (e *Engine) capacity(item RankedItem, overbook int) int {
