--- a/croftmoor/batch/dealer.go
+++ b/croftmoor/batch/dealer.go
@@ -71,6 +71,7 @@
 			clear(r.idleSince)
 			return
 		}
+		r.logStandstills(s)
 		dealtHere := func(e deal.Engine) bool { return r.dealer(s.services[e.Name]) == r.Self }
 		if s.hasRoom(dealtHere, overbook) {
 			s.addItems()
--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -70,6 +70,10 @@
 	idleSince map[ident.BackendName]clock.Millis
 	// lastIdleCheck is the time of the last check for such engines.
 	lastIdleCheck clock.Millis
+	// lastQueueCheck is the time of the last look at the queues, standstillLogged that of a
+	// service's last line.
+	lastQueueCheck   clock.Millis
+	standstillLogged map[ident.Service]clock.Millis
 	// prefetched are the open jobs whose prefetch is scheduled or done.
 	prefetched map[ident.Job]bool
 	actors     actors
@@ -87,7 +91,8 @@
 	r.runs = map[jobs.ItemKey]*run{}
 	r.pending = map[jobs.ItemKey]bool{}
 	r.idleSince = map[ident.BackendName]clock.Millis{}
-	r.lastIdleCheck = -idleCheckPeriod
+	r.lastIdleCheck, r.lastQueueCheck = -idleCheckPeriod, -queueCheckPeriod
+	r.standstillLogged = map[ident.Service]clock.Millis{}
 	r.prefetched = map[ident.Job]bool{}
 	r.wakeups = make(chan struct{}, 1)
 }
--- /dev/null
+++ b/croftmoor/batch/standstill.go
@@ -0,0 +1,155 @@
+package batch
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/deal"
+	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/trail"
+)
+
+const (
+	// standstillAfter is how long items of a service wait, while none of its items is claimed
+	// or ends, before that counts as a standstill. It is logged anew each time this has passed.
+	standstillAfter = 5 * clock.Second
+	// queueCheckPeriod is the time between two looks at the queues.
+	queueCheckPeriod = 1 * clock.Second
+	// maxNamedOwners bounds how many owners of items a line names.
+	maxNamedOwners = 6
+)
+
+// Queue is the waiting items of a service, or of all services together.
+type Queue struct {
+	// Waiting counts the items that could be claimed now. Abandoned counts those among them
+	// that an owner has claimed that is gone.
+	Waiting, Abandoned int
+	// Still is how long no item of the service was claimed or ended; 0 if none waits.
+	Still clock.Millis
+	// first is the oldest job with a waiting item.
+	first ident.Job
+}
+
+// queuesOf returns the queue of each service that has open jobs.
+func queuesOf(state *jobs.State, gone map[ident.InstanceName]bool, now clock.Millis) map[ident.Service]*Queue {
+	queues := map[ident.Service]*Queue{}
+	for _, id := range state.JobOrder {
+		job := state.Jobs[id]
+		if !job.Open() {
+			continue
+		}
+		q := queues[job.Service]
+		if q == nil {
+			q = &Queue{Still: now}
+			queues[job.Service] = q
+		}
+		q.Still = min(q.Still, now-job.ProgressAt)
+		q.add(job, gone, now)
+	}
+	for _, q := range queues {
+		if q.Waiting == 0 {
+			q.Still = 0
+		}
+	}
+	return queues
+}
+
+// add counts the waiting items of a job.
+func (q *Queue) add(job *jobs.Job, gone map[ident.InstanceName]bool, now clock.Millis) {
+	for i := range job.Items {
+		item := &job.Items[i]
+		if item.Done || (item.Claim != 0 && !gone[item.Owner]) || now < item.DeferredUntil {
+			continue
+		}
+		if q.Waiting == 0 {
+			q.first = job.Job
+		}
+		q.Waiting++
+		if item.Claim != 0 {
+			q.Abandoned++
+		}
+	}
+}
+
+// Queue returns the queue of all services; its Still is the longest of a service.
+func (r *Runner) Queue() Queue {
+	var all Queue
+	r.Ledger.View(func(state *jobs.State) {
+		for _, q := range queuesOf(state, state.GoneOwners(r.Ledger.QuietSince()), r.Clock.Mono()) {
+			all.Waiting += q.Waiting
+			all.Abandoned += q.Abandoned
+			all.Still = max(all.Still, q.Still)
+		}
+	})
+	return all
+}
+
+// logStandstills logs each service whose items stand still, and what keeps them from being
+// claimed. The caller holds mu.
+func (r *Runner) logStandstills(s *snapshot) {
+	if s.now < r.lastQueueCheck+queueCheckPeriod {
+		return
+	}
+	r.lastQueueCheck = s.now
+	for service, q := range queuesOf(s.state, s.gone, s.now) {
+		if q.Still < standstillAfter || s.now < r.standstillLogged[service]+standstillAfter {
+			continue
+		}
+		r.standstillLogged[service] = s.now
+		r.Trail.Add(trail.Decision{
+			ID: "items/" + string(service), Action: trail.Standstill, Choice: "no item is claimed",
+			Reason: fmt.Sprintf("%d items wait, none was claimed or ended for %d ms; %s; dealt by %s, ledger %d",
+				q.Waiting, q.Still, s.describeEngines(s.accepts[q.first].Service, q.first), r.dealer(s.accepts[q.first].Service), s.state.Next),
+		})
+	}
+}
+
+// describeEngines tells how many engines of a service could get an item of a job, and who holds
+// the places there.
+func (s *snapshot) describeEngines(service ident.Service, job ident.Job) string {
+	engines, allowed, withRoom, claimed := 0, 0, 0, 0
+	items := map[ident.InstanceName]int{}
+	for _, e := range s.enginesWhere(func(e deal.Engine) bool { return s.services[e.Name] == service }) {
+		engines++
+		if s.allowed(e.Name, job) {
+			allowed++
+		}
+		if e.HasRoom(e.Slots + overbook) {
+			withRoom++
+		}
+	}
+	for owner, keys := range s.state.Claims {
+		for key := range keys {
+			if s.services[s.state.Jobs[key.Job].Items[key.Index].Engine] == service {
+				items[owner]++
+				claimed++
+			}
+		}
+	}
+	return fmt.Sprintf("%d engines, %d that can run job %s, %d with room; %d items claimed there: %s",
+		engines, allowed, job, withRoom, claimed, s.describeOwners(items))
+}
+
+// describeOwners names the owners of the most items, and whether they are gone.
+func (s *snapshot) describeOwners(items map[ident.InstanceName]int) string {
+	owners := slices.SortedFunc(maps.Keys(items), func(a, b ident.InstanceName) int {
+		return cmp.Or(cmp.Compare(items[b], items[a]), cmp.Compare(a, b))
+	})
+	var parts []string
+	for _, owner := range owners[:min(len(owners), maxNamedOwners)] {
+		part := fmt.Sprintf("%d by %s", items[owner], owner)
+		if s.gone[owner] {
+			part += " (gone)"
+		}
+		parts = append(parts, part)
+	}
+	if more := len(owners) - maxNamedOwners; more > 0 {
+		parts = append(parts, fmt.Sprintf("the rest by %d others", more))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/kernel/jobs/job.go
+++ b/kernel/jobs/job.go
@@ -54,6 +54,9 @@
 	Ended             bool
 	// SeenAt is when this reader read the Accept record.
 	SeenAt clock.Millis
+	// ProgressAt is when this reader last saw the job accepted, or an item of it claimed,
+	// yielded or finished.
+	ProgressAt clock.Millis
 	// FromBacklog reports whether the Accept record was read late, in which case SeenAt
 	// does not approximate the time of acceptance.
 	FromBacklog bool
--- a/kernel/jobs/state.go
+++ b/kernel/jobs/state.go
@@ -125,7 +125,7 @@
 		return
 	}
 	job := &Job{
-		Accept: a, SeenAt: now, FromBacklog: !s.UpToDate, Items: make([]Item, len(a.Items)), Waiting: len(a.Items),
+		Accept: a, SeenAt: now, ProgressAt: now, FromBacklog: !s.UpToDate, Items: make([]Item, len(a.Items)), Waiting: len(a.Items),
 		GroupLengths: map[ident.Group]ident.Tokens{}, CarriedOverGroups: map[ident.Group]bool{},
 	}
 	for i, spec := range a.Items {
@@ -176,6 +176,7 @@
 		}
 		s.release(job, t.Index)
 		s.assign(job, t.Index, c, offset)
+		job.ProgressAt = now
 	}
 }
 
@@ -233,6 +234,7 @@
 		}
 		s.release(job, y.Index)
 		item.Yields++
+		job.ProgressAt = now
 	}
 }
 
@@ -271,6 +273,7 @@
 	}
 	s.release(job, f.Index)
 	job.Waiting--
+	job.ProgressAt = now
 	item.Done = true
 	item.Partial = Partial{}
 	if f.Outcome == Completed {
--- a/kernel/trail/trail.go
+++ b/kernel/trail/trail.go
@@ -37,6 +37,8 @@
 	Hand Action = "Hand"
 	// Config handles a configuration change.
 	Config Action = "Config"
+	// Standstill reports work that waits while none of its kind goes on.
+	Standstill Action = "Standstill"
 	// Ended records that a server ended while it ran a request.
 	Ended Action = "Ended"
 )
@@ -70,7 +72,7 @@
 	Log   zerolog.Logger
 	Clock *clock.Clock
 	// SampleAbove is the number of decisions per second above which only one in
-	// sampleInterval is written; 0 writes all. Refusals are always written.
+	// sampleInterval is written; 0 writes all. Refusals and standstills are always written.
 	SampleAbove int64
 
 	rate   rate
@@ -104,9 +106,9 @@
 }
 
 // shouldLog reports whether a decision is written. It counts the decision towards
-// SampleAbove, unless that is 0 or the decision is a refusal.
+// SampleAbove, unless that is 0 or the decision is always written.
 func (t *Trail) shouldLog(d Decision) bool {
-	if t.SampleAbove == 0 || d.Action == Refuse {
+	if t.SampleAbove == 0 || d.Action == Refuse || d.Action == Standstill {
 		return true
 	}
 	t.rate.mu.Lock()
