Calls on jobs are served while the only follower stops

Cause: a follower that stops posts that it leaves and is no longer asked, though it answers until it is gone; the next instance is elected only after a second read of the roster. Change: followers that leave are asked last (roster.AllFollowers); if nobody answers, no follower lives and an election is pending, the call waits for it, 1 s at most, and is served locally. A living follower that can't answer (store away) is no reason to wait: such calls are refused as soon as before (TestCallsAwaitOwnElection).

--- a/croftmoor/relay/relay.go
+++ b/croftmoor/relay/relay.go
@@ -48,6 +48,10 @@
 	// totalTimeout bounds a call beyond the wait that the caller allows. Callers wait 1.5 s
 	// beyond what they allow, and totalTimeout must leave time to transfer a long page.
 	totalTimeout = 1300 * clock.Millis(1)
+	// electionWait is how long a call waits for the election of this instance if no follower
+	// lives, electionPoll the pause between two looks.
+	electionWait = 1 * clock.Second
+	electionPoll = 20 * clock.Millis(1)
 	// endHedgeDelay is how long a follower may take to end a job, which it writes to the log,
 	// before the next follower is asked too.
 	endHedgeDelay = 3 * clock.Second
@@ -70,9 +74,11 @@
 	// LedgerCurrent reports whether this instance has read the ledger to its end.
 	LedgerCurrent func() bool
 	// Followers returns the other instances that follow the ledger, in the order in which to
-	// ask them.
+	// ask them, with those that are leaving last.
 	Followers func(key string) []elect.Member
-	Clock     *clock.Clock
+	// ElectionPending reports whether this instance knows the roster and may be elected soon.
+	ElectionPending func() bool
+	Clock           *clock.Clock
 	// Trail records each call to a follower that returned an error.
 	Trail Decisions
 
@@ -92,45 +98,75 @@
 // Read returns a page of a job's results that begins at index from. It waits up to wait for a
 // result.
 func (r *Relay) Read(ctx context.Context, by ident.Organisation, job ident.Job, from int, wait clock.Millis) (intake.Page, error) {
-	if r.LedgerCurrent() {
-		return r.Local.Read(ctx, by, job, from, wait)
-	}
 	deadline := r.Clock.Mono() + wait
-	answer, err := ask(ctx, r, job, timeouts{hedge: wait + hedgeDelay, total: wait + totalTimeout}, intake.Unsure, func(ctx context.Context, to ident.Address) (*pageWire, error) {
-		remaining := max(deadline-r.Clock.Mono(), 0)
-		return rpcs.Call[readWire, pageWire](ctx, r.client, to, readPath, &readWire{Organisation: string(by), Job: string(job), From: from, WaitMillis: int64(remaining)})
+	remaining := func() clock.Millis { return max(deadline-r.Clock.Mono(), 0) }
+	return serve(ctx, r, job, func() (intake.Page, error) {
+		return r.Local.Read(ctx, by, job, from, remaining())
+	}, func() (intake.Page, error) {
+		answer, err := ask(ctx, r, job, timeouts{hedge: wait + hedgeDelay, total: wait + totalTimeout}, intake.Unsure, func(ctx context.Context, to ident.Address) (*pageWire, error) {
+			return rpcs.Call[readWire, pageWire](ctx, r.client, to, readPath, &readWire{Organisation: string(by), Job: string(job), From: from, WaitMillis: int64(remaining())})
+		})
+		if err != nil {
+			return intake.Page{}, err
+		}
+		return pageFromWire(answer), nil
 	})
-	if err != nil {
-		return intake.Page{}, err
-	}
-	return pageFromWire(answer), nil
 }
 
 // Body returns the body of an item.
 func (r *Relay) Body(ctx context.Context, by ident.Organisation, job ident.Job, id ident.Item) ([]byte, error) {
-	if r.LedgerCurrent() {
+	return serve(ctx, r, job, func() ([]byte, error) {
 		return r.Local.Body(ctx, by, job, id)
-	}
-	answer, err := ask(ctx, r, job, timeouts{hedge: hedgeDelay, total: totalTimeout}, intake.Unsure, func(ctx context.Context, to ident.Address) (*bodyWire, error) {
-		return rpcs.Call[itemWire, bodyWire](ctx, r.client, to, bodyPath, &itemWire{Organisation: string(by), Job: string(job), Item: string(id)})
+	}, func() ([]byte, error) {
+		answer, err := ask(ctx, r, job, timeouts{hedge: hedgeDelay, total: totalTimeout}, intake.Unsure, func(ctx context.Context, to ident.Address) (*bodyWire, error) {
+			return rpcs.Call[itemWire, bodyWire](ctx, r.client, to, bodyPath, &itemWire{Organisation: string(by), Job: string(job), Item: string(id)})
+		})
+		if err != nil {
+			return nil, err
+		}
+		return answer.Body, nil
 	})
-	if err != nil {
-		return nil, err
-	}
-	return answer.Body, nil
 }
 
 // End ends a job.
 func (r *Relay) End(ctx context.Context, by ident.Organisation, job ident.Job) error {
-	if r.LedgerCurrent() {
-		return r.Local.End(ctx, by, job)
-	}
-	_, err := ask(ctx, r, job, timeouts{hedge: endHedgeDelay, total: maxFollowers * endHedgeDelay}, intake.Uncertain, func(ctx context.Context, to ident.Address) (*emptyWire, error) {
-		return rpcs.Call[jobWire, emptyWire](ctx, r.client, to, endPath, &jobWire{Organisation: string(by), Job: string(job)})
+	_, err := serve(ctx, r, job, func() (*emptyWire, error) {
+		return nil, r.Local.End(ctx, by, job)
+	}, func() (*emptyWire, error) {
+		return ask(ctx, r, job, timeouts{hedge: endHedgeDelay, total: maxFollowers * endHedgeDelay}, intake.Uncertain, func(ctx context.Context, to ident.Address) (*emptyWire, error) {
+			return rpcs.Call[jobWire, emptyWire](ctx, r.client, to, endPath, &jobWire{Organisation: string(by), Job: string(job)})
+		})
 	})
 	return err
 }
 
+// serve serves a call on a job locally once this instance has read the ledger, and else through a
+// follower. If that gives no answer and no follower lives, this instance may be elected soon:
+// serve waits for that and tries the call, which may be repeated, locally.
+func serve[A any](ctx context.Context, r *Relay, job ident.Job, local, remote func() (A, error)) (A, error) {
+	if r.LedgerCurrent() {
+		return local()
+	}
+	answer, err := remote()
+	if kind := fault.KindOf[intake.Kind](err); (kind == intake.Unsure || kind == intake.Uncertain) && r.awaitElection(ctx, job) {
+		return local()
+	}
+	return answer, err
+}
+
+// awaitElection waits until this instance has been elected and has read the ledger, and reports
+// whether it has. It gives up once a follower lives, if no election is pending, and after
+// electionWait.
+func (r *Relay) awaitElection(ctx context.Context, job ident.Job) bool {
+	lives := func(m elect.Member) bool { return !m.Leaving }
+	for end := r.Clock.Mono() + electionWait; !r.LedgerCurrent(); {
+		if slices.ContainsFunc(r.Followers(string(job)), lives) || !r.ElectionPending() || r.Clock.Mono() >= end || !r.Clock.Sleep(ctx, electionPoll) {
+			return r.LedgerCurrent()
+		}
+	}
+	return true
+}
+
 // reply is a follower's response, or the error of the call.
 type reply[A any] struct {
 	from   elect.Member
--- a/croftmoor/relay/relay_test.go
+++ b/croftmoor/relay/relay_test.go
@@ -65,8 +65,9 @@
 func relayTo(followers ...elect.Member) *Relay {
 	r := &Relay{
 		Local: &fakeJobs{err: fault.New("local", intake.Unsure, "")}, LedgerCurrent: func() bool { return false }, Clock: clock.New(),
-		Followers: func(string) []elect.Member { return followers },
-		Trail:     &trail.Trail{Clock: clock.New()},
+		Followers:       func(string) []elect.Member { return followers },
+		ElectionPending: func() bool { return false },
+		Trail:           &trail.Trail{Clock: clock.New()},
 	}
 	r.Setup()
 	return r
@@ -181,6 +182,63 @@
 	})
 }
 
+// electedAfter makes r the next instance to be elected, once its ledger was looked at so often.
+func electedAfter(r *Relay, looks int) *fakeJobs {
+	local := &fakeJobs{page: intake.Page{Total: 7}}
+	r.Local, r.ElectionPending = local, func() bool { return true }
+	r.LedgerCurrent = func() bool {
+		looks--
+		return looks < 0
+	}
+	return local
+}
+
+// Guards against calls on jobs that are refused while the only follower has left and this instance
+// is about to be elected.
+func TestCallsAwaitOwnElection(t *testing.T) {
+	leaving := elect.Member{Name: "leaving", Address: "127.0.0.1:1", Leaving: true}
+	for name, followers := range map[string][]elect.Member{"nobody follows": nil, "the only follower has left": {leaving}} {
+		t.Run(name, func(t *testing.T) {
+			r := relayTo(followers...)
+			electedAfter(r, 5)
+			if got, err := r.Read(t.Context(), "", "j", 0, 0); err != nil || got.Total != 7 {
+				t.Errorf("read %+v, error %v", got, err)
+			}
+			electedAfter(r, 5)
+			if _, err := r.Body(t.Context(), "", "j", "a"); err != nil {
+				t.Errorf("body: error %v", err)
+			}
+			local := electedAfter(r, 5)
+			if err := r.End(t.Context(), "", "j"); err != nil || local.ends != 1 {
+				t.Errorf("%d ends, error %v", local.ends, err)
+			}
+		})
+	}
+	refusedAtOnce := func(t *testing.T, r *Relay) {
+		t.Helper()
+		startedAt := r.Clock.Mono()
+		_, err := r.Read(t.Context(), "", "j", 0, 0)
+		wantKind(t, err, intake.Unsure)
+		if elapsed := r.Clock.Mono() - startedAt; elapsed >= electionWait {
+			t.Errorf("refused after %d ms, want no wait", elapsed)
+		}
+	}
+	t.Run("no wait if no election is pending", func(t *testing.T) {
+		refusedAtOnce(t, relayTo())
+	})
+	t.Run("no wait if a follower lives and can't answer", func(t *testing.T) {
+		r := relayTo(follower(t, &fakeJobs{err: fault.New("f", intake.Unsure, "the log is away")}))
+		electedAfter(r, 1000)
+		refusedAtOnce(t, r)
+	})
+	t.Run("a refusal after the wait", func(t *testing.T) {
+		r := relayTo()
+		electedAfter(r, 1000)
+		_, err := r.Read(t.Context(), "", "j", 0, 0)
+		wantKind(t, err, intake.Unsure)
+	})
+}
+
 func TestCandidates(t *testing.T) {
 	zones := func(list ...ident.Zone) []elect.Member {
 		var members []elect.Member
--- a/croftmoor/roster/query.go
+++ b/croftmoor/roster/query.go
@@ -69,19 +69,28 @@
 // Followers returns the other live instances that follow the ledger: those of this
 // availability zone first, each zone group in the rank order of the key (views.Rank).
 func (r *Roster) Followers(key string) []elect.Member {
+	followers := r.AllFollowers(key)
+	return slices.DeleteFunc(followers, func(m elect.Member) bool { return m.Leaving })
+}
+
+// AllFollowers returns those of Followers, and after them the ones that are leaving, which still
+// answer for a while.
+func (r *Roster) AllFollowers(key string) []elect.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var near, far []views.Member
+	var near, far, leaving []views.Member
 	for name, m := range r.members {
 		switch {
-		case !m.Follows || !m.Alive(r.lastCurrent()) || name == r.Self.Name.ListName():
+		case !m.Follows || !m.Heard(r.lastCurrent()) || name == r.Self.Name.ListName():
+		case m.Leaving:
+			leaving = append(leaving, views.Member{Name: m.Name, Zone: m.Zone})
 		case m.Zone == r.Self.Zone:
 			near = append(near, views.Member{Name: m.Name, Zone: m.Zone})
 		default:
 			far = append(far, views.Member{Name: m.Name, Zone: m.Zone})
 		}
 	}
-	ranked := append(views.Rank(key, near), views.Rank(key, far)...)
+	ranked := slices.Concat(views.Rank(key, near), views.Rank(key, far), views.Rank(key, leaving))
 	followers := make([]elect.Member, 0, len(ranked))
 	for _, m := range ranked {
 		followers = append(followers, r.members[m.Name.ListName()].Member)
--- a/kernel/elect/elect.go
+++ b/kernel/elect/elect.go
@@ -89,7 +89,12 @@
 // at which the roster was current, so that members do not expire during an outage of the
 // log.
 func (m Member) Alive(rosterTime clock.Millis) bool {
-	return !m.Leaving && rosterTime-m.LastHeartbeat <= missedHeartbeats*m.HeartbeatPeriod()
+	return !m.Leaving && m.Heard(rosterTime)
+}
+
+// Heard reports whether the member is running, leaving or not. rosterTime is as in Alive.
+func (m Member) Heard(rosterTime clock.Millis) bool {
+	return rosterTime-m.LastHeartbeat <= missedHeartbeats*m.HeartbeatPeriod()
 }
 
 // precedes reports whether m is chosen before other: more processor time first, because
