Review: a stand-in play for a stream that gets events twice

Cause: the proxy takes the id of a block without one, such as a comment of text/event-stream, for that of the last event; the next server is asked for the stream from its beginning.

--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -22,6 +22,10 @@
 	eventTime                  time.Duration
 	store                      *store
 	rec                        *recorder
+	// opening is sent at the beginning of each stream, resumeTime is how long an engine takes to go
+	// on with the stream of another one.
+	opening    string
+	resumeTime time.Duration
 	// events tells how many events the text of a path has.
 	events func(path string) int
 
@@ -144,7 +148,11 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	control := http.NewResponseController(w)
+	_, _ = io.WriteString(w, e.opening)
 	_ = control.Flush()
+	if from > 0 {
+		time.Sleep(e.resumeTime)
+	}
 	most := e.events(r.URL.Path)
 	for n := from + 1; n <= most; n++ {
 		select {
