--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of this review start. It needs no network and no module
-# beside the standard library.
+# Builds the stand-ins that the scripts of this review start. They use the standard library alone, so
+# that it needs no network and no module.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -o target/review/stand review/stand/*.go
+GOWORK=off go build -o target/review/stand review/stand/*.go
