--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -35,8 +35,10 @@
 	fence   int64
 	running int
 	waiting int
-	// loading is set from an order until it is done; with block, the runs end first.
+	// loading is set from an order until it is done; halt is closed meanwhile, which turns away the
+	// requests that wait.
 	loading bool
+	halt    chan struct{}
 	gone    bool
 	conns   map[net.Conn]struct{}
 	server  *http.Server
@@ -54,7 +56,7 @@
 		return err
 	}
 	e.address, e.version = l.Addr().String(), max(e.version, 1)
-	e.conns, e.free = map[net.Conn]struct{}{}, make(chan struct{}, e.slots)
+	e.conns, e.free, e.halt = map[net.Conn]struct{}{}, make(chan struct{}, e.slots), make(chan struct{})
 	e.server = &http.Server{Handler: e, ErrorLog: log.New(io.Discard, "", 0), ConnState: e.track}
 	go func() { _ = e.server.Serve(l) }()
 	e.list("ready")
@@ -125,7 +127,7 @@
 	}
 	id := r.Header.Get("Request-Attempt-Id")
 	e.rec.note("arrives", "id", id, "engine", e.id, "service", e.service, "resume", r.Header.Get("Last-Event-Id"))
-	if e.isLoading() || !e.enter(r) {
+	if !e.enter(r) {
 		w.Header().Set("Not-Executed", "1")
 		w.Header().Set("Request-Attempt-Id", id)
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -191,10 +193,12 @@
 	return strings.Join(data, "\n")
 }
 
-// enter waits for a slot; it returns false if the queue is full or the caller leaves.
+// enter waits for a slot. It returns false if the queue is full, the engine loads a version before
+// the request has begun, or the caller leaves.
 func (e *engine) enter(r *http.Request) bool {
 	e.mu.Lock()
-	if e.waiting >= queueLength {
+	halt := e.halt
+	if e.waiting >= queueLength || e.loading {
 		e.mu.Unlock()
 		return false
 	}
@@ -203,12 +207,18 @@
 	ok := true
 	select {
 	case e.free <- struct{}{}:
+	case <-halt:
+		ok = false
 	case <-r.Context().Done():
 		ok = false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.waiting--
+	if ok && e.loading {
+		<-e.free
+		return false
+	}
 	if ok {
 		e.running++
 	}
@@ -282,6 +292,7 @@
 		return
 	}
 	e.fence, e.orders, e.loading = o.Fence, e.orders+1, true
+	close(e.halt)
 	e.rec.note("order", "engine", e.id, "holder", o.Holder, "version", strconv.FormatInt(o.Version, 10), "manner", o.Manner)
 	go e.change(o.Version, o.Manner == "block")
 	w.WriteHeader(http.StatusAccepted)
@@ -294,7 +305,7 @@
 	}
 	time.Sleep(loadTime)
 	e.mu.Lock()
-	e.version, e.loading = version, false
+	e.version, e.loading, e.halt = version, false, make(chan struct{})
 	gone := e.gone
 	e.mu.Unlock()
 	if !gone {
