Review cases 2 and 3: the step that brings groups back has new ones beside them

Cause: in the second step of these cases no other item began, which the rule asks for, so that it told nothing of a time without disruption.

Change: as many new groups or more stand beside those that come back.

--- a/review/stand/crashes.go
+++ b/review/stand/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -29,11 +28,7 @@
 		return nil, err
 	}
 	time.Sleep(4 * time.Second)
-	var items []item
-	for n := range 60 {
-		path := fmt.Sprintf("/train/%d", n)
-		items = append(items, item{id: fmt.Sprintf("item-%02d", n), group: fmt.Sprintf("g%d", n/4), path: path, events: crashEvents(path)})
-	}
+	items := crashItems("item", "/train/%d", 60)
 	sent := time.Now()
 	if err := w.submit("job-1", "/train/", "m", 1, 15, items, w.nodes...); err != nil {
 		return nil, err
@@ -54,7 +49,7 @@
 	if len(seen) == len(items) {
 		return broken, nil
 	}
-	more, err := nextStep(w, "job-2", notWhole(items, seen))
+	more, err := nextStep(w, "job-2", notWhole(items, seen), crashItems("next", "/train/next/%d", 40))
 	return append(broken, more...), err
 }
 
@@ -80,8 +75,18 @@
 	return w.addEngine(&engine{service: "pool", zone: zone, model: "m", slots: crashSlots, eventTime: 50 * time.Millisecond, events: crashEvents})
 }
 
+// crashItems returns items in groups of four.
+func crashItems(name, paths string, count int) []item {
+	var items []item
+	for n := range count {
+		path := fmt.Sprintf(paths, n)
+		items = append(items, item{id: fmt.Sprintf("%s-%02d", name, n), group: fmt.Sprintf("%s-g%d", name, n/4), path: path, events: crashEvents(path)})
+	}
+	return items
+}
+
 func crashEvents(path string) int {
-	if strings.HasSuffix(path, "/0") {
+	if path == "/train/0" {
 		return longText
 	}
 	return shortText
--- a/review/stand/lost.go
+++ b/review/stand/lost.go
@@ -123,13 +123,15 @@
 	return again
 }
 
-// nextStep submits a step of a job, waits for it and checks the rule.
-func nextStep(w *world, job string, items []item) ([]string, error) {
+// nextStep submits a step that brings groups back, with as many new groups or more beside them, waits
+// for it and checks the rule.
+func nextStep(w *world, job string, again, fresh []item) ([]string, error) {
+	items := append(append([]item(nil), again...), fresh...)
 	sent := time.Now()
 	if err := w.submit(job, "/train/", "m", 1, (len(items)+3)/4, items, w.nodes...); err != nil {
 		return nil, err
 	}
 	seen := w.follow(w.nodes[2], job, len(items), sent.Add(stepTime))
-	w.rec.note("the time of "+job+" is up, or all is listed", "listed", strconv.Itoa(len(seen)))
+	w.rec.note("the time of "+job+" is up, or all is listed", "listed", strconv.Itoa(len(seen)), "items", strconv.Itoa(len(items)))
 	return lost(w, job, items, seen), nil
 }
--- a/review/stand/single.go
+++ b/review/stand/single.go
@@ -25,10 +25,7 @@
 		return nil, err
 	}
 	time.Sleep(4 * time.Second)
-	var items []item
-	for n := range 30 {
-		items = append(items, item{id: fmt.Sprintf("long-%02d", n), group: fmt.Sprintf("g%d", n/4), path: fmt.Sprintf("/train/long/%d", n), events: singleLong})
-	}
+	items := singleItems("long", 30)
 	sent := time.Now()
 	if err := w.submit("job-1", "/train/", "m", 1, 8, items, w.nodes...); err != nil {
 		return nil, err
@@ -59,7 +56,7 @@
 	if len(again) == 0 {
 		return broken, nil
 	}
-	more, err := nextStep(w, "job-2", again)
+	more, err := nextStep(w, "job-2", again, singleItems("next", len(again)))
 	return append(broken, more...), err
 }
 
@@ -90,14 +87,7 @@
 		return nil, err
 	}
 	time.Sleep(4 * time.Second)
-	step := func(name string) []item {
-		var items []item
-		for n := range 20 {
-			items = append(items, item{id: fmt.Sprintf("%s-%02d", name, n), group: fmt.Sprintf("%s-g%d", name, n/4), path: fmt.Sprintf("/train/%s/%d", name, n), events: singleLong})
-		}
-		return items
-	}
-	items := step("first")
+	items := singleItems("first", 20)
 	if err := w.submit("job-1", "/train/", "m", 1, 5, items, w.nodes...); err != nil {
 		return nil, err
 	}
@@ -106,7 +96,16 @@
 	w.name("m", 2)
 	time.Sleep(6 * time.Second)
 	if !trouble {
-		items = step("second")
+		items = singleItems("second", 20)
+	}
+	return nextStep(w, "job-2", items, singleItems("third", 20))
+}
+
+// singleItems returns items in groups of four, all of the same length.
+func singleItems(name string, count int) []item {
+	var items []item
+	for n := range count {
+		items = append(items, item{id: fmt.Sprintf("%s-%02d", name, n), group: fmt.Sprintf("%s-g%d", name, n/4), path: fmt.Sprintf("/train/%s/%d", name, n), events: singleLong})
 	}
-	return nextStep(w, "job-2", items)
+	return items
 }
