--- a/croftmoor/batch/alone.go
+++ b/croftmoor/batch/alone.go
@@ -48,7 +48,8 @@
 	for _, c := range toBegin {
 		r.Trail.Add(trail.Decision{
 			ID: string(c.item.ID), Action: trail.Place, Choice: string(c.item.Engine),
-			Reason: fmt.Sprintf("job %s, expects %d tokens, without a claim: the ledger was last read %d ms ago", c.key.Job, c.item.Expect, r.Ledger.Age()),
+			Reason: fmt.Sprintf("job %s, expects %d tokens, configuration %d, without a claim: the ledger was last read %d ms ago",
+				c.key.Job, c.item.Expect, table.Version, r.Ledger.Age()),
 		})
 		r.begin(ctx, c)
 	}
@@ -63,7 +64,7 @@
 		if r.runs[jobs.ItemKey{Job: p.Job, Index: p.Target.Index}] != nil {
 			continue
 		}
-		if engine, ok := rendezvous.Engine(s.item(p).ID, p.Job); ok && s.actor[engine] == r.Self {
+		if engine, ok := rendezvous.Engine(s.item(p).ID, p.Demand); ok && s.actor[engine] == r.Self {
 			own = append(own, p)
 		}
 	}
--- a/croftmoor/batch/dealer.go
+++ b/croftmoor/batch/dealer.go
@@ -143,8 +143,8 @@
 		claims[n].Targets = append(claims[n].Targets, d.Item.Target)
 		r.Trail.Add(trail.Decision{
 			ID: string(s.item(d.Item).ID), Action: trail.Place, Choice: string(d.Engine),
-			Reason: fmt.Sprintf("job %s, expects %d tokens, %s, load %d, run by %s, ledger %d",
-				d.Item.Job, d.Item.Expect, d.Item.Rank, s.state.Loads[d.Engine].Items, s.actor[d.Engine], s.state.Next),
+			Reason: fmt.Sprintf("job %s, expects %d tokens, %s, load %d, run by %s, service %s, configuration %d, ledger %d",
+				d.Item.Job, d.Item.Expect, d.Item.Rank, s.state.Loads[d.Engine].Items, s.actor[d.Engine], d.Item.Service, s.table.Version, s.state.Next),
 		})
 	}
 	return claims
--- a/croftmoor/batch/meter.go
+++ b/croftmoor/batch/meter.go
@@ -9,6 +9,7 @@
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
 	"croftmoor.dev/kernel/place"
+	"croftmoor.dev/kernel/terms"
 	"croftmoor.dev/kernel/toggle"
 )
 
@@ -125,16 +126,16 @@
 // shouldMove reports whether another engine with a free slot should make the rest of the
 // text; events is the number of events so far.
 func (r *Runner) shouldMove(c claimed, events int, m *meter) bool {
-	table := r.Routes()
+	of := r.termsOf(c)
 	policy, err := place.Policies.New(place.Longest)
 	// Without the ledger no other instance would learn that the item waits.
-	if table == nil || err != nil || !r.Without.Enabled(toggle.Moves) || !r.Ledger.Fresh() {
+	if r.Routes() == nil || err != nil || !r.Without.Enabled(toggle.Moves) || !r.Ledger.Fresh() {
 		return false
 	}
 	otherPace := 0.0
 	r.Ledger.View(func(state *jobs.State) {
 		m.sampleLoad(otherLoad(state, c.item))
-		otherPace = r.fastestOtherPace(state, c, table.Services[c.accept.Service].Slots)
+		otherPace = r.fastestOtherPace(state, c, of)
 	})
 	if otherPace == 0 {
 		return false
@@ -161,16 +162,17 @@
 
 // fastestOtherPace returns the shortest expected time of an event, in milliseconds, at
 // another engine that could continue the item; 0 if there is none.
-func (r *Runner) fastestOtherPace(state *jobs.State, c claimed, slots int) float64 {
+func (r *Runner) fastestOtherPace(state *jobs.State, c claimed, of terms.Terms) float64 {
+	service := of.Service(c.item.ItemSpec)
 	now := r.Clock.Mono()
 	abandoned := state.ClaimedBy(state.GoneOwners(r.Ledger.QuietSince()))
 	best := 0.0
-	for _, m := range r.Fleet.View().Backends[c.accept.Service] {
+	for _, m := range r.Fleet.View().Backends[service] {
 		name := ident.BackendName(m.Name)
 		pace := state.Paces[name].MillisPerEvent
 		version, ready := Version(state, m, c.accept.Model, now)
 		engine := deal.Engine{
-			Name: name, Slots: cmp.Or(m.Slots, slots, 1), Load: state.Loads[name], Abandoned: abandoned[name],
+			Name: name, Slots: cmp.Or(m.Slots, of.Slots(service), 1), Load: state.Loads[name], Abandoned: abandoned[name],
 			MillisPerEvent: pace, FailureRate: state.FailureRates[name],
 		}
 		switch {
--- a/croftmoor/batch/patient_test.go
+++ b/croftmoor/batch/patient_test.go
@@ -7,8 +7,16 @@
 	"croftmoor.dev/kernel/deal"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/paths"
+	"croftmoor.dev/kernel/terms"
 )
 
+// dueWithin returns the terms of a job whose route has that deadline.
+func dueWithin(deadline clock.Millis) terms.Terms {
+	route := paths.Route{Shares: []paths.Share{{Service: "s", Weight: 1}}, JobDeadline: deadline}
+	return terms.Of(jobs.Accept{}, paths.NewTable(1, []paths.Route{route}, nil, paths.Limits{}))
+}
+
 func TestPatient(t *testing.T) {
 	const due = 7500 * clock.Millis(1)
 	for _, c := range []struct {
@@ -21,11 +29,11 @@
 		{"a short item of a job that has just come", 1300, 0, nil, true},
 		{"a short item of a job that is nearly due", 1300, 4 * clock.Second, nil, false},
 		{"an item that may take until the job is due", 7000, 0, nil, false},
-		{"a job without a time to be done by", 1300, 0, func(s *snapshot, _ *jobs.Job) { s.deadlines["j"] = 0 }, false},
+		{"a job without a time to be done by", 1300, 0, func(s *snapshot, _ *jobs.Job) { s.terms["j"] = dueWithin(0) }, false},
 		{"a job of unknown age", 1300, 0, func(_ *snapshot, j *jobs.Job) { j.FromBacklog = true }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := &snapshot{now: 100 * clock.Second, deadlines: map[ident.Job]clock.Millis{"j": due}, medianPace: 38}
+			s := &snapshot{now: 100 * clock.Second, terms: map[ident.Job]terms.Terms{"j": dueWithin(due)}, medianPace: 38}
 			job := &jobs.Job{Accept: jobs.Accept{Job: "j"}, SeenAt: s.now - c.age}
 			if c.change != nil {
 				c.change(s, job)
--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/terms"
 	"croftmoor.dev/kernel/trail"
 )
 
@@ -71,19 +73,13 @@
 		prog.events, prog.versions, prog.textComplete = partial.Events, slices.Clone(partial.Versions), partial.Complete
 	}
 	item, err := work.Decode(data)
-	item.Organisation, item.Priority = c.accept.Organisation, r.priority(c.accept)
+	of := r.termsOf(c)
+	item.Organisation, item.Priority = c.accept.Organisation, of.Priority()
 	return item, err
 }
 
-// priority returns the priority of a job's items: its organisation's, or else its route's.
-func (r *Runner) priority(accept jobs.Accept) int {
-	table := r.Routes()
-	if table == nil {
-		return 0
-	}
-	route, _ := table.FindExact(accept.Host, accept.Prefix)
-	return table.Organisations.Priority(accept.Organisation, route.Priority)
-}
+// termsOf returns the terms of the item's job as they are now.
+func (r *Runner) termsOf(c claimed) terms.Terms { return terms.Of(c.accept, r.Routes()) }
 
 // generate has the claimed engine make the rest of the text. It returns nil at the
 // regular end of the answer.
@@ -133,10 +129,8 @@
 
 // firstEventLimit returns how long an engine may take to the first event of an item.
 func (r *Runner) firstEventLimit(c claimed, engine fleet.Member) clock.Millis {
-	slots := engine.Slots
-	if table := r.Routes(); slots == 0 && table != nil {
-		slots = table.Services[c.accept.Service].Slots
-	}
+	of := r.termsOf(c)
+	slots := cmp.Or(engine.Slots, of.Slots(engine.Service))
 	running := 0
 	r.Ledger.View(func(state *jobs.State) { running = state.Loads[c.item.Engine].Items })
 	if running > slots {
@@ -160,10 +154,14 @@
 	return nil
 }
 
+// engineOf returns the engine that an item is claimed for, of whichever service it is: the
+// dealer chose it by a configuration that this instance may not have yet, or no longer.
 func (r *Runner) engineOf(c claimed) (fleet.Member, bool) {
-	for _, m := range r.Fleet.View().Backends[c.accept.Service] {
-		if m.Name == string(c.item.Engine) {
-			return m, true
+	for _, members := range r.Fleet.View().Backends {
+		for _, m := range members {
+			if m.Name == string(c.item.Engine) {
+				return m, true
+			}
 		}
 	}
 	return fleet.Member{}, false
--- a/croftmoor/batch/standstill.go
+++ b/croftmoor/batch/standstill.go
@@ -11,6 +11,8 @@
 	"croftmoor.dev/kernel/deal"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
+	"croftmoor.dev/kernel/paths"
+	"croftmoor.dev/kernel/terms"
 	"croftmoor.dev/kernel/trail"
 )
 
@@ -31,25 +33,29 @@
 	Waiting, Abandoned int
 	// Still is how long no item of the service was claimed or ended; 0 if none waits.
 	Still clock.Millis
-	// first is the oldest job with a waiting item.
-	first ident.Job
+	// first is the demand of a waiting item of the oldest job.
+	first deal.Demand
 }
 
-// queuesOf returns the queue of each service that has open jobs.
-func queuesOf(state *jobs.State, gone map[ident.InstanceName]bool, now clock.Millis) map[ident.Service]*Queue {
+// queuesOf returns the queue of each service that runs open jobs by the routing table, which
+// may be nil.
+func queuesOf(state *jobs.State, table *paths.Table, gone map[ident.InstanceName]bool, now clock.Millis) map[ident.Service]*Queue {
 	queues := map[ident.Service]*Queue{}
 	for _, id := range state.JobOrder {
 		job := state.Jobs[id]
 		if !job.Open() {
 			continue
 		}
-		q := queues[job.Service]
-		if q == nil {
-			q = &Queue{Still: now}
-			queues[job.Service] = q
+		of := terms.Of(job.Accept, table)
+		for _, service := range of.Services() {
+			q := queues[service]
+			if q == nil {
+				q = &Queue{Still: now}
+				queues[service] = q
+			}
+			q.Still = min(q.Still, now-job.ProgressAt)
 		}
-		q.Still = min(q.Still, now-job.ProgressAt)
-		q.add(job, gone, now)
+		addWaiting(queues, job, of, gone, now)
 	}
 	for _, q := range queues {
 		if q.Waiting == 0 {
@@ -59,15 +65,17 @@
 	return queues
 }
 
-// add counts the waiting items of a job.
-func (q *Queue) add(job *jobs.Job, gone map[ident.InstanceName]bool, now clock.Millis) {
+// addWaiting counts the waiting items of a job in the queues of their services.
+func addWaiting(queues map[ident.Service]*Queue, job *jobs.Job, of terms.Terms, gone map[ident.InstanceName]bool, now clock.Millis) {
 	for i := range job.Items {
 		item := &job.Items[i]
 		if item.Done || (item.Claim != 0 && !gone[item.Owner]) || now < item.DeferredUntil {
 			continue
 		}
+		service := of.Service(item.ItemSpec)
+		q := queues[service]
 		if q.Waiting == 0 {
-			q.first = job.Job
+			q.first = deal.Demand{Job: job.Job, Service: service}
 		}
 		q.Waiting++
 		if item.Claim != 0 {
@@ -80,7 +88,7 @@
 func (r *Runner) Queue() Queue {
 	var all Queue
 	r.Ledger.View(func(state *jobs.State) {
-		for _, q := range queuesOf(state, state.GoneOwners(r.Ledger.QuietSince()), r.Clock.Mono()) {
+		for _, q := range queuesOf(state, r.Routes(), state.GoneOwners(r.Ledger.QuietSince()), r.Clock.Mono()) {
 			all.Waiting += q.Waiting
 			all.Abandoned += q.Abandoned
 			all.Still = max(all.Still, q.Still)
@@ -96,7 +104,7 @@
 		return
 	}
 	r.lastQueueCheck = s.now
-	for service, q := range queuesOf(s.state, s.gone, s.now) {
+	for service, q := range queuesOf(s.state, s.table, s.gone, s.now) {
 		if q.Still < standstillAfter || s.now < r.standstillLogged[service]+standstillAfter {
 			continue
 		}
@@ -104,19 +112,19 @@
 		r.Trail.Add(trail.Decision{
 			ID: "items/" + string(service), Action: trail.Standstill, Choice: "no item is claimed",
 			Reason: fmt.Sprintf("%d items wait, none was claimed or ended for %d ms; %s; dealt by %s, ledger %d",
-				q.Waiting, q.Still, s.describeEngines(s.accepts[q.first].Service, q.first), r.dealer(s.accepts[q.first].Service), s.state.Next),
+				q.Waiting, q.Still, s.describeEngines(q.first), r.dealer(service), s.state.Next),
 		})
 	}
 }
 
-// describeEngines tells how many engines of a service could get an item of a job, and who holds
-// the places there.
-func (s *snapshot) describeEngines(service ident.Service, job ident.Job) string {
+// describeEngines tells how many engines of a service meet a demand, and who holds the places
+// there.
+func (s *snapshot) describeEngines(demand deal.Demand) string {
 	engines, allowed, withRoom, claimed := 0, 0, 0, 0
 	items := map[ident.InstanceName]int{}
-	for _, e := range s.enginesWhere(func(e deal.Engine) bool { return s.services[e.Name] == service }) {
+	for _, e := range s.enginesWhere(func(e deal.Engine) bool { return s.services[e.Name] == demand.Service }) {
 		engines++
-		if s.allowed(e.Name, job) {
+		if s.allowed(e.Name, demand) {
 			allowed++
 		}
 		if e.HasRoom(e.Slots + overbook) {
@@ -125,14 +133,14 @@
 	}
 	for owner, keys := range s.state.Claims {
 		for key := range keys {
-			if s.services[s.state.Jobs[key.Job].Items[key.Index].Engine] == service {
+			if s.services[s.state.Jobs[key.Job].Items[key.Index].Engine] == demand.Service {
 				items[owner]++
 				claimed++
 			}
 		}
 	}
 	return fmt.Sprintf("%d engines, %d that can run job %s, %d with room; %d items claimed there: %s",
-		engines, allowed, job, withRoom, claimed, s.describeOwners(items))
+		engines, allowed, demand.Job, withRoom, claimed, s.describeOwners(items))
 }
 
 // describeOwners names the owners of the most items, and whether they are gone.
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -10,6 +10,7 @@
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
 	"croftmoor.dev/kernel/paths"
+	"croftmoor.dev/kernel/terms"
 	"croftmoor.dev/kernel/toggle"
 )
 
@@ -29,11 +30,10 @@
 	// engine loads another version of it.
 	versions map[jobs.EngineModel]ident.Version
 	services map[ident.BackendName]ident.Service
-	accepts  map[ident.Job]jobs.Accept
-	// deadlines are the times, counted from a job's acceptance, within which it should
-	// be done; 0 is none.
-	deadlines map[ident.Job]clock.Millis
-	now       clock.Millis
+	terms    map[ident.Job]terms.Terms
+	// table is the routing table from which terms were made.
+	table *paths.Table
+	now   clock.Millis
 	// toggles reports which mechanisms are enabled: all but those in its set.
 	toggles toggle.Set
 	// gone are the owners of claims that count as gone.
@@ -45,12 +45,12 @@
 	return &s.state.Jobs[p.Job].Items[p.Target.Index]
 }
 
-// allowed reports whether an engine can run a job's items now.
-func (s *snapshot) allowed(engine ident.BackendName, job ident.Job) bool {
-	accept := s.accepts[job]
-	if s.services[engine] != accept.Service {
+// allowed reports whether an engine meets a demand now.
+func (s *snapshot) allowed(engine ident.BackendName, demand deal.Demand) bool {
+	if s.services[engine] != demand.Service {
 		return false
 	}
+	accept := s.terms[demand.Job].Accept
 	if accept.Model == "" {
 		return true
 	}
@@ -64,20 +64,14 @@
 func (r *Runner) takeSnapshot(state *jobs.State, table *paths.Table, since clock.Millis) *snapshot {
 	s := &snapshot{
 		state: state, versions: map[jobs.EngineModel]ident.Version{}, services: map[ident.BackendName]ident.Service{},
-		accepts: map[ident.Job]jobs.Accept{}, gone: state.GoneOwners(since), deadlines: map[ident.Job]clock.Millis{}, now: r.Clock.Mono(),
-		toggles: r.Without,
+		terms: map[ident.Job]terms.Terms{}, table: table, gone: state.GoneOwners(since), now: r.Clock.Mono(), toggles: r.Without,
 	}
 	open := s.jobsWithWaitingItems()
 	if len(open) == 0 {
 		return nil
 	}
 	for _, job := range open {
-		accept := job.Accept
-		if route, ok := table.FindExact(accept.Host, accept.Prefix); ok {
-			accept.Service = route.Shares[0].Service
-			s.deadlines[job.Job] = route.JobDeadline
-		}
-		s.accepts[job.Job] = accept
+		s.terms[job.Job] = terms.Of(job.Accept, table)
 	}
 	s.actor = r.actors.refresh(state, r.Fleet.View(), r.Clock.Mono(), since)
 	r.addEngines(s, table)
@@ -111,6 +105,7 @@
 	s.itemsAdded = true
 	s.medianPace = deal.MedianPace(s.engines)
 	for _, job := range s.jobsWithWaitingItems() {
+		of := s.terms[job.Job]
 		var waiting []deal.WaitingItem
 		for n := range job.Items {
 			item := &job.Items[n]
@@ -118,7 +113,7 @@
 				continue
 			}
 			waiting = append(waiting, deal.WaitingItem{
-				Target: jobs.Target{Index: n, Replaces: item.Claim}, Group: item.Group, Expect: item.Expect,
+				Target: jobs.Target{Index: n, Replaces: item.Claim}, Service: of.Service(item.ItemSpec), Group: item.Group, Expect: item.Expect,
 				Deferrable: s.deferrable(job, item), FailedOn: s.excludedEngines(item),
 			})
 		}
@@ -146,7 +141,8 @@
 // deferrable reports whether an item can start later and still end before its job's
 // deadline, even if it takes longer than expected.
 func (s *snapshot) deferrable(job *jobs.Job, item *jobs.Item) bool {
-	deadline := s.deadlines[job.Job]
+	of := s.terms[job.Job]
+	deadline := of.Deadline()
 	if deadline == 0 || job.FromBacklog || !s.toggles.Enabled(toggle.Patience) {
 		return false
 	}
@@ -179,8 +175,10 @@
 	now := r.Clock.Mono()
 	abandoned := s.state.ClaimedBy(s.gone)
 	services := map[ident.Service]bool{}
-	for _, accept := range s.accepts {
-		services[accept.Service] = true
+	for _, of := range s.terms {
+		for _, service := range of.Services() {
+			services[service] = true
+		}
 	}
 	for service := range services {
 		settings := table.Services[service]
--- a/croftmoor/batch/yield.go
+++ b/croftmoor/batch/yield.go
@@ -32,10 +32,8 @@
 		r.yieldItem(ctx, prog, yield, "stopped")
 		return
 	}
-	attempts := 1
-	if route, ok := r.Routes().FindExact(c.accept.Host, c.accept.Prefix); ok {
-		attempts = max(route.MaxAttempts, 1)
-	}
+	of := r.termsOf(c)
+	attempts := of.Attempts()
 	avoid := 0
 	switch {
 	case kind == Impossible, kind == Failed && len(c.item.FailedOn)+1 >= attempts:
--- a/croftmoor/intake/intake.go
+++ b/croftmoor/intake/intake.go
@@ -154,7 +154,7 @@
 // storeBodies stores the items and returns the acceptance record that refers to them.
 func (i *Intake) storeBodies(ctx context.Context, s Submission) (jobs.Accept, error) {
 	accept := jobs.Accept{
-		Job: s.Job, Host: s.Route.Host, Prefix: s.Route.Prefix, Service: s.Route.Shares[0].Service, Model: s.Model,
+		Job: s.Job, Host: s.Route.Host, Prefix: s.Route.Prefix, Service: s.Route.MainService(), Model: s.Model,
 		Step: s.Step, MinVersion: s.MinVersion, WantedGroups: s.WantedGroups, SingleVersion: s.Route.SingleVersion, Organisation: s.Organisation,
 	}
 	blobs := make([][]byte, 0, len(s.Items))
--- a/croftmoor/scaler/scaler.go
+++ b/croftmoor/scaler/scaler.go
@@ -17,6 +17,7 @@
 	"croftmoor.dev/kernel/jobs"
 	"croftmoor.dev/kernel/paths"
 	"croftmoor.dev/kernel/scale"
+	"croftmoor.dev/kernel/terms"
 	"croftmoor.dev/kernel/toggle"
 	"croftmoor.dev/kernel/trail"
 )
@@ -154,7 +155,7 @@
 	s.Ledger.View(func(b *jobs.State) {
 		for _, id := range b.JobOrder {
 			if job := b.Jobs[id]; job.Open() {
-				items[job.Service] += len(job.Items) - len(job.Results)
+				countUnfinished(items, job, table)
 			}
 		}
 	})
@@ -170,6 +171,16 @@
 	}
 }
 
+// countUnfinished adds the items of a job that have no result to those of their services.
+func countUnfinished(items map[ident.Service]int, job *jobs.Job, table *paths.Table) {
+	of := terms.Of(job.Accept, table)
+	for i := range job.Items {
+		if item := &job.Items[i]; !item.Done {
+			items[of.Service(item.ItemSpec)]++
+		}
+	}
+}
+
 // orderFor gives the orders that a service's need asks for.
 func (s *Scaler) orderFor(ctx context.Context, service paths.Service, fence ident.Fence) {
 	engines := s.Engines(service.Name)
--- a/kernel/deal/deal.go
+++ b/kernel/deal/deal.go
@@ -45,9 +45,17 @@
 	Surplus Rank = "spare"
 )
 
+// Demand is what an item demands of its engine: the same engines can run all items of an
+// equal demand.
+type Demand struct {
+	Job ident.Job
+	// Service is the service that runs the item.
+	Service ident.Service
+}
+
 // RankedItem is a waiting item of a job, with its rank.
 type RankedItem struct {
-	Job    ident.Job
+	Demand
 	Target jobs.Target
 	Expect ident.Tokens
 	Rank   Rank
@@ -68,9 +76,10 @@
 
 // WaitingItem is an item of a job without a result and without a current claim.
 type WaitingItem struct {
-	Target jobs.Target
-	Group  ident.Group
-	Expect ident.Tokens
+	Target  jobs.Target
+	Service ident.Service
+	Group   ident.Group
+	Expect  ident.Tokens
 	// Deferrable means that the item is expected to end in time even if it starts
 	// later.
 	Deferrable bool
@@ -94,7 +103,7 @@
 		case surplus[p.Group]:
 			rank = Surplus
 		}
-		items = append(items, RankedItem{Job: job, Target: p.Target, Expect: p.Expect, Rank: rank, Deferrable: p.Deferrable, FailedOn: p.FailedOn})
+		items = append(items, RankedItem{Demand: Demand{Job: job, Service: p.Service}, Target: p.Target, Expect: p.Expect, Rank: rank, Deferrable: p.Deferrable, FailedOn: p.FailedOn})
 	}
 	slices.SortStableFunc(items, func(a, b RankedItem) int {
 		return cmp.Or(cmp.Compare(b.Expect, a.Expect), cmp.Compare(a.Target.Index, b.Target.Index))
@@ -151,17 +160,17 @@
 // Assign takes the items in the given order and assigns each to the eligible engine
 // with the lowest Cost. Items for which no engine has capacity are left out. overbook
 // is the number of items that an engine may hold beyond its slots; allowed reports
-// whether an engine can run a job's items now.
-func Assign(items []RankedItem, engines []Engine, overbook int, allowed func(ident.BackendName, ident.Job) bool) []Assignment {
+// whether an engine meets a demand now.
+func Assign(items []RankedItem, engines []Engine, overbook int, allowed func(ident.BackendName, Demand) bool) []Assignment {
 	engines = slices.Clone(engines)
 	median := MedianPace(engines)
-	eligibleByJob := map[ident.Job][]bool{}
+	eligibleByDemand := map[Demand][]bool{}
 	var assignments []Assignment
 	for _, item := range items {
-		if eligibleByJob[item.Job] == nil {
-			eligibleByJob[item.Job] = eligibility(engines, item.Job, allowed)
+		if eligibleByDemand[item.Demand] == nil {
+			eligibleByDemand[item.Demand] = eligibility(engines, item.Demand, allowed)
 		}
-		eligible := eligibleByJob[item.Job]
+		eligible := eligibleByDemand[item.Demand]
 		avoidFailed := countTrue(eligible) > len(item.FailedOn)
 		best := -1
 		cost := math.Inf(1)
@@ -197,11 +206,11 @@
 	return e.Slots + overbook
 }
 
-// eligibility reports, by engine index, whether the engine can run a job's items now.
-func eligibility(engines []Engine, job ident.Job, allowed func(ident.BackendName, ident.Job) bool) []bool {
+// eligibility reports, by engine index, whether the engine meets a demand now.
+func eligibility(engines []Engine, demand Demand, allowed func(ident.BackendName, Demand) bool) []bool {
 	eligible := make([]bool, len(engines))
 	for i := range engines {
-		eligible[i] = allowed(engines[i].Name, job)
+		eligible[i] = allowed(engines[i].Name, demand)
 	}
 	return eligible
 }
--- a/kernel/deal/deal_test.go
+++ b/kernel/deal/deal_test.go
@@ -8,12 +8,12 @@
 	"croftmoor.dev/kernel/jobs"
 )
 
-func anywhere(ident.BackendName, ident.Job) bool { return true }
+func anywhere(ident.BackendName, Demand) bool { return true }
 
 func itemsOf(expects ...ident.Tokens) []RankedItem {
 	var list []RankedItem
 	for i, e := range expects {
-		list = append(list, RankedItem{Job: "j", Target: jobs.Target{Index: i}, Expect: e})
+		list = append(list, RankedItem{Demand: Demand{Job: "j"}, Target: jobs.Target{Index: i}, Expect: e})
 	}
 	return list
 }
@@ -86,7 +86,7 @@
 		}
 	})
 	t.Run("an item goes only where it is allowed", func(t *testing.T) {
-		assignments := Assign(itemsOf(1), []Engine{{Name: "e", Slots: 1}}, 0, func(ident.BackendName, ident.Job) bool { return false })
+		assignments := Assign(itemsOf(1), []Engine{{Name: "e", Slots: 1}}, 0, func(ident.BackendName, Demand) bool { return false })
 		if len(assignments) != 0 {
 			t.Error("item assigned to an engine that is not allowed")
 		}
--- a/kernel/deal/rendezvous.go
+++ b/kernel/deal/rendezvous.go
@@ -13,16 +13,16 @@
 type Rendezvous struct {
 	engines []Engine
 	// weights and hashes are indexed like engines.
-	weights       []float64
-	hashes        []uint64
-	allowed       func(ident.BackendName, ident.Job) bool
-	eligibleByJob map[ident.Job][]bool
+	weights  []float64
+	hashes   []uint64
+	allowed  func(ident.BackendName, Demand) bool
+	eligible map[Demand][]bool
 }
 
 // NewRendezvous returns an assignment to the given engines. allowed reports whether an
-// engine can run a job's items; its results are cached by job.
-func NewRendezvous(engines []Engine, allowed func(ident.BackendName, ident.Job) bool) *Rendezvous {
-	r := &Rendezvous{engines: engines, allowed: allowed, eligibleByJob: map[ident.Job][]bool{}}
+// engine meets a demand; its results are cached.
+func NewRendezvous(engines []Engine, allowed func(ident.BackendName, Demand) bool) *Rendezvous {
+	r := &Rendezvous{engines: engines, allowed: allowed, eligible: map[Demand][]bool{}}
 	median := MedianPace(engines)
 	for i := range engines {
 		pace := engines[i].MillisPerEvent
@@ -35,18 +35,18 @@
 	return r
 }
 
-// Engine returns the engine for an item, or false if no engine can run the job.
-func (r *Rendezvous) Engine(item ident.Item, job ident.Job) (ident.BackendName, bool) {
-	if r.eligibleByJob[job] == nil {
-		r.eligibleByJob[job] = eligibility(r.engines, job, r.allowed)
+// Engine returns the engine for an item, or false if no engine meets its demand.
+func (r *Rendezvous) Engine(item ident.Item, demand Demand) (ident.BackendName, bool) {
+	if r.eligible[demand] == nil {
+		r.eligible[demand] = eligibility(r.engines, demand, r.allowed)
 	}
 	itemHash := ident.Hash(string(item))
 	best, score := -1, math.Inf(-1)
-	for i, ok := range r.eligibleByJob[job] {
+	for i, ok := range r.eligible[demand] {
 		if !ok {
 			continue
 		}
-		if s := r.weights[i] / -math.Log(mixToUnitInterval(itemHash, r.hashes[i])); s > score {
+		if s := r.weights[i] / -math.Log(ident.UnitInterval(itemHash, r.hashes[i])); s > score {
 			best, score = i, s
 		}
 	}
@@ -55,13 +55,3 @@
 	}
 	return r.engines[best].Name, true
 }
-
-// mixToUnitInterval mixes two hashes into a number between 0 and 1, both exclusive.
-func mixToUnitInterval(a, b uint64) float64 {
-	x := a ^ (b * 0x9e3779b97f4a7c15)
-	x ^= x >> 32
-	x *= 0xd6e8feb86659fd93
-	x ^= x >> 32
-	const bits = 53
-	return (float64(x>>(64-bits)) + 0.5) / (1 << bits)
-}
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -141,6 +141,16 @@
 	return Mix(sum.Sum64())
 }
 
+// UnitInterval mixes two hashes into a number between 0 and 1, both exclusive.
+func UnitInterval(a, b uint64) float64 {
+	x := a ^ (b * 0x9e3779b97f4a7c15)
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	const bits = 53
+	return (float64(x>>(64-bits)) + 0.5) / (1 << bits)
+}
+
 // Mix returns a hash of a number whose bits are unrelated to those of the hashes of similar
 // numbers.
 func Mix(x uint64) uint64 {
--- a/kernel/paths/paths.go
+++ b/kernel/paths/paths.go
@@ -3,6 +3,8 @@
 package paths
 
 import (
+	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -147,12 +149,46 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
-// RequiresSingleVersion reports whether a route that has the service as its first share
+// Services returns the services that get requests of the route, those with a positive
+// weight; it is the first one alone if there is none.
+func (r *Route) Services() []ident.Service {
+	var services []ident.Service
+	for _, s := range r.Shares {
+		if s.Weight > 0 && !slices.Contains(services, s.Service) {
+			services = append(services, s.Service)
+		}
+	}
+	if len(services) == 0 {
+		return []ident.Service{r.Shares[0].Service}
+	}
+	return services
+}
+
+// MainService returns the service with the greatest weight.
+func (r *Route) MainService() ident.Service {
+	return slices.MaxFunc(r.Shares, func(a, b Share) int { return cmp.Compare(a.Weight, b.Weight) }).Service
+}
+
+// ServiceFor picks a service for a key by weighted rendezvous hashing: the same one on
+// every instance, and after a change of the weights another one only for the keys that they
+// move.
+func (r *Route) ServiceFor(key string) ident.Service {
+	best, score := r.Services()[0], 0.0
+	for _, s := range r.Shares {
+		hash := ident.UnitInterval(ident.Hash(key), ident.Hash(string(s.Service)))
+		if own := float64(s.Weight) / -math.Log(hash); own > score {
+			best, score = s.Service, own
+		}
+	}
+	return best
+}
+
+// RequiresSingleVersion reports whether a route that sends requests to the service
 // requires texts of a single version.
 func (t *Table) RequiresSingleVersion(service ident.Service) bool {
 	for _, routes := range t.routesByHost {
 		for _, r := range routes {
-			if r.SingleVersion && r.Shares[0].Service == service {
+			if r.SingleVersion && slices.Contains(r.Services(), service) {
 				return true
 			}
 		}
--- a/kernel/paths/paths_test.go
+++ b/kernel/paths/paths_test.go
@@ -1,6 +1,7 @@
 package paths
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -35,3 +36,41 @@
 		t.Errorf("requests per service %v, want about 900, 100 and none", counts)
 	}
 }
+
+func TestServiceForKey(t *testing.T) {
+	split := func(a, b int) Route {
+		return Route{Shares: []Share{{Service: "a", Weight: a}, {Service: "b", Weight: b}}}
+	}
+	count := func(route Route, service ident.Service) int {
+		n := 0
+		for key := range 1000 {
+			if route.ServiceFor(fmt.Sprint("g", key)) == service {
+				n++
+			}
+		}
+		return n
+	}
+	t.Run("weights are kept", func(t *testing.T) {
+		if n := count(split(90, 10), "b"); n < 70 || n > 130 {
+			t.Errorf("%d of 1,000 keys at the service of weight 10, want about 100", n)
+		}
+	})
+	t.Run("a weight of 0 gets nothing", func(t *testing.T) {
+		if n := count(split(0, 100), "a"); n != 0 {
+			t.Errorf("%d keys at the service of weight 0", n)
+		}
+	})
+	t.Run("without weights the first gets all", func(t *testing.T) {
+		if n := count(split(0, 0), "a"); n != 1000 {
+			t.Errorf("%d of 1,000 keys at the first service", n)
+		}
+	})
+	t.Run("a change of weights moves no other keys", func(t *testing.T) {
+		before, after := split(50, 50), split(30, 50)
+		for key := range 1000 {
+			if name := fmt.Sprint("g", key); before.ServiceFor(name) == "b" && after.ServiceFor(name) != "b" {
+				t.Fatalf("%s moved to the service that lost weight", name)
+			}
+		}
+	})
+}
