--- a/croftmoor/batch/alone.go
+++ b/croftmoor/batch/alone.go
@@ -38,7 +38,7 @@
 			return
 		}
 		s.addItems()
-		for _, d := range deal.Assign(r.ownItems(s), r.ownEngines(s), 0, s.allowed) {
+		for _, d := range deal.Assign(r.ownItems(s), r.ownEngines(s), 0, s.fits) {
 			job := state.Jobs[d.Item.Job]
 			item := *s.item(d.Item)
 			item.Claim, item.Owner, item.Engine = 0, r.Self, d.Engine
@@ -59,7 +59,7 @@
 // instance, without those that it already runs. The caller holds mu.
 func (r *Runner) ownItems(s *snapshot) []deal.RankedItem {
 	var own []deal.RankedItem
-	rendezvous := deal.NewRendezvous(s.engines, s.allowed)
+	rendezvous := deal.NewRendezvous(s.engines, s.fits)
 	for _, p := range s.items {
 		if r.runs[jobs.ItemKey{Job: p.Job, Index: p.Target.Index}] != nil {
 			continue
--- a/croftmoor/batch/batch.go
+++ b/croftmoor/batch/batch.go
@@ -54,6 +54,8 @@
 	Failed EngineKind = "Failed"
 	// Slow means that another engine is expected to finish the text sooner.
 	Slow EngineKind = "Slow"
+	// OtherVersion means that the engine has a version that may not go on with the item's text.
+	OtherVersion EngineKind = "OtherVersion"
 	// Impossible means that no engine can ever run the item.
 	Impossible EngineKind = "Impossible"
 )
--- a/croftmoor/batch/dealer.go
+++ b/croftmoor/batch/dealer.go
@@ -75,7 +75,7 @@
 		dealtHere := func(e deal.Engine) bool { return r.dealer(s.services[e.Name]) == r.Self }
 		if s.hasRoom(dealtHere, overbook) {
 			s.addItems()
-			claims = r.newClaims(s, deal.Assign(s.items, s.enginesWhere(dealtHere), overbook, s.allowed))
+			claims = r.newClaims(s, deal.Assign(s.items, s.enginesWhere(dealtHere), overbook, s.fits))
 		}
 		own := func(e deal.Engine) bool { return s.actor[e.Name] == r.Self && !dealtHere(e) }
 		if s.now < r.lastIdleCheck+idleCheckPeriod {
@@ -97,7 +97,7 @@
 func (r *Runner) claimsForIdleEngines(s *snapshot, own func(deal.Engine) bool) []jobs.Claim {
 	idle := map[ident.BackendName]clock.Millis{}
 	longest := clock.Millis(0)
-	for _, d := range deal.Assign(s.items, s.enginesWhere(own), 0, s.allowed) {
+	for _, d := range deal.Assign(s.items, s.enginesWhere(own), 0, s.fits) {
 		since, known := r.idleSince[d.Engine]
 		if !known {
 			since = s.now
@@ -117,7 +117,7 @@
 	if longest <= idleBeforeAnyItem {
 		items = r.ownItems(s)
 	}
-	return r.newClaims(s, deal.Assign(items, s.enginesWhere(idleLong), 0, s.allowed))
+	return r.newClaims(s, deal.Assign(items, s.enginesWhere(idleLong), 0, s.fits))
 }
 
 // newClaims turns assignments into claims, one for each job and engine, and skips items
--- a/croftmoor/batch/meter.go
+++ b/croftmoor/batch/meter.go
@@ -48,6 +48,11 @@
 	loadSamples int
 }
 
+// restart forgets the run so far: the item begins anew at the same engine.
+func (m *meter) restart() {
+	*m = meter{clock: m.clock, startedAt: m.clock.Mono(), slowdownSum: m.slowdownSum, loadSamples: m.loadSamples}
+}
+
 // sampleLoad records the load of the engine's other items.
 func (m *meter) sampleLoad(load jobs.Load) {
 	m.slowdownSum += deal.Slowdown(load)
--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -13,6 +13,7 @@
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/fleet"
+	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
 	"croftmoor.dev/kernel/terms"
 	"croftmoor.dev/kernel/trail"
@@ -48,7 +49,14 @@
 	meter := &meter{clock: r.Clock, startedAt: r.Clock.Mono()}
 	r.Ledger.View(func(state *jobs.State) { meter.sampleLoad(otherLoad(state, c.item)) })
 	if !prog.textComplete {
-		if err := r.generate(ctx, item, prog, meter); err != nil {
+		err := r.generate(ctx, item, prog, meter)
+		if fault.KindOf[EngineKind](err) == OtherVersion {
+			r.logAnew(c, err.Error())
+			prog.beginAnew()
+			meter.restart()
+			err = r.generate(ctx, item, prog, meter)
+		}
+		if err != nil {
 			r.reportEngineEnd(ctx, item, prog, err)
 			r.handleFailure(ctx, prog, meter, err)
 			return
@@ -68,7 +76,7 @@
 	if err != nil {
 		return work.Item{}, err
 	}
-	if partial := c.item.Partial; partial.Fits(c.accept.MinVersion, c.accept.SingleVersion) {
+	if partial := c.item.Partial; partial.Fits(c.accept.MinVersion, c.accept.SingleVersion) && r.continues(c, partial) {
 		prog.saved = partial
 		prog.events, prog.versions, prog.textComplete = partial.Events, slices.Clone(partial.Versions), partial.Complete
 	}
@@ -78,6 +86,27 @@
 	return item, err
 }
 
+// continues reports whether the claimed engine can go on with a saved text, as far as its
+// version is known. If not, the item begins anew there.
+func (r *Runner) continues(c claimed, partial jobs.Partial) bool {
+	only := partial.OnlyVersion(c.accept.SingleVersion)
+	engine, listed := r.engineOf(c)
+	if only == 0 || !listed {
+		return true
+	}
+	var version ident.Version
+	r.Ledger.View(func(state *jobs.State) { version, _ = Version(state, engine, c.accept.Model, r.Clock.Mono()) })
+	if version == only {
+		return true
+	}
+	r.logAnew(c, fmt.Sprintf("%d events of version %d are saved, the engine has version %d", partial.Events, only, version))
+	return false
+}
+
+func (r *Runner) logAnew(c claimed, reason string) {
+	r.logDecision(c, trail.Place, string(c.item.Engine), "begun anew, since its text takes one version: "+reason)
+}
+
 // termsOf returns the terms of the item's job as they are now.
 func (r *Runner) termsOf(c claimed) terms.Terms { return terms.Of(c.accept, r.Routes()) }
 
@@ -149,7 +178,7 @@
 		return fault.New("batch.generate", NotRun, fmt.Sprintf("the engine has version %d, the job takes %d", event.Version, accept.MinVersion))
 	}
 	if accept.SingleVersion && prog.events > 0 && !slices.Contains(prog.versions, event.Version) {
-		return fault.New("batch.generate", Broken, "a second version in a text that takes one")
+		return fault.New("batch.generate", OtherVersion, fmt.Sprintf("event %d is of version %d, those before of %v", event.Index, event.Version, prog.versions))
 	}
 	return nil
 }
--- a/croftmoor/batch/progress.go
+++ b/croftmoor/batch/progress.go
@@ -101,6 +101,15 @@
 	return nil
 }
 
+// beginAnew drops the text that was made so far. The ledger keeps what is saved of it until a
+// save of the new text replaces it.
+func (p *progress) beginAnew() {
+	p.group.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.events, p.versions, p.unsaved, p.saved = 0, nil, nil, jobs.Partial{}
+}
+
 func (p *progress) savedPartial() jobs.Partial {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/croftmoor/batch/standstill.go
+++ b/croftmoor/batch/standstill.go
@@ -22,17 +22,25 @@
 	standstillAfter = 5 * clock.Second
 	// queueCheckPeriod is the time between two looks at the queues.
 	queueCheckPeriod = 1 * clock.Second
+	// minVainYields is how often an item is yielded, while its text does not grow, before that
+	// counts as a standstill of the item, if it takes standstillAfter or longer.
+	minVainYields = 4
 	// maxNamedOwners bounds how many owners of items a line names.
 	maxNamedOwners = 6
 )
 
 // Queue is the waiting items of a service, or of all services together.
 type Queue struct {
+	service ident.Service
 	// Waiting counts the items that could be claimed now. Abandoned counts those among them
 	// that an owner has claimed that is gone.
 	Waiting, Abandoned int
 	// Still is how long no item of the service was claimed or ended; 0 if none waits.
 	Still clock.Millis
+	// Vain counts the items that are claimed and yielded again and again while their texts do
+	// not grow. vain is the first of them.
+	Vain int
+	vain string
 	// first is the demand of a waiting item of the oldest job.
 	first deal.Demand
 }
@@ -50,12 +58,17 @@
 		for _, service := range of.Services() {
 			q := queues[service]
 			if q == nil {
-				q = &Queue{Still: now}
+				q = &Queue{service: service, Still: now}
 				queues[service] = q
 			}
 			q.Still = min(q.Still, now-job.ProgressAt)
 		}
-		addWaiting(queues, job, of, gone, now)
+		for i := range job.Items {
+			item := &job.Items[i]
+			if !item.Done {
+				queues[of.Service(item.ItemSpec)].add(job, item, gone, now)
+			}
+		}
 	}
 	for _, q := range queues {
 		if q.Waiting == 0 {
@@ -65,22 +78,23 @@
 	return queues
 }
 
-// addWaiting counts the waiting items of a job in the queues of their services.
-func addWaiting(queues map[ident.Service]*Queue, job *jobs.Job, of terms.Terms, gone map[ident.InstanceName]bool, now clock.Millis) {
-	for i := range job.Items {
-		item := &job.Items[i]
-		if item.Done || (item.Claim != 0 && !gone[item.Owner]) || now < item.DeferredUntil {
-			continue
-		}
-		service := of.Service(item.ItemSpec)
-		q := queues[service]
-		if q.Waiting == 0 {
-			q.first = deal.Demand{Job: job.Job, Service: service}
-		}
-		q.Waiting++
-		if item.Claim != 0 {
-			q.Abandoned++
+// add counts an item without a result.
+func (q *Queue) add(job *jobs.Job, item *jobs.Item, gone map[ident.InstanceName]bool, now clock.Millis) {
+	if item.VainYields >= minVainYields && now-item.VainSince >= standstillAfter {
+		if q.Vain == 0 {
+			q.vain = fmt.Sprintf("item %s of job %s %d times in %d ms", item.ID, job.Job, item.VainYields, now-item.VainSince)
 		}
+		q.Vain++
+	}
+	if (item.Claim != 0 && !gone[item.Owner]) || now < item.DeferredUntil {
+		return
+	}
+	if q.Waiting == 0 {
+		q.first = deal.Demand{Job: job.Job, Service: q.service, TextVersion: item.Partial.OnlyVersion(job.SingleVersion)}
+	}
+	q.Waiting++
+	if item.Claim != 0 {
+		q.Abandoned++
 	}
 }
 
@@ -91,6 +105,7 @@
 		for _, q := range queuesOf(state, r.Routes(), state.GoneOwners(r.Ledger.QuietSince()), r.Clock.Mono()) {
 			all.Waiting += q.Waiting
 			all.Abandoned += q.Abandoned
+			all.Vain += q.Vain
 			all.Still = max(all.Still, q.Still)
 		}
 	})
@@ -105,15 +120,20 @@
 	}
 	r.lastQueueCheck = s.now
 	for service, q := range queuesOf(s.state, s.table, s.gone, s.now) {
-		if q.Still < standstillAfter || s.now < r.standstillLogged[service]+standstillAfter {
+		if (q.Still < standstillAfter && q.Vain == 0) || s.now < r.standstillLogged[service]+standstillAfter {
 			continue
 		}
 		r.standstillLogged[service] = s.now
-		r.Trail.Add(trail.Decision{
-			ID: "items/" + string(service), Action: trail.Standstill, Choice: "no item is claimed",
-			Reason: fmt.Sprintf("%d items wait, none was claimed or ended for %d ms; %s; dealt by %s, ledger %d",
-				q.Waiting, q.Still, s.describeEngines(q.first), r.dealer(service), s.state.Next),
-		})
+		line := trail.Decision{ID: "items/" + string(service), Action: trail.Standstill}
+		if q.Vain > 0 {
+			line.Choice = "items are yielded again and again"
+			line.Reason = fmt.Sprintf("%d items, whose texts do not grow; %s; ledger %d", q.Vain, q.vain, s.state.Next)
+		} else {
+			line.Choice = "no item is claimed"
+			line.Reason = fmt.Sprintf("%d items wait, none was claimed or ended for %d ms; %s; dealt by %s, ledger %d",
+				q.Waiting, q.Still, s.describeEngines(q.first), r.dealer(service), s.state.Next)
+		}
+		r.Trail.Add(line)
 	}
 }
 
@@ -124,7 +144,7 @@
 	items := map[ident.InstanceName]int{}
 	for _, e := range s.enginesWhere(func(e deal.Engine) bool { return s.services[e.Name] == demand.Service }) {
 		engines++
-		if s.allowed(e.Name, demand) {
+		if s.fits(e.Name, demand) != deal.Unfit {
 			allowed++
 		}
 		if e.HasRoom(e.Slots + overbook) {
--- a/croftmoor/batch/standstill_test.go
+++ b/croftmoor/batch/standstill_test.go
@@ -79,3 +79,25 @@
 		}
 	})
 }
+
+// An item that is claimed and yielded for ever must not pass for progress.
+func TestItemYieldedAgainAndAgainIsNamed(t *testing.T) {
+	s := newSimulation(t, 1, 2)
+	lines := &standstillLines{}
+	r := s.runners[0]
+	r.Trail = lines
+	s.accept("j", 2)
+	for range minVainYields {
+		s.claimAs("front-0", "j", 1, 1)
+		s.appendRecords(jobs.Yield{Job: "j", By: "front-0", Index: 0})
+		s.catchUp(0, len(s.log))
+		s.clock.Advance(standstillAfter / minVainYields)
+		r.planClaims()
+	}
+	if len(lines.reasons) != 1 || !strings.Contains(lines.reasons[0], "item j-0 of job j 4 times in 5000 ms") {
+		t.Errorf("lines %v, want one that names the item", lines.reasons)
+	}
+	if q := r.Queue(); q.Vain != 1 {
+		t.Errorf("queue %+v, want one item that is yielded in vain", q)
+	}
+}
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -45,17 +45,30 @@
 	return &s.state.Jobs[p.Job].Items[p.Target.Index]
 }
 
-// allowed reports whether an engine meets a demand now.
-func (s *snapshot) allowed(engine ident.BackendName, demand deal.Demand) bool {
+// fits returns how an engine meets a demand now.
+func (s *snapshot) fits(engine ident.BackendName, demand deal.Demand) deal.Fit {
 	if s.services[engine] != demand.Service {
-		return false
+		return deal.Unfit
 	}
 	accept := s.terms[demand.Job].Accept
 	if accept.Model == "" {
-		return true
+		return deal.Fitting
 	}
 	version, ready := s.versions[jobs.EngineModel{Engine: engine, Model: accept.Model}]
-	return ready && version >= accept.MinVersion
+	switch {
+	case !ready || version < accept.MinVersion:
+		return deal.Unfit
+	case demand.TextVersion != 0 && demand.TextVersion != version:
+		return deal.Anew
+	default:
+		return deal.Fitting
+	}
+}
+
+// demand returns what an item demands of its engine.
+func (s *snapshot) demand(job *jobs.Job, item *jobs.Item) deal.Demand {
+	of := s.terms[job.Job]
+	return deal.Demand{Job: job.Job, Service: of.Service(item.ItemSpec), TextVersion: item.Partial.OnlyVersion(job.SingleVersion)}
 }
 
 // takeSnapshot returns the jobs that have waiting items and the engines that may get them, or
@@ -105,7 +118,6 @@
 	s.itemsAdded = true
 	s.medianPace = deal.MedianPace(s.engines)
 	for _, job := range s.jobsWithWaitingItems() {
-		of := s.terms[job.Job]
 		var waiting []deal.WaitingItem
 		for n := range job.Items {
 			item := &job.Items[n]
@@ -113,11 +125,11 @@
 				continue
 			}
 			waiting = append(waiting, deal.WaitingItem{
-				Target: jobs.Target{Index: n, Replaces: item.Claim}, Service: of.Service(item.ItemSpec), Group: item.Group, Expect: item.Expect,
+				Demand: s.demand(job, item), Target: jobs.Target{Index: n, Replaces: item.Claim}, Group: item.Group, Expect: item.Expect,
 				Deferrable: s.deferrable(job, item), FailedOn: s.excludedEngines(item),
 			})
 		}
-		s.items = append(s.items, deal.Order(job.Job, waiting, job.WantedGroups, job.GroupLengths, job.CarriedOverGroups)...)
+		s.items = append(s.items, deal.Order(waiting, job.WantedGroups, job.GroupLengths, job.CarriedOverGroups)...)
 	}
 }
 
--- a/croftmoor/batch/yield.go
+++ b/croftmoor/batch/yield.go
@@ -21,8 +21,9 @@
 )
 
 // handleFailure ends a run that did not reach the end of its text. It terminates the item
-// if no retry is left, and otherwise yields it. Unless the error is Failed or Slow, it also
-// records that all instances avoid the engine for a while.
+// if no retry is left, and otherwise yields it. If the engine is to blame it also records that
+// all instances avoid it for a while. It is not if it reported a failure of the item, is merely
+// slow, or has another version than the item's text.
 func (r *Runner) handleFailure(ctx context.Context, prog *progress, meter *meter, err error) {
 	c := prog.claim
 	kind := fault.KindOf[EngineKind](err)
@@ -41,7 +42,7 @@
 		return
 	case kind == Busy:
 		avoid = avoidBusyMillis
-	case kind != Failed && kind != Slow:
+	case kind != Failed && kind != Slow && kind != OtherVersion:
 		avoid = avoidBrokenMillis
 	}
 	if avoid > 0 {
--- a/croftmoor/swaps/survey.go
+++ b/croftmoor/swaps/survey.go
@@ -1,6 +1,8 @@
 package swaps
 
 import (
+	"slices"
+
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/deal"
 	"croftmoor.dev/kernel/fleet"
@@ -37,6 +39,20 @@
 	return loads.Plan(s.states(), s.models(), free)
 }
 
+// manner lets runs end first where a text must be of one version: by a route, or by the
+// acceptance of an open job, whose route may have changed since.
+func (s *survey) manner(table *paths.Table) Manner {
+	if table.RequiresSingleVersion(s.service.Name) {
+		return Drain
+	}
+	for _, job := range s.book.Jobs {
+		if job.Open() && job.SingleVersion && slices.Contains(s.service.Models, job.Model) {
+			return Drain
+		}
+	}
+	return Keep
+}
+
 // states returns the engines as loads find them.
 func (s *survey) states() []loads.Engine {
 	known := make([]deal.Engine, 0, len(s.engines))
--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -210,7 +210,7 @@
 			}
 			s := &survey{keeper: k, book: b, service: service, engines: engines, fence: fence, now: now}
 			for _, load := range s.plan(free) {
-				w := s.want(load, mannerOf(table, name))
+				w := s.want(load, s.manner(table))
 				k.loading[w.key] = loading{version: w.version, began: now}
 				begin = append(begin, w)
 			}
@@ -273,11 +273,3 @@
 	}
 	return false
 }
-
-// mannerOf lets runs end first where a text must be of one version.
-func mannerOf(table *paths.Table, service ident.Service) Manner {
-	if table.RequiresSingleVersion(service) {
-		return Drain
-	}
-	return Keep
-}
--- a/kernel/deal/deal.go
+++ b/kernel/deal/deal.go
@@ -51,8 +51,24 @@
 	Job ident.Job
 	// Service is the service that runs the item.
 	Service ident.Service
+	// TextVersion is the only weight version that can go on with the item's saved text; 0 if
+	// any can, or if there is none.
+	TextVersion ident.Version
 }
 
+// Fit is how well an engine meets a demand.
+type Fit int
+
+// Fits, from the worst to the best.
+const (
+	// Unfit engines can't run the item.
+	Unfit Fit = iota
+	// Anew means that the engine can run the item, but from its beginning.
+	Anew
+	// Fitting engines go on with the item's saved text, if there is one.
+	Fitting
+)
+
 // RankedItem is a waiting item of a job, with its rank.
 type RankedItem struct {
 	Demand
@@ -76,10 +92,10 @@
 
 // WaitingItem is an item of a job without a result and without a current claim.
 type WaitingItem struct {
-	Target  jobs.Target
-	Service ident.Service
-	Group   ident.Group
-	Expect  ident.Tokens
+	Demand
+	Target jobs.Target
+	Group  ident.Group
+	Expect ident.Tokens
 	// Deferrable means that the item is expected to end in time even if it starts
 	// later.
 	Deferrable bool
@@ -92,7 +108,7 @@
 // trainer waits for, 0 for all. groupLengths holds the expected length of each group of
 // the job, its finished items included; carriedOver marks the groups that an earlier step
 // did not finish.
-func Order(job ident.Job, waiting []WaitingItem, requiredGroups int, groupLengths map[ident.Group]ident.Tokens, carriedOver map[ident.Group]bool) []RankedItem {
+func Order(waiting []WaitingItem, requiredGroups int, groupLengths map[ident.Group]ident.Tokens, carriedOver map[ident.Group]bool) []RankedItem {
 	surplus := surplusGroups(requiredGroups, groupLengths, carriedOver)
 	items := make([]RankedItem, 0, len(waiting))
 	for _, p := range waiting {
@@ -103,7 +119,7 @@
 		case surplus[p.Group]:
 			rank = Surplus
 		}
-		items = append(items, RankedItem{Demand: Demand{Job: job, Service: p.Service}, Target: p.Target, Expect: p.Expect, Rank: rank, Deferrable: p.Deferrable, FailedOn: p.FailedOn})
+		items = append(items, RankedItem{Demand: p.Demand, Target: p.Target, Expect: p.Expect, Rank: rank, Deferrable: p.Deferrable, FailedOn: p.FailedOn})
 	}
 	slices.SortStableFunc(items, func(a, b RankedItem) int {
 		return cmp.Or(cmp.Compare(b.Expect, a.Expect), cmp.Compare(a.Target.Index, b.Target.Index))
@@ -158,29 +174,29 @@
 )
 
 // Assign takes the items in the given order and assigns each to the eligible engine
-// with the lowest Cost. Items for which no engine has capacity are left out. overbook
-// is the number of items that an engine may hold beyond its slots; allowed reports
-// whether an engine meets a demand now.
-func Assign(items []RankedItem, engines []Engine, overbook int, allowed func(ident.BackendName, Demand) bool) []Assignment {
+// with the lowest Cost, among those with capacity that fit it best. Items for which no engine
+// has capacity are left out. overbook is the number of items that an engine may hold beyond
+// its slots; fits returns how an engine meets a demand now.
+func Assign(items []RankedItem, engines []Engine, overbook int, fits func(ident.BackendName, Demand) Fit) []Assignment {
 	engines = slices.Clone(engines)
 	median := MedianPace(engines)
-	eligibleByDemand := map[Demand][]bool{}
+	fitsByDemand := map[Demand][]Fit{}
 	var assignments []Assignment
 	for _, item := range items {
-		if eligibleByDemand[item.Demand] == nil {
-			eligibleByDemand[item.Demand] = eligibility(engines, item.Demand, allowed)
+		if fitsByDemand[item.Demand] == nil {
+			fitsByDemand[item.Demand] = fitsOf(engines, item.Demand, fits)
 		}
-		eligible := eligibleByDemand[item.Demand]
-		avoidFailed := countTrue(eligible) > len(item.FailedOn)
-		best := -1
+		fit := fitsByDemand[item.Demand]
+		avoidFailed := countEligible(fit) > len(item.FailedOn)
+		best, bestFit := -1, Unfit
 		cost := math.Inf(1)
 		for i := range engines {
 			e := &engines[i]
-			if !eligible[i] || !e.HasRoom(e.capacity(item, overbook)) || (avoidFailed && slices.Contains(item.FailedOn, e.Name)) {
+			if fit[i] == Unfit || !e.HasRoom(e.capacity(item, overbook)) || (avoidFailed && slices.Contains(item.FailedOn, e.Name)) {
 				continue
 			}
-			if c := e.Cost(median); c < cost {
-				best, cost = i, c
+			if c := e.Cost(median); fit[i] > bestFit || (fit[i] == bestFit && c < cost) {
+				best, bestFit, cost = i, fit[i], c
 			}
 		}
 		if best < 0 {
@@ -206,19 +222,20 @@
 	return e.Slots + overbook
 }
 
-// eligibility reports, by engine index, whether the engine meets a demand now.
-func eligibility(engines []Engine, demand Demand, allowed func(ident.BackendName, Demand) bool) []bool {
-	eligible := make([]bool, len(engines))
+// fitsOf returns, by engine index, how the engine meets a demand now.
+func fitsOf(engines []Engine, demand Demand, fits func(ident.BackendName, Demand) Fit) []Fit {
+	all := make([]Fit, len(engines))
 	for i := range engines {
-		eligible[i] = allowed(engines[i].Name, demand)
+		all[i] = fits(engines[i].Name, demand)
 	}
-	return eligible
+	return all
 }
 
-func countTrue(eligible []bool) int {
+// countEligible returns the number of engines that can run the item at all.
+func countEligible(fits []Fit) int {
 	n := 0
-	for _, ok := range eligible {
-		if ok {
+	for _, fit := range fits {
+		if fit != Unfit {
 			n++
 		}
 	}
--- a/kernel/deal/deal_test.go
+++ b/kernel/deal/deal_test.go
@@ -8,7 +8,7 @@
 	"croftmoor.dev/kernel/jobs"
 )
 
-func anywhere(ident.BackendName, Demand) bool { return true }
+func anywhere(ident.BackendName, Demand) Fit { return Fitting }
 
 func itemsOf(expects ...ident.Tokens) []RankedItem {
 	var list []RankedItem
@@ -30,7 +30,7 @@
 func TestOrder(t *testing.T) {
 	waiting := []WaitingItem{{Target: jobs.Target{Index: 0}, Group: "a", Expect: 5}, {Target: jobs.Target{Index: 1}, Group: "b", Expect: 9}, {Target: jobs.Target{Index: 2}, Group: "c", Expect: 7}}
 	groupLengths := map[ident.Group]ident.Tokens{"a": 5, "b": 9, "c": 7}
-	got := Order("j", waiting, 2, groupLengths, map[ident.Group]bool{"c": true})
+	got := Order(waiting, 2, groupLengths, map[ident.Group]bool{"c": true})
 	var order []int
 	var ranks []Rank
 	for _, p := range got {
@@ -86,13 +86,37 @@
 		}
 	})
 	t.Run("an item goes only where it is allowed", func(t *testing.T) {
-		assignments := Assign(itemsOf(1), []Engine{{Name: "e", Slots: 1}}, 0, func(ident.BackendName, Demand) bool { return false })
+		assignments := Assign(itemsOf(1), []Engine{{Name: "e", Slots: 1}}, 0, func(ident.BackendName, Demand) Fit { return Unfit })
 		if len(assignments) != 0 {
 			t.Error("item assigned to an engine that is not allowed")
 		}
 	})
 }
 
+func TestEngineThatGoesOnWithTheText(t *testing.T) {
+	item := itemsOf(9)
+	item[0].TextVersion = 1
+	old := Engine{Name: "old", Slots: 1, MillisPerEvent: 90}
+	young := Engine{Name: "young", Slots: 1, MillisPerEvent: 40}
+	fits := func(e ident.BackendName, _ Demand) Fit {
+		if e == "old" {
+			return Fitting
+		}
+		return Anew
+	}
+	t.Run("goes before a faster one", func(t *testing.T) {
+		if got := engineOf(t, Assign(item, []Engine{young, old}, 0, fits), 0); got != "old" {
+			t.Errorf("assigned to %s, want old", got)
+		}
+	})
+	t.Run("is not waited for while it has no room", func(t *testing.T) {
+		old.Load.Items = 1
+		if got := engineOf(t, Assign(item, []Engine{young, old}, 0, fits), 0); got != "young" {
+			t.Errorf("assigned to %s, want young", got)
+		}
+	})
+}
+
 func TestPatientItemsLeaveRoom(t *testing.T) {
 	deferrable := itemsOf(1, 1, 1, 1, 1)
 	for i := range deferrable {
--- a/kernel/deal/rendezvous.go
+++ b/kernel/deal/rendezvous.go
@@ -13,16 +13,16 @@
 type Rendezvous struct {
 	engines []Engine
 	// weights and hashes are indexed like engines.
-	weights  []float64
-	hashes   []uint64
-	allowed  func(ident.BackendName, Demand) bool
-	eligible map[Demand][]bool
+	weights      []float64
+	hashes       []uint64
+	fits         func(ident.BackendName, Demand) Fit
+	fitsByDemand map[Demand][]Fit
 }
 
-// NewRendezvous returns an assignment to the given engines. allowed reports whether an
-// engine meets a demand; its results are cached.
-func NewRendezvous(engines []Engine, allowed func(ident.BackendName, Demand) bool) *Rendezvous {
-	r := &Rendezvous{engines: engines, allowed: allowed, eligible: map[Demand][]bool{}}
+// NewRendezvous returns an assignment to the given engines. fits returns how an engine meets
+// a demand; its results are cached.
+func NewRendezvous(engines []Engine, fits func(ident.BackendName, Demand) Fit) *Rendezvous {
+	r := &Rendezvous{engines: engines, fits: fits, fitsByDemand: map[Demand][]Fit{}}
 	median := MedianPace(engines)
 	for i := range engines {
 		pace := engines[i].MillisPerEvent
@@ -35,15 +35,16 @@
 	return r
 }
 
-// Engine returns the engine for an item, or false if no engine meets its demand.
+// Engine returns the engine for an item, or false if none can run it. An engine that goes on
+// with the item's text counts no more than others: it may be the only one, and have no room.
 func (r *Rendezvous) Engine(item ident.Item, demand Demand) (ident.BackendName, bool) {
-	if r.eligible[demand] == nil {
-		r.eligible[demand] = eligibility(r.engines, demand, r.allowed)
+	if r.fitsByDemand[demand] == nil {
+		r.fitsByDemand[demand] = fitsOf(r.engines, demand, r.fits)
 	}
 	itemHash := ident.Hash(string(item))
 	best, score := -1, math.Inf(-1)
-	for i, ok := range r.eligible[demand] {
-		if !ok {
+	for i, fit := range r.fitsByDemand[demand] {
+		if fit == Unfit {
 			continue
 		}
 		if s := r.weights[i] / -math.Log(ident.UnitInterval(itemHash, r.hashes[i])); s > score {
--- a/kernel/deal/rendezvous_test.go
+++ b/kernel/deal/rendezvous_test.go
@@ -15,12 +15,12 @@
 	return engines
 }
 
-func everywhere(ident.BackendName, Demand) bool { return true }
+func everywhere(ident.BackendName, Demand) Fit { return Fitting }
 
 func TestFixed(t *testing.T) {
 	const items = 6000
-	where := func(engines []Engine, allowed func(ident.BackendName, Demand) bool) map[ident.Item]ident.BackendName {
-		f := NewRendezvous(engines, allowed)
+	where := func(engines []Engine, fits func(ident.BackendName, Demand) Fit) map[ident.Item]ident.BackendName {
+		f := NewRendezvous(engines, fits)
 		at := map[ident.Item]ident.BackendName{}
 		for n := range items {
 			id := ident.Item(fmt.Sprintf("item-%d", n))
@@ -57,11 +57,16 @@
 		}
 	})
 	t.Run("only engines that can run the job count", func(t *testing.T) {
-		at := where(sixEngines(), func(e ident.BackendName, _ Demand) bool { return e == "e-3" })
+		at := where(sixEngines(), func(e ident.BackendName, _ Demand) Fit {
+			if e == "e-3" {
+				return Anew
+			}
+			return Unfit
+		})
 		if share(at, "e-3") != 1 {
 			t.Errorf("the only allowed engine has a share of %.3f, want 1", share(at, "e-3"))
 		}
-		if none := where(sixEngines(), func(ident.BackendName, Demand) bool { return false }); len(none) > 0 {
+		if none := where(sixEngines(), func(ident.BackendName, Demand) Fit { return Unfit }); len(none) > 0 {
 			t.Errorf("%d items assigned to engines that can't run them", len(none))
 		}
 	})
--- a/kernel/jobs/job.go
+++ b/kernel/jobs/job.go
@@ -21,13 +21,46 @@
 	CarriedOver bool
 	// FailedOn lists the engines that failed the item, one entry per failure.
 	FailedOn []ident.BackendName
-	// Yields counts how often the item was released without a result.
-	Yields int
+	// Yields counts how often the item was released without a result. VainYields counts those
+	// since its saved text last grew, the first of which was read at VainSince.
+	Yields     int
+	VainYields int
+	VainSince  clock.Millis
 	// DeferredUntil is the time on this reader's clock before which no engine gets the
 	// item.
 	DeferredUntil clock.Millis
 }
 
+// updatePartial replaces the saved text if p is worth more, and reports whether it did. Each
+// text is saved whole, so that two are never mixed. A complete text is worth the most. With
+// singleVersion, one of a newer version is worth more than one of an older version, however
+// long that is: engines with the older version become fewer, and the text that was begun anew
+// must not be lost to a late record of the other.
+func (i *Item) updatePartial(p Partial, singleVersion bool) bool {
+	saved := i.Partial
+	worthMore := p.Events > saved.Events
+	if newest, kept := p.newestVersion(), saved.newestVersion(); singleVersion && newest != kept {
+		worthMore = newest > kept
+	}
+	if saved.Complete || (!worthMore && !p.Complete) {
+		return false
+	}
+	i.Partial = p
+	return true
+}
+
+// noteYield counts a yield, which is in vain if the saved text did not grow with it.
+func (i *Item) noteYield(grew bool, now clock.Millis) {
+	if grew {
+		i.VainYields = 0
+		return
+	}
+	if i.VainYields == 0 {
+		i.VainSince = now
+	}
+	i.VainYields++
+}
+
 // Result is the result of the item at Index.
 type Result struct {
 	Index int
--- a/kernel/jobs/jobs_test.go
+++ b/kernel/jobs/jobs_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"reflect"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -435,3 +436,55 @@
 		})
 	}
 }
+
+func saved(events int, versions ...ident.Version) Partial {
+	return Partial{Texts: []Span{{Stream: "t", First: ident.Offset(events), Count: 1}}, Events: events, Versions: versions}
+}
+
+// A text that was dropped must not come back by a late record of another owner.
+func TestSavedTextThatWasBegunAnew(t *testing.T) {
+	complete := saved(9, 1)
+	complete.Complete = true
+	for _, c := range []struct {
+		name   string
+		single bool
+		saves  []Partial
+		want   Partial
+	}{
+		{"replaces a longer one of an older version", true, []Partial{saved(35, 1), saved(8, 2)}, saved(8, 2)},
+		{"is not replaced by a longer one of an older version", true, []Partial{saved(8, 2), saved(35, 1)}, saved(8, 2)},
+		{"is replaced by a longer one of its version", true, []Partial{saved(8, 2), saved(9, 2)}, saved(9, 2)},
+		{"is replaced by a complete one of any version", true, []Partial{saved(35, 2), complete}, complete},
+		{"does not replace a complete one", true, []Partial{complete, saved(35, 2)}, complete},
+		{"is kept by a yield without a text", true, []Partial{saved(8, 2), {}}, saved(8, 2)},
+		{"needs to be longer where versions may be mixed", false, []Partial{saved(35, 1), saved(8, 2)}, saved(35, 1)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			job := accept("j", 1, "a")
+			job.SingleVersion = c.single
+			b := fold(job, claimOf("j", "x", 0, 0))
+			for _, p := range c.saves {
+				b.Apply(b.Next, SavePartial{Job: "j", By: "y", Partial: p}, 0)
+			}
+			got := b.Jobs["j"].Items[0].Partial
+			if got.Events != c.want.Events || !slices.Equal(got.Versions, c.want.Versions) || !slices.Equal(got.Texts, c.want.Texts) {
+				t.Errorf("saved %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestYieldsInVain(t *testing.T) {
+	b := fold(accept("j", 1, "a"))
+	yield := func(now clock.Millis, p Partial) int {
+		b.Apply(b.Next, claimOf("j", "x", 0, 0), now)
+		b.Apply(b.Next, Yield{Job: "j", By: "x", Partial: p}, now)
+		return b.Jobs["j"].Items[0].VainYields
+	}
+	if yield(1, saved(5, 1)) != 0 || yield(2, saved(5, 1)) != 1 || yield(3, Partial{}) != 2 || b.Jobs["j"].Items[0].VainSince != 2 {
+		t.Errorf("item %+v, want two yields in vain since 2", b.Jobs["j"].Items[0])
+	}
+	if n := yield(4, saved(6, 1)); n != 0 {
+		t.Errorf("%d yields in vain after one with a longer text", n)
+	}
+}
--- a/kernel/jobs/record.go
+++ b/kernel/jobs/record.go
@@ -152,6 +152,24 @@
 	return true
 }
 
+// newestVersion returns the newest version that made a part of the text; 0 if it is empty.
+func (p Partial) newestVersion() ident.Version {
+	newest := ident.Version(0)
+	for _, v := range p.Versions {
+		newest = max(newest, v)
+	}
+	return newest
+}
+
+// OnlyVersion returns the version that must make the rest of the text, where one must make all
+// of it; 0 if any may, or if there is no text to go on with.
+func (p Partial) OnlyVersion(singleVersion bool) ident.Version {
+	if !singleVersion || p.Complete || len(p.Versions) != 1 {
+		return 0
+	}
+	return p.Versions[0]
+}
+
 // Outcome is how an item ended.
 type Outcome string
 
--- a/kernel/jobs/state.go
+++ b/kernel/jobs/state.go
@@ -174,8 +174,9 @@
 	if item == nil {
 		return
 	}
-	item.updatePartial(y.Partial)
+	grew := item.updatePartial(y.Partial, job.SingleVersion)
 	if item.Owner == y.By {
+		item.noteYield(grew, now)
 		if y.Failed {
 			item.FailedOn = append(item.FailedOn, item.Engine)
 			s.updateFailureRate(item.Engine, 1)
@@ -197,15 +198,8 @@
 
 func (s *State) savePartial(k SavePartial, now clock.Millis) {
 	s.markHeard(k.By, now)
-	if _, item := s.unfinishedItem(k.Job, k.Index); item != nil {
-		item.updatePartial(k.Partial)
-	}
-}
-
-// updatePartial replaces the saved text if p is longer or completes it.
-func (i *Item) updatePartial(p Partial) {
-	if p.Events > i.Partial.Events || (p.Complete && !i.Partial.Complete) {
-		i.Partial = p
+	if job, item := s.unfinishedItem(k.Job, k.Index); item != nil && item.updatePartial(k.Partial, job.SingleVersion) {
+		item.VainYields = 0
 	}
 }
 
