--- a/croftmoor/batch/batch.go
+++ b/croftmoor/batch/batch.go
@@ -12,7 +12,6 @@
 	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
-	"croftmoor.dev/kernel/poison"
 	"croftmoor.dev/kernel/trail"
 )
 
@@ -72,15 +71,12 @@
 	Ended(ctx context.Context, engine fleet.Member) bool
 }
 
-// Guard tracks requests during which engines crashed, as seen by all instances.
+// Guard tracks requests that crash servers, as seen by all instances. Items are never such
+// requests, and are sent to engines however many have ended under them: what they tell of an
+// engine's end clears the live calls that ran there.
 type Guard interface {
-	// Held returns how long the request must not be sent to any engine, and the reason;
-	// left is 0 if it may be sent.
-	Held(request poison.Fingerprint) (left clock.Millis, why string)
-	// Ended records that an engine ended while it ran the request.
-	Ended(request poison.Fingerprint, engine ident.BackendName)
-	// Answered records that an engine answered the request.
-	Answered(request poison.Fingerprint)
+	// ServerEnded records that an engine ended while it ran an item.
+	ServerEnded(engine ident.BackendName)
 }
 
 // RewardKind classifies the errors of a reward call.
@@ -92,9 +88,6 @@
 	RewardFailed RewardKind = "RewardFailed"
 	// RewardLost means that the call got no usable answer.
 	RewardLost RewardKind = "RewardLost"
-	// RewardHeld means that the call must not be sent because servers ended while they
-	// handled it.
-	RewardHeld RewardKind = "RewardHeld"
 )
 
 // RewardError is an error of a reward call.
--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -42,10 +42,6 @@
 		r.yieldItem(ctx, prog, jobs.Yield{}, "kept data: "+err.Error())
 		return
 	}
-	if left, why := r.held(item); left > 0 {
-		r.deferItem(ctx, prog, left, why)
-		return
-	}
 	meter := &meter{clock: r.Clock, startedAt: r.Clock.Mono()}
 	r.Ledger.View(func(state *jobs.State) { meter.sampleLoad(otherLoad(state, c.item)) })
 	if !prog.textComplete {
@@ -57,12 +53,11 @@
 			err = r.generate(ctx, item, prog, meter)
 		}
 		if err != nil {
-			r.reportEngineEnd(ctx, item, prog, err)
+			r.reportEngineEnd(ctx, prog, err)
 			r.handleFailure(ctx, prog, meter, err)
 			return
 		}
 		prog.textComplete = true
-		r.reportAnswered(item)
 	}
 	own.generated.Store(true)
 	r.complete(ctx, item, prog, meter, own)
@@ -222,10 +217,6 @@
 		r.finish(ctx, c, jobs.Finish{Outcome: jobs.Terminated}, scoreErr.Error())
 		return
 	}
-	if fault.KindOf[RewardKind](scoreErr) == RewardHeld {
-		r.deferItem(ctx, prog, maxDefer, scoreErr.Error())
-		return
-	}
 	if saveErr != nil || scoreErr != nil {
 		r.yieldItem(ctx, prog, jobs.Yield{}, fmt.Sprintf("text kept: %v, scored: %v", saveErr, scoreErr))
 		return
@@ -238,7 +229,7 @@
 }
 
 // score calls the reward service until it answers, the call's failures reach
-// Rewards.Attempts, the call is held back, the result is no longer wanted, or ctx ends.
+// Rewards.Attempts, the result is no longer wanted, or ctx ends.
 func (r *Runner) score(ctx context.Context, c claimed, item work.Item) (string, error) {
 	if item.Reward == nil {
 		return "", nil
@@ -252,9 +243,6 @@
 		if err == nil {
 			return score, nil
 		}
-		if fault.KindOf[RewardKind](err) == RewardHeld {
-			return "", err
-		}
 		if fault.KindOf[RewardKind](err) == RewardFailed {
 			failures++
 			if failures >= r.Rewards.Attempts(*item.Reward) {
--- a/croftmoor/batch/standstill.go
+++ b/croftmoor/batch/standstill.go
@@ -86,7 +86,7 @@
 		}
 		q.Vain++
 	}
-	if (item.Claim != 0 && !gone[item.Owner]) || now < item.DeferredUntil {
+	if item.Claim != 0 && !gone[item.Owner] {
 		return
 	}
 	if q.Waiting == 0 {
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -121,7 +121,7 @@
 		var waiting []deal.WaitingItem
 		for n := range job.Items {
 			item := &job.Items[n]
-			if item.Done || (item.Claim != 0 && !s.gone[item.Owner]) || s.now < item.DeferredUntil {
+			if item.Done || (item.Claim != 0 && !s.gone[item.Owner]) {
 				continue
 			}
 			waiting = append(waiting, deal.WaitingItem{
--- a/croftmoor/calls/calls.go
+++ b/croftmoor/calls/calls.go
@@ -34,6 +34,9 @@
 	Body    []byte
 	// Repeatable means that running the call more than once is safe.
 	Repeatable bool
+	// Internal is true for calls of the system itself, which are never held for servers that
+	// terminated while running them.
+	Internal bool
 	// Issued is the time at which the caller created the ID, or 0 if unknown.
 	Issued clock.Millis
 }
--- a/croftmoor/calls/guard.go
+++ b/croftmoor/calls/guard.go
@@ -35,7 +35,7 @@
 // checkGuard returns a NotRun error if the guard holds the call because servers
 // terminated while running it.
 func (c *Caller) checkGuard(r *Request) error {
-	if c.Guard == nil || c.Guard.Quiet() {
+	if c.Guard == nil || r.Internal || c.Guard.Quiet() {
 		return nil
 	}
 	remaining, reason := c.Guard.Held(r.fingerprint())
@@ -50,7 +50,7 @@
 // counts as terminated if its address now refuses connections.
 func (c *Caller) reportToGuard(ctx context.Context, r *Request, server *pool.Server, result tryResult) {
 	switch {
-	case c.Guard == nil:
+	case c.Guard == nil || r.Internal:
 	case result == answered && !c.Guard.Quiet():
 		c.Guard.Answered(r.fingerprint())
 	case result == lost && ctx.Err() == nil && !server.Leaving() && c.client.ConnectionRefused(ctx, server.Address()):
--- a/croftmoor/feed/try.go
+++ b/croftmoor/feed/try.go
@@ -157,7 +157,7 @@
 	}
 	request := calls.Request{
 		ID: ident.RequestID(sample.ID), Service: service, Class: gradeClass,
-		Method: http.MethodPost, Path: "/grade", Body: body, Repeatable: true,
+		Method: http.MethodPost, Path: "/grade", Body: body, Repeatable: true, Internal: true,
 	}
 	ctx, cancel := context.WithTimeout(ctx, gradeTimeout.Duration())
 	defer cancel()
--- a/croftmoor/guard/guard.go
+++ b/croftmoor/guard/guard.go
@@ -169,7 +169,13 @@
 
 // Ended reports to all instances that a server ended while it ran a request.
 func (g *Guard) Ended(request poison.Fingerprint, server ident.BackendName) {
-	g.report(poison.End{Request: request, Server: server}, false)
+	g.report(poison.End{Request: request, Server: server, At: g.Clock.Now()}, false)
+}
+
+// ServerEnded reports to all instances that a server ended while it ran requests that are
+// not the cause.
+func (g *Guard) ServerEnded(server ident.BackendName) {
+	g.report(poison.ServerEnd{Server: server, At: g.Clock.Now()}, false)
 }
 
 // Answered reports to all instances that a server answered a request, if it is suspected.
@@ -210,6 +216,10 @@
 			g.Log.Info().Str("Request", string(r.Request)).Str("Server", string(r.Server)).
 				Bool("Told", fromLog).Int("Ends", v.Ends).Int64("HeldMillis", int64(v.HeldFor)).Bool("Doubt", v.Ambiguous).Msg("server ended while it ran a request")
 		}
+	case poison.ServerEnd:
+		if isNew = g.table.ServerEnded(r, now); isNew {
+			g.Log.Info().Str("Server", string(r.Server)).Bool("Told", fromLog).Msg("server ended while it ran items")
+		}
 	case poison.Answer:
 		if isNew = g.table.Suspected(r.Request); isNew {
 			g.table.Answered(r.Request)
--- a/croftmoor/proxy/ended.go
+++ b/croftmoor/proxy/ended.go
@@ -20,8 +20,10 @@
 	// Held returns how much longer a request must not be sent to any server, and why; 0 if it
 	// may be sent.
 	Held(request poison.Fingerprint) (left clock.Millis, why string)
-	// Ended records that a server exited while it ran a request.
+	// Ended records that a server exited while it ran a request, ServerEnded that one exited
+	// while it ran a call of the system itself, which is never the cause.
 	Ended(request poison.Fingerprint, server ident.BackendName)
+	ServerEnded(server ident.BackendName)
 	// Answered records that a server answered a request.
 	Answered(request poison.Fingerprint)
 }
@@ -33,7 +35,7 @@
 }
 
 func (p *Proxy) held(r *Request, s *callState) (left clock.Millis, why string) {
-	if p.Guard == nil || p.Guard.Quiet() {
+	if p.Guard == nil || r.Internal || p.Guard.Quiet() {
 		return 0, ""
 	}
 	return p.Guard.Held(s.fingerprint(r))
@@ -63,7 +65,11 @@
 		p.Metrics.ServerEnded(server.Service)
 	}
 	request := s.fingerprint(r)
-	if p.Guard != nil {
+	switch {
+	case p.Guard == nil:
+	case r.Internal:
+		p.Guard.ServerEnded(server.Name)
+	default:
 		p.Guard.Ended(request, server.Name)
 	}
 	p.Trail.Add(trail.Decision{
@@ -74,7 +80,7 @@
 
 // reportAnswered reports to the guard that a server answered a call, if any call is suspected.
 func (p *Proxy) reportAnswered(r *Request, s *callState) {
-	if p.Guard != nil && !p.Guard.Quiet() {
+	if p.Guard != nil && !r.Internal && !p.Guard.Quiet() {
 		p.Guard.Answered(s.fingerprint(r))
 	}
 }
--- a/croftmoor/proxy/harm_test.go
+++ b/croftmoor/proxy/harm_test.go
@@ -22,6 +22,7 @@
 	mu       sync.Mutex
 	left     clock.Millis
 	ended    []poison.End
+	servers  []ident.BackendName
 	answered int
 }
 
@@ -42,6 +43,12 @@
 	}
 }
 
+func (g *fakeGuard) ServerEnded(server ident.BackendName) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.servers = append(g.servers, server)
+}
+
 func (g *fakeGuard) Answered(poison.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -146,3 +153,18 @@
 		}
 	})
 }
+
+// A call on behalf of an item must be neither suspected nor held.
+func TestCallOfTheSystemItself(t *testing.T) {
+	g := &fakeGuard{left: clock.Second}
+	p := newProxy(newBreakingBackend(t, "s", true))
+	p.Guard = g
+	_, err := p.Do(t.Context(), Request{
+		ID: "r", Internal: true, Method: http.MethodPost, Target: "/x", Deadline: p.Clock.Mono() + clock.Second,
+		Route: paths.Route{Kind: paths.Repeatable, MaxAttempts: 1, Shares: []paths.Share{{Service: "plain", Weight: 1}}},
+	})
+	wantKind(t, err, Lost)
+	if len(g.ended) > 0 || len(g.servers) != 1 {
+		t.Errorf("recorded %v for requests and %v of servers, want none and one", g.ended, g.servers)
+	}
+}
--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -52,8 +52,9 @@
 	Body    []byte
 	// Organisation is the caller's organisation; empty if it has none.
 	Organisation ident.Organisation
-	// Internal is true for calls of the system itself. Where capacity is shared, they have the
-	// share of one organisation.
+	// Internal is true for calls of the system itself, on behalf of items. Where capacity is
+	// shared, they have the share of one organisation. They are never held for servers that
+	// ended under them.
 	Internal bool
 	// Priority orders calls that wait for capacity; 0 is the highest.
 	Priority int
--- a/kernel/jobs/job.go
+++ b/kernel/jobs/job.go
@@ -26,9 +26,6 @@
 	Yields     int
 	VainYields int
 	VainSince  clock.Millis
-	// DeferredUntil is the time on this reader's clock before which no engine gets the
-	// item.
-	DeferredUntil clock.Millis
 }
 
 // updatePartial replaces the saved text if p is worth more, and reports whether it did. Each
--- a/kernel/jobs/record.go
+++ b/kernel/jobs/record.go
@@ -118,8 +118,8 @@
 	Millis int
 }
 
-// Defer blocks an item on all engines for Millis milliseconds, because engines went down
-// while running it.
+// Defer held an item back for Millis milliseconds. Older versions of the program write it; it
+// has no effect but as a sign of life.
 type Defer struct {
 	Job    ident.Job
 	By     ident.InstanceName
--- a/kernel/jobs/state.go
+++ b/kernel/jobs/state.go
@@ -116,7 +116,7 @@
 	case Avoid:
 		s.avoid(r, now)
 	case Defer:
-		s.deferItem(r, now)
+		s.markHeard(r.By, now)
 	}
 }
 
@@ -187,15 +187,6 @@
 	}
 }
 
-// deferItem blocks an item on all engines for the record's duration. Records from the
-// backlog are ignored, since their duration is over or nearly so.
-func (s *State) deferItem(d Defer, now clock.Millis) {
-	s.markHeard(d.By, now)
-	if _, item := s.unfinishedItem(d.Job, d.Index); item != nil && s.UpToDate {
-		item.DeferredUntil = max(item.DeferredUntil, now+clock.Millis(d.Millis))
-	}
-}
-
 func (s *State) savePartial(k SavePartial, now clock.Millis) {
 	s.markHeard(k.By, now)
 	if job, item := s.unfinishedItem(k.Job, k.Index); item != nil && item.updatePartial(k.Partial, job.SingleVersion) {
--- a/kernel/poison/record.go
+++ b/kernel/poison/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
 )
@@ -21,7 +22,7 @@
 	Request Fingerprint
 }
 
-// Record is an End or an Answer.
+// Record is an End, a ServerEnd or an Answer.
 type Record interface {
 	wire() recordWire
 }
@@ -29,19 +30,25 @@
 // recordWire is the JSON form of a record in the log that instances share.
 type recordWire struct {
 	Kind    string
-	Request string
+	Request string `json:",omitempty"`
 	Server  string `json:",omitempty"`
+	At      int64  `json:",omitempty"`
 }
 
 const (
-	endKind    = "End"
-	answerKind = "Answer"
+	endKind       = "End"
+	serverEndKind = "ServerEnd"
+	answerKind    = "Answer"
 	// maxNameBytes is the maximum length of a server's name in a record.
 	maxNameBytes = 255
 )
 
 func (e End) wire() recordWire {
-	return recordWire{Kind: endKind, Request: string(e.Request), Server: string(e.Server)}
+	return recordWire{Kind: endKind, Request: string(e.Request), Server: string(e.Server), At: int64(e.At)}
+}
+
+func (e ServerEnd) wire() recordWire {
+	return recordWire{Kind: serverEndKind, Server: string(e.Server), At: int64(e.At)}
 }
 
 func (a Answer) wire() recordWire {
@@ -64,15 +71,17 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return nil, fault.Wrap("poison.Decode", Invalid, err, "record is not valid JSON")
 	}
-	if len(w.Request) != 2*fingerprintBytes {
+	if w.Kind != serverEndKind && len(w.Request) != 2*fingerprintBytes {
 		return nil, fault.New("poison.Decode", Invalid, "record has no valid request fingerprint")
 	}
+	if (w.Kind == serverEndKind || w.Kind == endKind) && (w.Server == "" || len(w.Server) > maxNameBytes) {
+		return nil, fault.New("poison.Decode", Invalid, "record of an end has no server name or one that is too long")
+	}
 	switch w.Kind {
 	case endKind:
-		if w.Server == "" || len(w.Server) > maxNameBytes {
-			return nil, fault.New("poison.Decode", Invalid, "record of an end has no server name or one that is too long")
-		}
-		return End{Request: Fingerprint(w.Request), Server: ident.BackendName(w.Server)}, nil
+		return End{Request: Fingerprint(w.Request), Server: ident.BackendName(w.Server), At: clock.Millis(w.At)}, nil
+	case serverEndKind:
+		return ServerEnd{Server: ident.BackendName(w.Server), At: clock.Millis(w.At)}, nil
 	case answerKind:
 		return Answer{Request: Fingerprint(w.Request)}, nil
 	default:
--- a/kernel/poison/table.go
+++ b/kernel/poison/table.go
@@ -36,12 +36,28 @@
 	// not held is evicted first.
 	maxSuspects = 4096
 	maxEnds     = 16
+	// coincidence is how close the ends of two servers are that may have the same cause, other
+	// than a request: the loss of a host, or a burst of crashes.
+	coincidence = 2 * clock.Second
+	// maxCoincidentEnds is the number of ends of a request from which coincidence excuses none:
+	// where servers crash all the time, a harmful request ends no more of them than that.
+	maxCoincidentEnds = 8
+	// maxServerEnds bounds the ended servers in a table; the oldest one is evicted first.
+	maxServerEnds = 1024
 )
 
 // End records that a server process ended while it ran a request.
 type End struct {
 	Request Fingerprint
 	Server  ident.BackendName
+	// At is the time of day at which that was noticed; 0 if unknown.
+	At clock.Millis
+}
+
+// ServerEnd records that a server process ended, whatever it ran. At is as in End.
+type ServerEnd struct {
+	Server ident.BackendName
+	At     clock.Millis
 }
 
 // Verdict is the state of a request.
@@ -68,6 +84,13 @@
 	// that is held, recomputed by updateHeld after each change to overThreshold.
 	overThreshold map[Fingerprint]*suspect
 	held          map[Fingerprint]hold
+	// servers are the servers that are known to have ended.
+	servers map[ident.BackendName]serverEnd
+}
+
+// serverEnd is when a server ended, by the time of day, and when that was noted.
+type serverEnd struct {
+	at, notedAt clock.Millis
 }
 
 // suspect is a request that was running when servers ended. An answer excuses all ends
@@ -88,7 +111,10 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{suspects: map[Fingerprint]*suspect{}, overThreshold: map[Fingerprint]*suspect{}, held: map[Fingerprint]hold{}}
+	return &Table{
+		suspects: map[Fingerprint]*suspect{}, overThreshold: map[Fingerprint]*suspect{}, held: map[Fingerprint]hold{},
+		servers: map[ident.BackendName]serverEnd{},
+	}
 }
 
 // Empty reports whether the table has no requests.
@@ -105,6 +131,7 @@
 // from the log, where all instances see it. Beyond maxEnds, ends are not stored: such an end
 // is reported as new each time, and only updates lastEnd.
 func (t *Table) Ended(e End, published bool, now clock.Millis) bool {
+	t.ServerEnded(ServerEnd{Server: e.Server, At: e.At}, now)
 	s := t.suspects[e.Request]
 	if s == nil {
 		t.evict()
@@ -129,6 +156,33 @@
 	return true
 }
 
+// ServerEnded notes the end of a server and reports whether it is new.
+func (t *Table) ServerEnded(e ServerEnd, now clock.Millis) bool {
+	known, ok := t.servers[e.Server]
+	if e.At == 0 || (ok && known.at <= e.At) {
+		return false
+	}
+	if !ok && len(t.servers) >= maxServerEnds {
+		t.evictServer()
+	}
+	t.servers[e.Server] = serverEnd{at: e.At, notedAt: now}
+	if len(t.overThreshold) > 0 {
+		t.updateHeld()
+	}
+	return !ok
+}
+
+// evictServer removes the server end that was noted first.
+func (t *Table) evictServer() {
+	var oldest ident.BackendName
+	for server, end := range t.servers {
+		if oldest == "" || end.notedAt < t.servers[oldest].notedAt || (end.notedAt == t.servers[oldest].notedAt && server < oldest) {
+			oldest = server
+		}
+	}
+	delete(t.servers, oldest)
+}
+
 // Answered notes that a server answered a request. It excuses all ends so far, because a
 // harmful request is assumed to end every server that runs it.
 func (t *Table) Answered(request Fingerprint) {
@@ -193,6 +247,9 @@
 			delete(t.overThreshold, request)
 		}
 	}
+	maps.DeleteFunc(t.servers, func(_ ident.BackendName, end serverEnd) bool {
+		return now-end.notedAt > holdDuration+suspectRetention
+	})
 	t.oldestFirst = slices.DeleteFunc(t.oldestFirst, func(request Fingerprint) bool { return t.suspects[request] == nil })
 	t.updateHeld()
 }
@@ -208,7 +265,7 @@
 			continue
 		}
 		for server := range s.ends {
-			ends = append(ends, End{Request: request, Server: server})
+			ends = append(ends, End{Request: request, Server: server, At: t.servers[server].at})
 		}
 	}
 	slices.SortFunc(ends, func(a, b End) int {
@@ -234,15 +291,17 @@
 
 // updateHeld recomputes which requests are held. A server that ends loses all requests
 // that it runs, so updateHeld first holds the requests that explain the most ends, and
-// then counts only unexplained ends for the others.
+// then counts only unexplained ends for the others. Ends that are coincident with those of
+// other servers do not count.
 func (t *Table) updateHeld() {
 	clear(t.held)
+	suspected := t.suspectedEnds()
 	undecided := slices.Collect(maps.Keys(t.overThreshold))
 	explained := map[ident.BackendName]bool{}
 	for len(undecided) > 0 {
 		highest, unexplainedEnds := 0, map[Fingerprint]int{}
 		for _, request := range undecided {
-			unexplainedEnds[request] = t.unexplained(request, explained)
+			unexplainedEnds[request] = t.unexplained(request, explained, suspected)
 			highest = max(highest, unexplainedEnds[request])
 		}
 		if highest < Threshold {
@@ -262,17 +321,52 @@
 	}
 }
 
-// unexplained returns the number of the request's ends that no held request explains.
-func (t *Table) unexplained(request Fingerprint, explained map[ident.BackendName]bool) int {
+// unexplained returns the number of the request's ends that neither a held request nor
+// coincidence explains.
+func (t *Table) unexplained(request Fingerprint, explained, suspected map[ident.BackendName]bool) int {
+	s := t.suspects[request]
 	n := 0
-	for server := range t.suspects[request].ends {
-		if !explained[server] {
+	for server := range s.ends {
+		if !explained[server] && (len(s.ends) >= maxCoincidentEnds || !t.coincident(s, server, suspected)) {
 			n++
 		}
 	}
 	return n
 }
 
+// suspectedEnds returns the servers that ended under a request with at least Threshold ends.
+func (t *Table) suspectedEnds() map[ident.BackendName]bool {
+	suspected := map[ident.BackendName]bool{}
+	for _, s := range t.overThreshold {
+		for server := range s.ends {
+			suspected[server] = true
+		}
+	}
+	return suspected
+}
+
+// coincident reports whether a server ended under a request at about the same time as at
+// least as many others that ran neither it nor another suspected request. Servers that crash
+// by themselves in a burst, or are lost with their host, must not tell against what they
+// happened to run.
+func (t *Table) coincident(s *suspect, server ident.BackendName, suspected map[ident.BackendName]bool) bool {
+	end, known := t.servers[server]
+	if !known {
+		return false
+	}
+	own, others := 0, 0
+	for other, o := range t.servers {
+		switch {
+		case o.at < end.at-coincidence || o.at > end.at+coincidence:
+		case s.ends[other] || s.excused[other]:
+			own++
+		case !suspected[other]:
+			others++
+		}
+	}
+	return others >= own
+}
+
 // overlaps reports whether one of others, which explain as many ends as request, shares an
 // unexplained end with it.
 func (t *Table) overlaps(request Fingerprint, others []Fingerprint, explained map[ident.BackendName]bool) bool {
--- a/kernel/poison/table_test.go
+++ b/kernel/poison/table_test.go
@@ -184,7 +184,7 @@
 
 func TestRecords(t *testing.T) {
 	request := Subject{Target: "/a"}.Fingerprint()
-	for _, r := range []Record{End{Request: request, Server: ident.NewBackend("s", 7)}, Answer{Request: request}} {
+	for _, r := range []Record{End{Request: request, Server: ident.NewBackend("s", 7), At: 9}, ServerEnd{Server: ident.NewBackend("s", 7), At: 9}, Answer{Request: request}} {
 		data, err := Encode(r)
 		if err != nil {
 			t.Fatal(err)
@@ -194,7 +194,7 @@
 		}
 	}
 	for _, text := range []string{
-		"", "null", "[]", "{}", `{"Kind":"End"}`, `{"Kind":"End","Request":7}`, fmt.Sprintf(`{"Kind":"End","Request":%q}`, request),
+		"", "null", "[]", "{}", `{"Kind":"End"}`, `{"Kind":"End","Request":7}`, fmt.Sprintf(`{"Kind":"End","Request":%q}`, request), `{"Kind":"ServerEnd"}`,
 		fmt.Sprintf(`{"Kind":"End","Request":%q,"Server":7}`, request), "\xff\xfe",
 	} {
 		if r, err := Decode([]byte(text)); err == nil {
