Servers that send without an end cost neither memory nor the answers of others

What callers would see: an instance that reads a server which never stops is killed for its memory, and everything that it was doing is lost.

Cause: bounds were compared after the bytes were in memory, per call, or not at all: bodies up to 64 MB each, lines of streams and items without a bound, the end of a chunked body up to a line feed. Nothing bounded all answers together. A call that got too much was sent again, and an interim head was taken for the answer.

Why this works: kernel/httpc reads what it keeps of an answer through one buffer with a bound, and counts the memory of all of them; beyond the limit the largest answer of unknown length is given up. The connection is reset at once, the server counts as having failed, the caller gets another server's answer or 502. HEAD and answers without content have no body to wait for.

Tests: TestBytesWithoutEnd (eight ways, three readings), TestManyAnswersWithoutEnd, TestTrailersWithoutEnd, TestCallAnsweredWithoutEndIsNotResent, TestResponsesWithoutBody.

--- a/croftmoor/engine/sse.go
+++ b/croftmoor/engine/sse.go
@@ -102,6 +102,9 @@
 	return &sseEvents{stream: stream}, nil
 }
 
+// maxLineBytes is the most that a line of a completion stream may have.
+const maxLineBytes = 1 << 20
+
 // sseEvents reads a completion stream.
 type sseEvents struct {
 	stream *httpc.Stream
@@ -111,7 +114,8 @@
 // end marker: only a Done event completes an answer.
 func (e *sseEvents) Next() (Event, error) {
 	for {
-		line, err := e.stream.Body.ReadString('\n')
+		read, err := e.stream.ReadLine(maxLineBytes)
+		line := string(read)
 		if err != nil {
 			return Event{}, fault.Wrap("engine.Next", Broken, err, "stream ended before the Done event")
 		}
--- a/croftmoor/proxy/stream.go
+++ b/croftmoor/proxy/stream.go
@@ -34,8 +34,6 @@
 	streamIdleTimeout = 1 * clock.Second
 	// maxEventBytes is the maximum size of an event.
 	maxEventBytes = 1 << 20
-	// maxBodyBytes is the size at which the body of an answer that is not a stream is cut off.
-	maxBodyBytes = 64 << 20
 )
 
 // Stream sends a call whose answer is a stream of events and passes the answer to sink. A
@@ -127,13 +125,15 @@
 	}
 	if stream.Status != http.StatusOK {
 		p.reportAnswered(&r, &s.callState)
-		body, err := io.ReadAll(io.LimitReader(stream.Body, maxBodyBytes))
+		body, err := stream.ReadAll()
+		p.recordEndless(r, server, err)
 		if err == nil {
 			err = s.pass(body)
 		}
 		return err == nil, err
 	}
 	err = p.copyEvents(r, stream, s, cancel)
+	p.recordEndless(r, server, err)
 	complete = err == nil
 	if complete {
 		p.reportAnswered(&r, &s.callState)
@@ -167,35 +167,44 @@
 	return pump(stream, s, func() {})
 }
 
+// recordEndless records a failure of a server whose answer was longer than it may be.
+func (p *Proxy) recordEndless(r Request, server *pool.Server, err error) {
+	if httpc.TooLong(err) && server.Breaker.RecordFailure(p.Clock.Mono()) {
+		p.logDecision(r, trail.Hold, server, "ejected: its answer is too long")
+	}
+}
+
 // pump passes on each event once it is complete, since a server may stop in the middle of
 // one. onEvent is called for each event.
 func pump(stream *httpc.Stream, s *streamState, onEvent func()) error {
-	var event bytes.Buffer
 	id := ""
 	for {
-		line, err := stream.Body.ReadBytes('\n')
-		event.Write(line)
-		if errors.Is(err, io.EOF) && event.Len() == 0 {
+		event, err := stream.ReadEvent(maxEventBytes)
+		if errors.Is(err, io.EOF) {
 			stream.MarkComplete()
 			return nil
 		}
 		if err != nil {
 			return fault.Wrap("proxy.pump", Lost, err, "the stream broke off")
 		}
-		if event.Len() > maxEventBytes {
-			return fault.New("proxy.pump", Lost, "an event is too long")
-		}
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
-		}
-		if len(bytes.TrimSpace(line)) > 0 {
-			continue
-		}
 		onEvent()
-		if err := s.pass(event.Bytes()); err != nil {
+		if err := s.pass(event); err != nil {
 			return err
 		}
+		if own := eventID(event); own != "" {
+			id = own
+		}
 		s.lastID = id
-		event.Reset()
 	}
 }
+
+// eventID returns the id of an event, or "" if it has none.
+func eventID(event []byte) string {
+	id := ""
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+	return id
+}
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -53,8 +54,10 @@
 	// must not be sent twice need it: if a reused connection closes, the client cannot know
 	// whether the server ran the request.
 	FreshConn bool
+	// MaxBytes bounds the body that Do reads; 0 means Client.MaxAnswerBytes.
+	MaxBytes int
 	// Accept reports whether a response belongs to this call; nil accepts every response. If
-	// it returns false, the connection is closed and the call fails with Lost. Open calls it
+	// it returns false, the connection is closed and the call fails with Lost. It is called
 	// before the body is read, with an empty Body.
 	Accept func(*Answer) bool
 }
@@ -83,7 +86,10 @@
 	// DefaultDialTimeout bounds a dial; an earlier deadline of the context still applies.
 	DefaultDialTimeout = 2 * clock.Second
 	maxIdlePerAddress  = 64
-	maxAnswerBytes     = 64 << 20
+	// defaultAnswerBytes and defaultBufferedBytes are the values of a Client's bounds that are
+	// not set.
+	defaultAnswerBytes   = 64 << 20
+	defaultBufferedBytes = 256 << 20
 	// defaultIdleTimeout is how long a connection is kept idle if the server announces no
 	// Keep-Alive timeout. idleTimeoutMargin is subtracted from an announced timeout, so that
 	// the client closes the connection before the server does.
@@ -92,9 +98,16 @@
 )
 
 // Client sends calls and keeps idle connections for reuse. The zero value is ready to use; set
-// DialTimeout before the first call. mu guards the unexported fields.
+// the exported fields before the first call. mu guards the unexported fields but responses.
 type Client struct {
 	DialTimeout clock.Millis
+	// MaxAnswerBytes bounds the body of a response, MaxBufferedBytes the memory of all
+	// responses that are being read.
+	MaxAnswerBytes   int
+	MaxBufferedBytes int64
+
+	responsesOnce sync.Once
+	responses     memory
 
 	mu        sync.Mutex
 	idle      map[ident.Address][]*link
@@ -230,8 +243,7 @@
 	if err == nil || !reused {
 		return answer, err
 	}
-	if ctx.Err() != nil {
-		c.closeIdleOnTimeout(ctx, call.Address)
+	if !c.mayResend(ctx, call, err) {
 		return answer, err
 	}
 	retry := *call
@@ -244,6 +256,16 @@
 	return retried, nil
 }
 
+// mayResend reports whether a call that failed on a reused connection is sent once more. It is
+// not after its context has ended, nor if its server sent too much.
+func (c *Client) mayResend(ctx context.Context, call *Call, err error) bool {
+	if ctx.Err() != nil {
+		c.closeIdleOnTimeout(ctx, call.Address)
+		return false
+	}
+	return !TooLong(err)
+}
+
 // wrapRetryError returns the error of a call that was sent a second time after its reused
 // connection broke; nil if the second attempt succeeded. The kind is always Lost, because the
 // server may have run the call the first time. A refused second connection does not rule that
@@ -294,30 +316,24 @@
 	delete(c.idle, address)
 }
 
+// memory returns the memory of the responses that are being read.
+func (c *Client) memory() *memory {
+	c.responsesOnce.Do(func() { c.responses.limit = cmp.Or(c.MaxBufferedBytes, defaultBufferedBytes) })
+	return &c.responses
+}
+
 func (c *Client) exchange(ctx context.Context, call *Call, l *link) (*Answer, error) {
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
-	stop := context.AfterFunc(ctx, l.abandon)
-	defer stop()
-	if err := send(call, l); err != nil {
-		return nil, lostError(call, l, err)
-	}
-	if err := response.ReadLimitBody(l.reader, maxAnswerBytes); err != nil {
-		return nil, lostError(call, l, err)
-	}
-	answer := &Answer{Status: response.StatusCode(), Headers: headers(&response.Header), Body: append([]byte(nil), response.Body()...)}
-	if call.Accept != nil && !call.Accept(answer) {
-		l.abandon()
-		return nil, fault.New("httpc.Do", Lost, string(call.Address)+" sent the answer of another call")
+	stream, err := c.open(ctx, call, l)
+	if err != nil {
+		return nil, err
 	}
-	if call.FreshConn || !stop() {
-		// The connection of a retried call is not kept either: with a server that drops every
-		// second response, each call would be sent twice.
-		l.finish()
-	} else {
-		c.putIdle(call.Address, l, idleTimeout(&response.Header))
+	body, err := stream.ReadAll()
+	if err != nil {
+		stream.stop()
+		return nil, err
 	}
-	return answer, nil
+	stream.Close()
+	return &Answer{Status: stream.Status, Headers: stream.Headers, Body: body}, nil
 }
 
 func send(call *Call, l *link) error {
@@ -348,8 +364,12 @@
 	return list
 }
 
+// shownBytes is how much of a body an error tells.
+const shownBytes = 200
+
 // StatusError returns a Lost error for a response that is not usable because of its status. Its
-// text contains the status and the body.
+// text contains the status and the beginning of the body.
 func StatusError(call *Call, answer *Answer) error {
-	return fault.New("httpc.Do", Lost, string(call.Address)+" answered "+strconv.Itoa(answer.Status)+" to "+call.Path+": "+string(answer.Body))
+	shown := answer.Body[:min(len(answer.Body), shownBytes)]
+	return fault.New("httpc.Do", Lost, string(call.Address)+" answered "+strconv.Itoa(answer.Status)+" to "+call.Path+": "+string(shown))
 }
--- a/kernel/httpc/link.go
+++ b/kernel/httpc/link.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -29,6 +30,11 @@
 	// idleUntil is the monotonic time at which an idle connection expires; it is 0 while the
 	// connection is in use.
 	idleUntil clock.Millis
+	// lengthKnown is whether the response has told the length of its body. It is set before its
+	// memory is counted.
+	lengthKnown bool
+	// givenUp is set once the exchange was given up for the memory that its response took.
+	givenUp atomic.Bool
 	// abandoning guards unacked, which is how many bytes of the request the peer had not
 	// acknowledged when the exchange was abandoned.
 	abandoning sync.Once
@@ -107,6 +113,31 @@
 	})
 }
 
+// take counts memory for the response. If it is too much for all responses together, the
+// exchange that memory.take names is abandoned; the error says that it is this one.
+func (l *link) take(bytes int) error {
+	if l.wasGivenUp() {
+		return errTooLong
+	}
+	victim := l.client.memory().take(l, int64(bytes))
+	if victim == nil {
+		return nil
+	}
+	victim.givenUp.Store(true)
+	victim.abandon()
+	if victim == l {
+		return errTooLong
+	}
+	return nil
+}
+
+// wasGivenUp reports whether the exchange was given up for its memory; one without a
+// connection never is.
+func (l *link) wasGivenUp() bool { return l != nil && l.givenUp.Load() }
+
+// free drops the memory that was counted for the response.
+func (l *link) free() { l.client.memory().free(l) }
+
 func (c *Client) countUnackedCall() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -135,6 +166,9 @@
 // many bytes of the request the peer has not acknowledged.
 func lostError(call *Call, l *link, err error) error {
 	l.abandon()
+	if l.wasGivenUp() {
+		err = errTooLong
+	}
 	text := "no whole answer from " + string(call.Address) + " to " + call.Method + " " + call.Path
 	if l.unacked > 0 {
 		text += ", " + strconv.Itoa(l.unacked) + " bytes of it unacknowledged"
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -2,8 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
+	"cmp"
 	"context"
+	"errors"
 	"io"
+	"net/http"
 	"net/http/httputil"
 
 	"github.com/valyala/fasthttp"
@@ -21,8 +25,10 @@
 	call   *Call
 	link   *link
 	// stop detaches link from the context of Open. It returns false if that context has ended.
-	stop     func() bool
-	head     fasthttp.ResponseHeader
+	stop func() bool
+	head fasthttp.ResponseHeader
+	// buffered is what ReadLine and ReadEvent read last.
+	buffered buffer
 	complete bool
 	// ended is set once Body has returned io.EOF.
 	ended bool
@@ -45,8 +51,7 @@
 	if err == nil || !reused {
 		return stream, err
 	}
-	if ctx.Err() != nil {
-		c.closeIdleOnTimeout(ctx, call.Address)
+	if !c.mayResend(ctx, call, err) {
 		return stream, err
 	}
 	retry := *call
@@ -62,11 +67,12 @@
 		stop()
 		return nil, lostError(call, l, err)
 	}
-	if err := stream.head.Read(l.reader); err != nil {
+	if err := stream.readHead(); err != nil {
 		stop()
 		return nil, lostError(call, l, err)
 	}
 	stream.Status = stream.head.StatusCode()
+	l.lengthKnown = stream.length() >= 0
 	stream.Headers = headers(&stream.head)
 	if call.Accept != nil && !call.Accept(&Answer{Status: stream.Status, Headers: stream.Headers}) {
 		stream.Close()
@@ -76,13 +82,140 @@
 	return stream, nil
 }
 
+// maxInterimHeads is how many interim responses (status 1xx) may come before the response.
+const maxInterimHeads = 8
+
+// readHead reads the head of the response, after those of interim responses.
+func (s *Stream) readHead() error {
+	for range maxInterimHeads {
+		if err := s.head.Read(s.link.reader); err != nil {
+			return err
+		}
+		status := s.head.StatusCode()
+		if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+			return nil
+		}
+	}
+	return errTooLong
+}
+
+// ReadAll reads the rest of the body, whose length is bounded by Client.MaxAnswerBytes or
+// Call.MaxBytes. The stream is complete then; after an error, of kind Lost, it is closed.
+func (s *Stream) ReadAll() ([]byte, error) {
+	body := buffer{link: s.link, limit: cmp.Or(s.call.MaxBytes, s.client.MaxAnswerBytes, defaultAnswerBytes)}
+	if s.length() > body.limit {
+		return nil, lostError(s.call, s.link, errTooLong)
+	}
+	for {
+		part, err := s.nextPart()
+		if err == nil {
+			err = body.append(part)
+		}
+		if errors.Is(err, io.EOF) {
+			s.MarkComplete()
+			s.link.free()
+			return body.data, nil
+		}
+		if err != nil {
+			s.link.free()
+			return nil, lostError(s.call, s.link, err)
+		}
+	}
+}
+
+// nextPart returns some bytes of the body, which are valid until the next read.
+func (s *Stream) nextPart() ([]byte, error) {
+	if _, err := s.Body.Peek(1); err != nil {
+		return nil, err
+	}
+	part, err := s.Body.Peek(s.Body.Buffered())
+	if err == nil {
+		_, err = s.Body.Discard(len(part))
+	}
+	return part, err
+}
+
+// ReadLine returns the next line of the body with its end, valid until the next read. limit bounds
+// its length in bytes. The error is io.EOF if the body has ended, and io.ErrUnexpectedEOF if
+// it ends within a line.
+func (s *Stream) ReadLine(limit int) ([]byte, error) {
+	s.startBuffer(limit)
+	if err := s.appendLine(); err != nil {
+		return nil, s.readError(err)
+	}
+	return s.buffered.data, nil
+}
+
+// readError returns the reason of a failed read: the connection of a response that was given up
+// for its memory is closed.
+func (s *Stream) readError(err error) error {
+	if s.link.wasGivenUp() {
+		return errTooLong
+	}
+	return err
+}
+
+// ReadEvent returns the next event of a body of type text/event-stream, valid until the next read:
+// its lines, with the empty one that ends it. limit bounds its length in bytes. The error is
+// io.EOF if the body has ended, and io.ErrUnexpectedEOF if it ends within an event.
+func (s *Stream) ReadEvent(limit int) ([]byte, error) {
+	s.startBuffer(limit)
+	for {
+		begin := len(s.buffered.data)
+		err := s.appendLine()
+		if errors.Is(err, io.EOF) && begin > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, s.readError(err)
+		}
+		if line := s.buffered.data[begin:]; len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return s.buffered.data, nil
+		}
+	}
+}
+
+func (s *Stream) startBuffer(limit int) {
+	s.buffered.link, s.buffered.limit = s.link, limit
+	s.buffered.data = s.buffered.data[:0]
+}
+
+// appendLine reads a line into the buffer.
+func (s *Stream) appendLine() error {
+	begin := len(s.buffered.data)
+	for {
+		part, err := s.Body.ReadSlice('\n')
+		if tooLong := s.buffered.append(part); tooLong != nil {
+			return tooLong
+		}
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, io.EOF) && len(s.buffered.data) > begin:
+			return io.ErrUnexpectedEOF
+		default:
+			return err
+		}
+	}
+}
+
+// length returns the length of the body, or a negative number if it is not known before its
+// end.
+func (s *Stream) length() int {
+	switch status := s.Status; {
+	case s.call.Method == http.MethodHead, status < http.StatusOK, status == http.StatusNoContent, status == http.StatusNotModified:
+		return 0
+	default:
+		return s.head.ContentLength()
+	}
+}
+
 // untilClose is fasthttp's content length of a body that ends when its connection closes.
 const untilClose = -2
 
 // body returns a reader that reaches io.EOF only if the body is complete or has no length.
 // fasthttp's own reader also returns io.EOF if the connection closes between two chunks.
 func (s *Stream) body() io.Reader {
-	length := s.head.ContentLength()
+	length := s.length()
 	switch {
 	case length == untilClose:
 		return s.link.reader
@@ -133,14 +266,17 @@
 // reusable reports whether the connection's next byte begins the next response, provided that
 // the body was read to its end. It consumes the end of a chunked body.
 func (s *Stream) reusable() bool {
-	switch length := s.head.ContentLength(); {
+	switch length := s.length(); {
 	case length == untilClose:
 		return false
 	case length >= 0:
 		return true
 	}
-	line, err := s.link.reader.ReadString('\n')
-	return err == nil && line == trailerEnd
+	end, err := s.link.reader.Peek(len(trailerEnd))
+	if err == nil {
+		_, err = s.link.reader.Discard(len(end))
+	}
+	return err == nil && string(end) == trailerEnd
 }
 
 // MarkComplete records that the body was read to its end, so that Close may keep the
@@ -152,6 +288,7 @@
 // Close ends the call. If the body was read to its end, it closes the connection, or keeps it for
 // reuse if MarkComplete was called; otherwise it resets the connection.
 func (s *Stream) Close() {
+	s.link.free()
 	if !s.complete && !s.ended {
 		s.stop()
 		s.link.abandon()
