ORDER: a comment in a stream does not make the next server begin it anew

Cause: each block of lines set the last event's id, also one that has none. A new server's first block, a comment, set it to nothing.

Why this works: only a block with an id sets it, and the id of an earlier server holds until then.

--- a/croftmoor/proxy/stream.go
+++ b/croftmoor/proxy/stream.go
@@ -177,7 +177,6 @@
 // pump passes on each event once it is complete, since a server may stop in the middle of
 // one. onEvent is called for each event.
 func pump(stream *httpc.Stream, s *streamState, onEvent func()) error {
-	id := ""
 	for {
 		event, err := stream.ReadEvent(maxEventBytes)
 		if errors.Is(err, io.EOF) {
@@ -191,10 +190,9 @@
 		if err := s.pass(event); err != nil {
 			return err
 		}
-		if own := eventID(event); own != "" {
-			id = own
+		if id := eventID(event); id != "" {
+			s.lastID = id
 		}
-		s.lastID = id
 	}
 }
 
