A run that panics is no answer of failure of its engine

What callers would see: an item whose runs panicked here could be terminated before its engines had answered 500 as often as the route says (MIXED), since each panic counted as one.

Cause: the yield of a panicked run was marked Failed, so that the item would not go back to the engine.

TestItemOfAPanickedRunIsYielded asked for the mark. It asks for a yield without it now, and for the engine to be avoided, which keeps what the mark was for; it fails on the code before.

--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -296,13 +296,15 @@
 	r.wake()
 }
 
-// performOrYield runs an item, and yields it as a failure of its engine if that panics. The
-// group would keep the panic until the process ends, and the item its claim.
+// performOrYield runs an item, and yields it if that panics. The engine is avoided for a while,
+// but the item has not failed. The group would keep the panic until the process ends, and the
+// item its claim.
 func (r *Runner) performOrYield(ctx context.Context, c claimed, own *run) {
 	var catcher panics.Catcher
 	catcher.Try(func() { r.perform(ctx, c, own) })
 	if panicked := catcher.Recovered(); panicked != nil {
-		r.yieldItem(ctx, &progress{runner: r, claim: c}, jobs.Yield{Failed: true}, "panic: "+panicked.String())
+		r.yieldItem(ctx, &progress{runner: r, claim: c}, jobs.Yield{}, "panic: "+panicked.String(),
+			jobs.Avoid{By: r.Self, Engine: c.item.Engine, Millis: avoidBrokenMillis})
 	}
 }
 
