--- a/kernel/httpc/endless_test.go
+++ b/kernel/httpc/endless_test.go
@@ -35,33 +35,16 @@
 
 func newEndlessServer(t *testing.T, head, more string) *endlessServer {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &endlessServer{address: ident.Address(listener.Addr().String()), ended: make(chan struct{}, 16)}
+	s := &endlessServer{ended: make(chan struct{}, 16)}
 	part := bytes.Repeat([]byte(more), 1+(64<<10)/len(more))
-	var group conc.WaitGroup
-	t.Cleanup(func() {
-		_ = listener.Close()
-		group.Wait()
-	})
-	group.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer func() { _ = conn.Close() }()
-				_, _ = conn.Read(make([]byte, 4096))
-				_, err := io.WriteString(conn, head)
-				for n := 0; err == nil; s.sent.Add(int64(n)) {
-					n, err = conn.Write(part)
-				}
-				s.ended <- struct{}{}
-			})
+	s.address = listen(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		_, _ = conn.Read(make([]byte, 4096))
+		_, err := io.WriteString(conn, head)
+		for n := 0; err == nil; s.sent.Add(int64(n)) {
+			n, err = conn.Write(part)
 		}
+		s.ended <- struct{}{}
 	})
 	return s
 }
--- a/kernel/httpc/httpc_test.go
+++ b/kernel/httpc/httpc_test.go
@@ -28,6 +28,12 @@
 func serveCounted(t *testing.T, answers ...string) (ident.Address, *atomic.Int64) {
 	t.Helper()
 	served := &atomic.Int64{}
+	return listen(t, func(conn net.Conn) { answerRaw(conn, answers, served) }), served
+}
+
+// listen serves each connection to a free port until the test ends.
+func listen(t *testing.T, serve func(net.Conn)) ident.Address {
+	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -43,10 +49,10 @@
 			if err != nil {
 				return
 			}
-			answerRaw(conn, answers, served)
+			group.Go(func() { serve(conn) })
 		}
 	})
-	return ident.Address(listener.Addr().String()), served
+	return ident.Address(listener.Addr().String())
 }
 
 func answerRaw(conn net.Conn, answers []string, served *atomic.Int64) {
--- a/kernel/httpc/memory.go
+++ b/kernel/httpc/memory.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"sync"
+
+	"croftmoor.dev/kernel/fault"
 )
 
 // errTooLong is in the chain of the error of an exchange whose response is longer than it may
 // be, or was given up for the memory that it took.
-var errTooLong = errors.New("the answer is too long")
+var errTooLong = fault.New("httpc.read", Lost, "the answer is too long")
 
 // TooLong reports whether an exchange failed because its response was longer than it may be,
 // or was given up for the memory that it took. The server may send without an end.
