A text of one version does not move to a faster engine that would begin it anew

What callers would see: work on a text that could have gone on is lost.

Now the other engine must have the text's version, where one version makes all of it.

--- a/croftmoor/batch/gone_test.go
+++ b/croftmoor/batch/gone_test.go
@@ -89,13 +89,13 @@
 	r := newTestRunner(4, 4, 1)
 	ledger, _ := r.Ledger.(*stateLedger)
 	c, m := slowRun(r, ledger.state)
-	if r.shouldMove(c, 9, m) {
+	if r.shouldMove(c, nineEvents, m) {
 		t.Fatal("the item moves though all engines are full")
 	}
 	for n := 1; n < 4; n++ {
 		ledger.state.Members[ident.InstanceName(fmt.Sprintf("front-%d", n))].Superseded = true
 	}
-	if !r.shouldMove(c, 9, m) {
+	if !r.shouldMove(c, nineEvents, m) {
 		t.Error("the item doesn't move though the owners of all items elsewhere are gone")
 	}
 }
--- a/croftmoor/batch/meter.go
+++ b/croftmoor/batch/meter.go
@@ -129,8 +129,8 @@
 }
 
 // shouldMove reports whether another engine with a free slot should make the rest of the
-// text; events is the number of events so far.
-func (r *Runner) shouldMove(c claimed, events int, m *meter) bool {
+// text; made is what there is of it.
+func (r *Runner) shouldMove(c claimed, made jobs.Partial, m *meter) bool {
 	of := r.termsOf(c)
 	policy, err := place.Policies.New(place.Longest)
 	// Without the ledger no other instance would learn that the item waits.
@@ -140,12 +140,12 @@
 	otherPace := 0.0
 	r.Ledger.View(func(state *jobs.State) {
 		m.sampleLoad(otherLoad(state, c.item))
-		otherPace = r.fastestOtherPace(state, c, of)
+		otherPace = r.fastestOtherPace(state, c, of, made.OnlyVersion(c.accept.SingleVersion))
 	})
 	if otherPace == 0 {
 		return false
 	}
-	eventsLeft := max(int(c.item.Expect)/tokensPerEvent-events, events/overrunDivisor, minEventsLeft)
+	eventsLeft := max(int(c.item.Expect)/tokensPerEvent-made.Events, made.Events/overrunDivisor, minEventsLeft)
 	return policy.ShouldMove(place.MoveCandidate{
 		LastOfStep: true, TokensLeft: ident.Tokens(eventsLeft), Rate: eventsPerSecond(m.sustainedPace()), OtherRate: eventsPerSecond(otherPace), Moves: c.item.Yields,
 	})
@@ -166,8 +166,9 @@
 }
 
 // fastestOtherPace returns the shortest expected time of an event, in milliseconds, at
-// another engine that could continue the item; 0 if there is none.
-func (r *Runner) fastestOtherPace(state *jobs.State, c claimed, of terms.Terms) float64 {
+// another engine that could continue the item; 0 if there is none. only is the version that
+// the text takes, or 0.
+func (r *Runner) fastestOtherPace(state *jobs.State, c claimed, of terms.Terms, only ident.Version) float64 {
 	service := of.Service(c.item.ItemSpec)
 	now := r.Clock.Mono()
 	abandoned := state.ClaimedBy(state.GoneOwners(r.Ledger.QuietSince()))
@@ -183,7 +184,7 @@
 		switch {
 		case name == c.item.Engine, m.State == fleet.Leaving, now < state.AvoidedUntil[name], pace == 0:
 			continue
-		case !engine.HasRoom(engine.Slots), !ready, version < c.accept.MinVersion:
+		case !engine.HasRoom(engine.Slots), !ready, version < c.accept.MinVersion, only != 0 && version != only:
 			continue
 		}
 		if cost := engine.Cost(pace); best == 0 || cost < best {
--- a/croftmoor/batch/move_test.go
+++ b/croftmoor/batch/move_test.go
@@ -32,6 +32,27 @@
 	return claimed{key: jobs.ItemKey{Job: "job-0"}, item: item, accept: job.Accept}, m
 }
 
+// nineEvents is what slowRun's item has made.
+var nineEvents = jobs.Partial{Events: 9, Versions: []ident.Version{1}}
+
+// A text that takes one version must not move to a faster engine that would begin it anew.
+func TestNoMoveToAnEngineOfAnotherVersion(t *testing.T) {
+	r := newTestRunner(4, 4, 1)
+	ledger, _ := r.Ledger.(*stateLedger)
+	c, m := slowRun(r, ledger.state)
+	clear(ledger.state.Loads)
+	for i := range 4 {
+		ledger.state.Weights[jobs.EngineModel{Engine: ident.BackendName(fmt.Sprintf("engine-%d", i)), Model: "m"}] = jobs.Weights{Version: 2}
+	}
+	if !r.shouldMove(c, nineEvents, m) {
+		t.Fatal("a text that takes several versions does not move")
+	}
+	c.accept.SingleVersion = true
+	if r.shouldMove(c, nineEvents, m) {
+		t.Error("a text of version 1 moves to an engine of version 2")
+	}
+}
+
 // An item must not move while the ledger is unreachable: no other instance would learn
 // that it waits, and it would rest until the ledger answers.
 func TestNoMovesWhileTheLedgerIsAway(t *testing.T) {
@@ -39,11 +60,11 @@
 	ledger, _ := r.Ledger.(*stateLedger)
 	c, m := slowRun(r, ledger.state)
 	clear(ledger.state.Loads)
-	if !r.shouldMove(c, 9, m) {
+	if !r.shouldMove(c, nineEvents, m) {
 		t.Fatal("the item does not move though another engine is five times as fast")
 	}
 	r.Ledger = outdatedLedger{ledger}
-	if r.shouldMove(c, 9, m) {
+	if r.shouldMove(c, nineEvents, m) {
 		t.Error("the item moves while the ledger is unreachable")
 	}
 }
--- a/croftmoor/batch/perform.go
+++ b/croftmoor/batch/perform.go
@@ -137,7 +137,7 @@
 		meter.recordEvent()
 		silence.Reset(eventGapTimeout.Duration())
 		prog.saveIfDue(ctx)
-		if meter.comparisonDue() && r.shouldMove(prog.claim, prog.events, meter) {
+		if meter.comparisonDue() && r.shouldMove(prog.claim, prog.made(), meter) {
 			return fault.New("batch.generate", Slow, fmt.Sprintf("%.0f ms an event", meter.pace()))
 		}
 	}
--- a/croftmoor/batch/progress.go
+++ b/croftmoor/batch/progress.go
@@ -110,6 +110,11 @@
 	p.events, p.versions, p.unsaved, p.saved = 0, nil, nil, jobs.Partial{}
 }
 
+// made returns what the run has made so far, without the texts.
+func (p *progress) made() jobs.Partial {
+	return jobs.Partial{Events: p.events, Versions: p.versions}
+}
+
 func (p *progress) savedPartial() jobs.Partial {
 	p.mu.Lock()
 	defer p.mu.Unlock()
