--- /dev/null
+++ b/review/stand-2/store.go
@@ -0,0 +1,277 @@
+package main
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Limits of the store, as PROTOCOL.md and the settings of a small deployment state them.
+const (
+	recordBytes = 262144
+	callBytes   = 2097152
+	keptBytes   = 400 << 20
+	// answerTime is the usual latency of an answer.
+	answerTime = 4 * time.Millisecond
+)
+
+// appendCall is an append that has arrived at the store.
+type appendCall struct {
+	topic, part, producer string
+	// first is true for the first append of a producer to a partition.
+	first bool
+	bytes int
+}
+
+// store is the platform's metadata store: a log with topics and partitions.
+type store struct {
+	mu      sync.Mutex
+	parts   map[string]*partition
+	grown   chan struct{}
+	total   int
+	writes  int
+	late    int
+	refused int
+	// delay returns after which time an append is done without an answer; 0 means that it is
+	// done and answered now. It may be nil.
+	delay func(c appendCall) time.Duration
+}
+
+type partition struct {
+	records   [][]byte
+	producers map[string]*producer
+}
+
+// producer is the state of one producer in one partition.
+type producer struct {
+	epoch, seq int64
+	// recent holds the answers to the last five sequence numbers.
+	recent map[int64]int
+}
+
+func newStore() *store {
+	return &store{parts: map[string]*partition{}, grown: make(chan struct{})}
+}
+
+func (s *store) partition(name string) *partition {
+	p := s.parts[name]
+	if p == nil {
+		p = &partition{producers: map[string]*producer{}}
+		s.parts[name] = p
+	}
+	return p
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(answerTime)
+	q := r.URL.Query()
+	name := q.Get("Topic") + "." + q.Get("part")
+	switch r.URL.Path {
+	case "/croftmoor/log-append":
+		s.serveAppend(w, r, q, name)
+	case "/croftmoor/log-read":
+		s.serveRead(w, r, q, name)
+	case "/croftmoor/log-newest":
+		s.serveNewest(w, q, name)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *store) serveAppend(w http.ResponseWriter, r *http.Request, q url.Values, name string) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	records, ok := splitRecords(body)
+	if !ok || len(body) > callBytes || q.Get("Topic") == "keyed.servers" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	call := appendCall{topic: q.Get("Topic"), part: q.Get("part"), producer: q.Get("Producer"), bytes: len(body)}
+	s.mu.Lock()
+	s.writes++
+	call.first = s.partition(name).producers[call.producer] == nil
+	delay := s.delay
+	s.mu.Unlock()
+	if delay != nil {
+		if d := delay(call); d > 0 {
+			s.mu.Lock()
+			s.late++
+			s.mu.Unlock()
+			time.AfterFunc(d, func() { s.append(name, q, records) })
+			hang(w)
+			return
+		}
+	}
+	status, answer := s.append(name, q, records)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, answer)
+}
+
+// hang keeps a connection without an answer until its peer closes it.
+func hang(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, conn)
+		_ = conn.Close()
+	}()
+}
+
+// append does an append and returns its answer.
+func (s *store) append(name string, q url.Values, records [][]byte) (status int, answer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(name)
+	size := 0
+	for _, r := range records {
+		size += len(r)
+	}
+	if s.total+size > keptBytes {
+		s.refused++
+		return http.StatusInsufficientStorage, `{"why":"full"}`
+	}
+	if text := q.Get("AsOf"); text != "" && text != strconv.Itoa(len(p.records)) {
+		return http.StatusPreconditionFailed, fmt.Sprintf(`{"End":%d}`, len(p.records))
+	}
+	if id := q.Get("Producer"); id != "" {
+		epoch, _ := strconv.ParseInt(q.Get("epoch"), 10, 64)
+		seq, _ := strconv.ParseInt(q.Get("Seq"), 10, 64)
+		known := p.producers[id]
+		switch {
+		case known == nil || epoch > known.epoch:
+			p.producers[id] = &producer{epoch: epoch, seq: seq, recent: map[int64]int{seq: len(p.records)}}
+		case epoch < known.epoch:
+			return http.StatusConflict, `{"why":"fenced"}`
+		default:
+			if offset, again := known.recent[seq]; again {
+				return http.StatusOK, fmt.Sprintf(`{"Offset":%d,"End":%d}`, offset, len(p.records))
+			}
+			if seq != known.seq+1 {
+				return http.StatusConflict, fmt.Sprintf(`{"why":"seq","Seq":%d}`, known.seq+1)
+			}
+			known.seq = seq
+			known.recent[seq] = len(p.records)
+			delete(known.recent, seq-5)
+		}
+	}
+	offset := len(p.records)
+	p.records = append(p.records, records...)
+	s.total += size
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return http.StatusOK, fmt.Sprintf(`{"Offset":%d,"End":%d}`, offset, len(p.records))
+}
+
+func splitRecords(body []byte) (records [][]byte, ok bool) {
+	for len(body) > 0 {
+		if len(body) < 4 {
+			return nil, false
+		}
+		n := int(binary.BigEndian.Uint32(body))
+		if n > recordBytes || n > len(body)-4 {
+			return nil, false
+		}
+		records = append(records, body[4:4+n])
+		body = body[4+n:]
+	}
+	return records, true
+}
+
+func (s *store) serveRead(w http.ResponseWriter, r *http.Request, q url.Values, name string) {
+	from, _ := strconv.Atoi(q.Get("From"))
+	wait, _ := strconv.Atoi(q.Get("WaitMs"))
+	most, err := strconv.Atoi(q.Get("MaxKb"))
+	if err != nil || most <= 0 {
+		most = 1024
+	}
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for over := wait == 0; ; {
+		s.mu.Lock()
+		records, grown := s.partition(name).records, s.grown
+		s.mu.Unlock()
+		if from < len(records) || over {
+			body := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
+			body = binary.BigEndian.AppendUint64(body, 0)
+			for n := from; n < len(records) && len(body) < most*1024; n++ {
+				body = binary.BigEndian.AppendUint32(body, uint32(len(records[n])))
+				body = append(body, records[n]...)
+			}
+			_, _ = w.Write(body)
+			return
+		}
+		select {
+		case <-timeout:
+			over = true
+		case <-grown:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *store) serveNewest(w http.ResponseWriter, q url.Values, name string) {
+	type item struct {
+		Key, Value string
+		Offset     int
+	}
+	s.mu.Lock()
+	newest := map[string]item{}
+	records := s.partition(name).records
+	for n, r := range records {
+		key, value := string(r[1:1+r[0]]), r[1+r[0]:]
+		if len(value) == 0 {
+			delete(newest, key)
+			continue
+		}
+		newest[key] = item{Key: key, Value: base64.StdEncoding.EncodeToString(value), Offset: n}
+	}
+	s.mu.Unlock()
+	items := []item{}
+	for key, i := range newest {
+		if key > q.Get("AfterRev") {
+			items = append(items, i)
+		}
+	}
+	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
+	more := len(items) > 500
+	if more {
+		items = items[:500]
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"Items": items, "MorePages": more, "End": len(records)})
+}
+
+// put writes a keyed record, as the operator and the engines do; nil drops the key.
+func (s *store) put(topic, key string, value any) {
+	var data []byte
+	if value != nil {
+		data, _ = json.Marshal(value)
+	}
+	record := append([]byte{byte(len(key))}, key...)
+	s.append(topic+".0", url.Values{}, [][]byte{append(record, data...)})
+}
+
+// counts tells what the store has done.
+func (s *store) counts() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	topics := map[string]int{}
+	for name, p := range s.parts {
+		topics[name[:strings.LastIndexByte(name, '.')]] += len(p.records)
+	}
+	return fmt.Sprintf("store: %d appends, %d of them done late without an answer, %d refused as full, %d bytes kept, records by topic %v", s.writes, s.late, s.refused, s.total, topics)
+}
