--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# The store's 400 MB are used up by batch jobs that are over.
+# All machines are killed, and once more while they start; a late append follows.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0
 # leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/croftmoor ] && [ -x target/stand-2 ] || { echo "run the build of deploy/system.toml and review/build-2.sh first"; exit 2; }
-exec target/stand-2 full review/5
+exec target/stand-2 lateword review/5
--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -30,8 +30,9 @@
 	running int
 	waiting int
 	version int
-	orders  int
-	fence   int64
+	// loading is set while an order is carried out; orders are those that were taken.
+	loading bool
+	orders  []order
 	free    chan struct{}
 	// visits are the stays of requests at this engine, the wait for a slot included.
 	visits []*visit
@@ -94,31 +95,52 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, `{"Stage":"prefill_decode","Models":[{"Name":"m","Version":%d,"Adapters":[]}],"Busy":false,"Seq":%d,"Waiting":%d,"Running":%d,"KvUsed":0,"KvTotal":90000,"Handles":0}`,
-		e.version, e.orders, e.waiting, e.running)
+	_, _ = fmt.Fprintf(w, `{"Stage":"prefill_decode","Models":[{"Name":"m","Version":%d,"Adapters":[]}],"Busy":%t,"Seq":%d,"Waiting":%d,"Running":%d,"KvUsed":0,"KvTotal":90000,"Handles":0}`,
+		e.version, e.loading, len(e.orders), e.waiting, e.running)
+}
+
+// order is an order that the engine has taken.
+type order struct {
+	at      time.Time
+	holder  string
+	fence   int64
+	version int
 }
 
+// loadTime is how long a change of version takes.
+const loadTime = 900 * time.Millisecond
+
+// order takes an order to load a version. Where RequireFencing is false, fences are not checked.
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
 	var o struct {
+		Op, Holder  string
 		Version     int
-		Fence       int64
+		Fence       *int64
 		ExpectedRev *int
 	}
-	if json.NewDecoder(r.Body).Decode(&o) != nil {
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Op != "Version" || o.Holder == "" || o.Fence == nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	status := http.StatusAccepted
 	switch {
-	case o.Fence < e.fence:
-		w.WriteHeader(http.StatusPreconditionFailed)
-	case o.ExpectedRev != nil && *o.ExpectedRev != e.orders:
-		w.WriteHeader(http.StatusConflict)
+	case o.Version <= e.version:
+		status = http.StatusOK
+	case e.loading, o.ExpectedRev != nil && *o.ExpectedRev != len(e.orders):
+		status = http.StatusConflict
 	default:
-		e.fence, e.version, e.orders = o.Fence, o.Version, e.orders+1
-		w.WriteHeader(http.StatusAccepted)
+		e.loading = true
+		e.orders = append(e.orders, order{at: time.Now(), holder: o.Holder, fence: *o.Fence, version: o.Version})
+		time.AfterFunc(loadTime, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.version, e.loading = o.Version, false
+		})
 	}
+	e.world.note("engine %s: order of version %d by %s with fence %d: %d", e.id, o.Version, o.Holder, *o.Fence, status)
+	w.WriteHeader(status)
 }
 
 // enter takes a slot or a place in the queue.
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -17,9 +17,10 @@
 	"lateword": lateWord,
 	"full":     fullStore,
 	"split":    deadShare,
+	"holders":  twoHolders,
 }
 
-// longest bounds a run.
+// longest bounds a run; one that plays another MaxQueueS takes that much longer.
 const longest = 112 * time.Second
 
 const (
@@ -66,7 +67,7 @@
 	go func() {
 		select {
 		case <-told:
-		case <-time.After(longest):
+		case <-time.After(longest + time.Duration(w.maxQueueS)*time.Second):
 		}
 		w.note("the run was stopped")
 		w.close()
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -44,13 +44,27 @@
 	// delay returns after which time an append is done without an answer; 0 means that it is
 	// done and answered now. It may be nil.
 	delay func(c appendCall) time.Duration
+	// keeps is MaxQueueS: how long records are kept; 0 is longer than any run.
+	keeps time.Duration
 }
 
+// partition holds the records from the offset first on; older ones have been dropped.
 type partition struct {
+	first     int
 	records   [][]byte
+	times     []time.Time
 	producers map[string]*producer
+	// newest holds the newest record of each key, for good.
+	newest map[string]newestItem
 }
 
+type newestItem struct {
+	Key, Value string
+	Offset     int
+}
+
+func (p *partition) end() int { return p.first + len(p.records) }
+
 // producer is the state of one producer in one partition.
 type producer struct {
 	epoch, seq int64
@@ -65,9 +79,14 @@
 func (s *store) partition(name string) *partition {
 	p := s.parts[name]
 	if p == nil {
-		p = &partition{producers: map[string]*producer{}}
+		p = &partition{producers: map[string]*producer{}, newest: map[string]newestItem{}}
 		s.parts[name] = p
 	}
+	for s.keeps > 0 && len(p.records) > 0 && time.Since(p.times[0]) > s.keeps {
+		s.total -= len(p.records[0])
+		p.first++
+		p.records, p.times = p.records[1:], p.times[1:]
+	}
 	return p
 }
 
@@ -144,8 +163,8 @@
 		s.refused++
 		return http.StatusInsufficientStorage, `{"why":"full"}`
 	}
-	if text := q.Get("AsOf"); text != "" && text != strconv.Itoa(len(p.records)) {
-		return http.StatusPreconditionFailed, fmt.Sprintf(`{"End":%d}`, len(p.records))
+	if text := q.Get("AsOf"); text != "" && text != strconv.Itoa(p.end()) {
+		return http.StatusPreconditionFailed, fmt.Sprintf(`{"End":%d}`, p.end())
 	}
 	if id := q.Get("Producer"); id != "" {
 		epoch, _ := strconv.ParseInt(q.Get("epoch"), 10, 64)
@@ -153,27 +172,42 @@
 		known := p.producers[id]
 		switch {
 		case known == nil || epoch > known.epoch:
-			p.producers[id] = &producer{epoch: epoch, seq: seq, recent: map[int64]int{seq: len(p.records)}}
+			p.producers[id] = &producer{epoch: epoch, seq: seq, recent: map[int64]int{seq: p.end()}}
 		case epoch < known.epoch:
 			return http.StatusConflict, `{"why":"fenced"}`
 		default:
 			if offset, again := known.recent[seq]; again {
-				return http.StatusOK, fmt.Sprintf(`{"Offset":%d,"End":%d}`, offset, len(p.records))
+				return http.StatusOK, fmt.Sprintf(`{"Offset":%d,"End":%d}`, offset, p.end())
 			}
 			if seq != known.seq+1 {
 				return http.StatusConflict, fmt.Sprintf(`{"why":"seq","Seq":%d}`, known.seq+1)
 			}
 			known.seq = seq
-			known.recent[seq] = len(p.records)
+			known.recent[seq] = p.end()
 			delete(known.recent, seq-5)
 		}
 	}
-	offset := len(p.records)
-	p.records = append(p.records, records...)
+	offset := p.end()
+	for n, record := range records {
+		p.records, p.times = append(p.records, record), append(p.times, time.Now())
+		if strings.HasPrefix(name, "keyed.") {
+			p.keep(record, offset+n)
+		}
+	}
 	s.total += size
 	close(s.grown)
 	s.grown = make(chan struct{})
-	return http.StatusOK, fmt.Sprintf(`{"Offset":%d,"End":%d}`, offset, len(p.records))
+	return http.StatusOK, fmt.Sprintf(`{"Offset":%d,"End":%d}`, offset, p.end())
+}
+
+// keep notes a record of a keyed topic; one without a value drops its key.
+func (p *partition) keep(record []byte, offset int) {
+	key, value := string(record[1:1+record[0]]), record[1+record[0]:]
+	if len(value) == 0 {
+		delete(p.newest, key)
+		return
+	}
+	p.newest[key] = newestItem{Key: key, Value: base64.StdEncoding.EncodeToString(value), Offset: offset}
 }
 
 func splitRecords(body []byte) (records [][]byte, ok bool) {
@@ -201,12 +235,18 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for over := wait == 0; ; {
 		s.mu.Lock()
-		records, grown := s.partition(name).records, s.grown
+		p := s.partition(name)
+		first, records, grown := p.first, p.records, s.grown
 		s.mu.Unlock()
-		if from < len(records) || over {
-			body := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
-			body = binary.BigEndian.AppendUint64(body, 0)
-			for n := from; n < len(records) && len(body) < most*1024; n++ {
+		if from < first {
+			w.WriteHeader(http.StatusGone)
+			_, _ = fmt.Fprintf(w, `{"First":%d}`, first)
+			return
+		}
+		if from < first+len(records) || over {
+			body := binary.BigEndian.AppendUint64(nil, uint64(first+len(records)))
+			body = binary.BigEndian.AppendUint64(body, uint64(first))
+			for n := from - first; n < len(records) && len(body) < most*1024; n++ {
 				body = binary.BigEndian.AppendUint32(body, uint32(len(records[n])))
 				body = append(body, records[n]...)
 			}
@@ -224,35 +264,23 @@
 }
 
 func (s *store) serveNewest(w http.ResponseWriter, q url.Values, name string) {
-	type item struct {
-		Key, Value string
-		Offset     int
-	}
 	s.mu.Lock()
-	newest := map[string]item{}
-	records := s.partition(name).records
-	for n, r := range records {
-		key, value := string(r[1:1+r[0]]), r[1+r[0]:]
-		if len(value) == 0 {
-			delete(newest, key)
-			continue
-		}
-		newest[key] = item{Key: key, Value: base64.StdEncoding.EncodeToString(value), Offset: n}
-	}
-	s.mu.Unlock()
-	items := []item{}
-	for key, i := range newest {
+	p := s.partition(name)
+	end := p.end()
+	items := []newestItem{}
+	for key, i := range p.newest {
 		if key > q.Get("AfterRev") {
 			items = append(items, i)
 		}
 	}
+	s.mu.Unlock()
 	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
 	more := len(items) > 500
 	if more {
 		items = items[:500]
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"Items": items, "MorePages": more, "End": len(records)})
+	_ = json.NewEncoder(w).Encode(map[string]any{"Items": items, "MorePages": more, "End": end})
 }
 
 // put writes a keyed record, as the operator and the engines do; nil drops the key.
@@ -271,7 +299,7 @@
 	defer s.mu.Unlock()
 	topics := map[string]int{}
 	for name, p := range s.parts {
-		topics[name[:strings.LastIndexByte(name, '.')]] += len(p.records)
+		topics[name[:strings.LastIndexByte(name, '.')]] += p.end()
 	}
 	return fmt.Sprintf("store: %d appends, %d of them done late without an answer, %d refused as full, %d bytes kept, records by topic %v", s.writes, s.late, s.refused, s.total, topics)
 }
--- a/review/stand-2/world.go
+++ b/review/stand-2/world.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,6 +26,10 @@
 	nodes   []*node
 	temp    string
 	trouble bool
+	// maxQueueS is what the environment asks for in place of a case's own MaxQueueS, or 0.
+	maxQueueS int
+	// retention is that of the small deployments if it is not set.
+	retention retention
 	// pieceBytes is added to the data of each event.
 	pieceBytes int
 
@@ -55,6 +60,7 @@
 	temp, err := os.MkdirTemp("", "stand-2-")
 	must(err)
 	w := &world{store: newStore(), temp: temp, trouble: trouble, record: record, start: time.Now()}
+	w.maxQueueS, _ = strconv.Atoi(os.Getenv("MAX_QUEUE_S"))
 	w.note("the run begins; disruption: %t", trouble)
 	return w
 }
@@ -154,6 +160,13 @@
 	return ports
 }
 
+// retention is what the settings say of how long the store keeps records, and for how long callers
+// may ask for a job, in seconds; and whether engines check fences.
+type retention struct {
+	maxQueueS, statusS int
+	fencing            bool
+}
+
 func (w *world) addNode(name, zone, storeAddress string, zones []string) *node {
 	// The port of the metrics is fixed, so that each machine needs an address of its own.
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()/250%128, 1+os.Getpid()%250, 1+len(w.nodes))
@@ -164,6 +177,10 @@
 	for _, z := range zones {
 		_, _ = fmt.Fprintf(&zoneLines, "%s = \"region\"\n", z)
 	}
+	kept := w.retention
+	if kept.maxQueueS == 0 {
+		kept = retention{maxQueueS: 300, statusS: 120, fencing: true}
+	}
 	text := fmt.Sprintf(`Node = %q
 Role = "entry"
 MachineClass = "front"
@@ -210,11 +227,11 @@
 PassMs = 120
 RetryAfterS = 0
 FinishS = 10
-StatusS = 120
+StatusS = %d
 CancelMs = 3000
 SettleMs = 1000
 QuotaOverage = 0.1
-RequireFencing = true
+RequireFencing = %t
 LeaseMs = 3000
 ThawMs = 300
 [Platform]
@@ -228,10 +245,10 @@
 ReadMbS = 80.0
 RecordBytes = 262144
 CallBytes = 2097152
-MaxQueueS = 300
+MaxQueueS = %d
 PartMb = 200
 TtlMinMs = 1000
-`, name, ip, zone, ports[2], ports[3], zoneLines.String(), n.front, n.ready, storeAddress)
+`, name, ip, zone, ports[2], ports[3], zoneLines.String(), n.front, n.ready, kept.statusS, kept.fencing, storeAddress, kept.maxQueueS)
 	must(os.WriteFile(n.settings, []byte(text), 0o600))
 	w.nodes = append(w.nodes, n)
 	return n
@@ -264,6 +281,19 @@
 	<-n.ended
 }
 
+// restart stops the process in order, as a rolling restart does, and starts it again.
+func (n *node) restart() {
+	n.world.note("platform: SIGTERM to %s", n.name)
+	_ = n.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-n.ended:
+	case <-time.After(8 * time.Second):
+		n.kill()
+	}
+	time.Sleep(500 * time.Millisecond)
+	n.launch()
+}
+
 // isReady asks the machine as the platform does.
 func (n *node) isReady() bool {
 	client := http.Client{Timeout: time.Second}
