--- a/croftmoor/batch/standstill.go
+++ b/croftmoor/batch/standstill.go
@@ -130,8 +130,8 @@
 			line.Reason = fmt.Sprintf("%d items, whose texts do not grow; %s; ledger %d", q.Vain, q.vain, s.state.Next)
 		} else {
 			line.Choice = "no item is claimed"
-			line.Reason = fmt.Sprintf("%d items wait, none was claimed or ended for %d ms; %s; dealt by %s, ledger %d",
-				q.Waiting, q.Still, s.describeEngines(q.first), r.dealer(service), s.state.Next)
+			line.Reason = fmt.Sprintf("%d items wait, none was claimed or ended for %d ms; %s; dealt by %q, one of %d instances that act; ledger %d",
+				q.Waiting, q.Still, s.describeEngines(q.first), r.dealer(service), len(r.actors.live), s.state.Next)
 		}
 		r.Trail.Add(line)
 	}
--- a/croftmoor/lease/lease_test.go
+++ b/croftmoor/lease/lease_test.go
@@ -32,7 +32,7 @@
 	l := &oneLedger{book: jobs.NewState(), clock: c}
 	l.book.Next = 1
 	for _, name := range names {
-		l.write(jobs.Heartbeat{By: name, Zone: "z"})
+		l.write(jobs.Heartbeat{By: name, Zone: "z", Start: l.book.Next})
 	}
 	return l
 }
--- a/croftmoor/ledger/heartbeat.go
+++ b/croftmoor/ledger/heartbeat.go
@@ -4,14 +4,21 @@
 	"context"
 
 	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/jobs"
 )
 
-// sendHeartbeats sends heartbeats until ctx ends. The first one supersedes the earlier
-// run of this instance. Until the state has caught up and CanAct holds, heartbeats report
-// Leaving, so that other instances assign no items or roles to an instance that cannot act
-// yet.
+// sendHeartbeats sends heartbeats until ctx ends. The first one that is acknowledged gives this
+// start its place among the starts of the instance; the next one, sent at once, tells it, and
+// supersedes the earlier starts. Until then, and until the state has caught up and CanAct holds,
+// heartbeats report Leaving, so that other instances assign no items or roles to an instance
+// that cannot act yet.
 func (l *Ledger) sendHeartbeats(ctx context.Context) {
+	for l.sendHeartbeat(ctx); l.startOffset() == 0; l.sendHeartbeat(ctx) {
+		if !l.Clock.Sleep(ctx, minPause) {
+			return
+		}
+	}
 	l.sendHeartbeat(ctx)
 	for !l.CaughtUp() || !l.canAct() {
 		if !l.Clock.Sleep(ctx, minPause) {
@@ -31,9 +38,42 @@
 func (l *Ledger) sendHeartbeat(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout.Duration())
 	defer cancel()
-	if _, err := l.Append(callCtx, l.heartbeat()); err != nil && ctx.Err() == nil {
-		l.Log.Warn().Err(err).Msg("heartbeat not written")
+	offset, err := l.Append(callCtx, l.heartbeat())
+	if err != nil {
+		if ctx.Err() == nil {
+			l.Log.Warn().Err(err).Msg("heartbeat not written")
+		}
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.start == 0 {
+		l.start = offset
+		l.Log.Info().Int64("Offset", int64(offset)).Msg("joined the ledger")
+	}
+}
+
+// startOffset returns the offset that orders this start among those of the instance; 0 until it
+// is known.
+func (l *Ledger) startOffset() ident.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.start
+}
+
+// Superseded returns a channel that is closed once the state shows that this instance has
+// started later under another name. The others then take this start for ended.
+func (l *Ledger) Superseded() <-chan struct{} { return l.superseded }
+
+// noteSuperseded closes the channel of Superseded. The caller holds mu.
+func (l *Ledger) noteSuperseded() {
+	latest, superseded := l.state.SupersededBy(l.Self)
+	if !superseded || l.supersededNoted {
+		return
 	}
+	l.supersededNoted = true
+	close(l.superseded)
+	l.Log.Error().Str("By", string(latest)).Int64("Start", int64(l.start)).Int64("Ledger", int64(l.state.Next)).Msg("superseded by another start of this instance")
 }
 
 // waitUntilDue waits until this instance has written no sign of life for a period; other
@@ -55,7 +95,7 @@
 func (l *Ledger) heartbeat() jobs.Heartbeat {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return jobs.Heartbeat{By: l.Self, Zone: l.Zone, Address: l.Address, Leaving: l.leaving || !l.caughtUp || !l.canAct()}
+	return jobs.Heartbeat{By: l.Self, Zone: l.Zone, Address: l.Address, Leaving: l.leaving || !l.caughtUp || l.start == 0 || !l.canAct(), Start: l.start}
 }
 
 // Leave announces to other instances that this one accepts no more work.
--- a/croftmoor/ledger/ledger.go
+++ b/croftmoor/ledger/ledger.go
@@ -103,6 +103,11 @@
 	unreachable    bool
 	lastSignOfLife clock.Millis
 	leaving        bool
+	// start is that of this instance's heartbeats.
+	start ident.Offset
+	// superseded is closed once supersededNoted is set.
+	superseded      chan struct{}
+	supersededNoted bool
 }
 
 // Setup initialises the ledger. Call it before Run.
@@ -110,6 +115,7 @@
 	l.state = jobs.NewState()
 	l.changed = make(chan struct{})
 	l.readNow = make(chan struct{}, 1)
+	l.superseded = make(chan struct{})
 }
 
 // Run follows the ledger's stream and sends heartbeats until ctx ends.
@@ -168,6 +174,7 @@
 	for _, record := range batch.Records {
 		l.fold(record, now)
 	}
+	l.noteSuperseded()
 	last := batch.First
 	if n := len(batch.Records); n > 0 {
 		last = batch.Records[n-1].Offset + 1
--- a/croftmoor/ledger/ledger_test.go
+++ b/croftmoor/ledger/ledger_test.go
@@ -15,7 +15,8 @@
 	"croftmoor.dev/kernel/tail"
 )
 
-// heartbeatWriter records the heartbeats written to it.
+// heartbeatWriter records the heartbeats written to it, and acknowledges each at the offset of
+// its number.
 type heartbeatWriter struct {
 	mu         sync.Mutex
 	heartbeats []jobs.Heartbeat
@@ -30,7 +31,7 @@
 			w.heartbeats = append(w.heartbeats, heartbeat)
 		}
 	}
-	return 0, nil
+	return ident.Offset(len(w.heartbeats)), nil
 }
 
 func (w *heartbeatWriter) assertLast(t *testing.T, count int, leaving bool) {
@@ -42,6 +43,18 @@
 	}
 }
 
+// assertStarts checks by which offsets the heartbeats order their start.
+func (w *heartbeatWriter) assertStarts(t *testing.T, starts ...ident.Offset) {
+	t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, want := range starts {
+		if got := w.heartbeats[i].Start; got != want {
+			t.Errorf("heartbeat %d has the start %d, want %d", i, got, want)
+		}
+	}
+}
+
 func newLedger() *Ledger {
 	l := &Ledger{Self: "a~1", Clock: clock.New(), Log: zerolog.Nop(), Writer: &heartbeatWriter{}, ReadsPerSecond: 100, WritesPerSecond: 100}
 	l.Setup()
@@ -96,10 +109,11 @@
 	defer stop()
 	l.apply(batch(1, 5, jobs.Heartbeat{By: "b~1"}))
 	time.Sleep(5 * minPause.Duration())
-	writer.assertLast(t, 1, true)
+	writer.assertLast(t, 2, true)
 	l.apply(batch(2, 3, jobs.Heartbeat{By: "b~1"}))
 	time.Sleep(5 * minPause.Duration())
-	writer.assertLast(t, 2, false)
+	writer.assertLast(t, 3, false)
+	writer.assertStarts(t, 0, 1, 1)
 }
 
 // Guards against counting a response as news when it is processed late: the state is as
--- a/kernel/jobs/codec.go
+++ b/kernel/jobs/codec.go
@@ -34,6 +34,7 @@
 		w.text(string(v.Zone))
 		w.flag(v.Leaving)
 		w.text(string(v.Address))
+		w.int(int64(v.Start))
 	case Hold:
 		w.text(v.Role)
 		w.text(string(v.By))
--- a/kernel/jobs/decode.go
+++ b/kernel/jobs/decode.go
@@ -148,7 +148,10 @@
 	case endKind:
 		return End{Job: ident.Job(r.text())}
 	case heartbeatKind:
-		return Heartbeat{By: ident.InstanceName(r.text()), Zone: ident.Zone(r.text()), Leaving: r.flag(), Address: ident.Address(r.text())}
+		return Heartbeat{
+			By: ident.InstanceName(r.text()), Zone: ident.Zone(r.text()), Leaving: r.flag(), Address: ident.Address(r.text()),
+			Start: ident.Offset(r.optionalInt()),
+		}
 	case holdKind:
 		return Hold{Role: r.text(), By: ident.InstanceName(r.text()), Replaces: ident.Offset(r.int())}
 	case loadOrderKind:
--- a/kernel/jobs/jobs_test.go
+++ b/kernel/jobs/jobs_test.go
@@ -47,7 +47,7 @@
 		Yield{Job: "j", By: "i", Index: 1, Partial: partial, Failed: true, Timing: timing},
 		SavePartial{Job: "j", By: "i", Index: 1, Partial: partial},
 		Finish{Job: "j", By: "i", Index: 1, Outcome: Completed, Versions: []ident.Version{3}, Score: "s", Texts: partial.Texts, Events: 7, Timing: timing},
-		End{Job: "j"}, Heartbeat{By: "i", Zone: "z", Leaving: true, Address: "1.2.3.4:5"},
+		End{Job: "j"}, Heartbeat{By: "i", Zone: "z", Leaving: true, Address: "1.2.3.4:5"}, Heartbeat{By: "i", Zone: "z", Start: 9},
 		Hold{Role: "r", By: "i", Replaces: 5}, LoadOrder{Role: "r", Fence: 5, Engine: "e", Model: "m", Version: 6},
 		LoadOrder{Role: "r", Fence: 5, Engine: "e", Model: "m", Version: 6, Within: 7}, OrderSettled{Engine: "e", Order: 8},
 		Loaded{Engine: "e", Model: "m", Version: 6}, Avoid{By: "i", Engine: "e", Millis: 7}, Defer{Job: "j", By: "i", Index: 2, Millis: 7},
@@ -196,7 +196,7 @@
 }
 
 func TestLives(t *testing.T) {
-	b := fold(Heartbeat{By: "n~1", Zone: "z"}, Heartbeat{By: "m~1", Zone: "z"}, Heartbeat{By: "n~2", Zone: "z"})
+	b := fold(Heartbeat{By: "n~1", Zone: "z", Start: 1}, Heartbeat{By: "m~1", Zone: "z", Start: 2}, Heartbeat{By: "n~2", Zone: "z", Start: 3})
 	if b.Alive("n~1", 0) || !b.Alive("n~2", 0) || !b.Alive("m~1", 0) {
 		t.Error("a restart must supersede the earlier runs of the same instance, and only these")
 	}
--- a/kernel/jobs/member.go
+++ b/kernel/jobs/member.go
@@ -6,12 +6,13 @@
 )
 
 func (s *State) heartbeat(r Heartbeat, now clock.Millis) {
-	if s.Members[r.By] == nil {
-		s.supersede(r.By)
-	}
 	s.markHeard(r.By, now)
 	m := s.Members[r.By]
 	m.Zone, m.Address, m.Leaving = r.Zone, r.Address, r.Leaving
+	if r.Start > m.Start {
+		m.Start = r.Start
+		s.supersede(m)
+	}
 }
 
 // IsSignOfLife reports whether a record proves that the instance that wrote it is alive.
@@ -24,13 +25,36 @@
 	}
 }
 
-// supersede marks the earlier runs of an instance as replaced by a restart.
-func (s *State) supersede(by ident.InstanceName) {
+// supersede marks all starts of a member's instance but the latest as superseded. Their
+// order is that of their Start, not that in which they are heard.
+func (s *State) supersede(member *Member) {
+	var starts []*Member
+	latest := member
+	for _, m := range s.Members {
+		if m.Start == 0 || m.Name.ListName() != member.Name.ListName() {
+			continue
+		}
+		starts = append(starts, m)
+		if m.Start > latest.Start {
+			latest = m
+		}
+	}
+	for _, m := range starts {
+		m.Superseded = m != latest
+	}
+}
+
+// SupersededBy returns the latest start of an instance if it has superseded the given one.
+func (s *State) SupersededBy(name ident.InstanceName) (latest ident.InstanceName, superseded bool) {
+	if m := s.Members[name]; m == nil || !m.Superseded {
+		return "", false
+	}
 	for _, m := range s.Members {
-		if m.Name.ListName() == by.ListName() {
-			m.Superseded = true
+		if m.Start > 0 && !m.Superseded && m.Name.ListName() == name.ListName() {
+			return m.Name, true
 		}
 	}
+	return "", true
 }
 
 func (s *State) markHeard(by ident.InstanceName, now clock.Millis) {
@@ -85,9 +109,11 @@
 	}
 }
 
+// hold makes the writer the holder of a role. A superseded start takes none: it has ended, and
+// its record was appended late.
 func (s *State) hold(offset ident.Offset, h Hold, now clock.Millis) {
 	s.markHeard(h.By, now)
-	if ident.Offset(s.RoleHolders[h.Role].Fence) != h.Replaces {
+	if s.Members[h.By].Superseded || ident.Offset(s.RoleHolders[h.Role].Fence) != h.Replaces {
 		return
 	}
 	s.RoleHolders[h.Role] = RoleHolder{By: h.By, Fence: ident.Fence(offset)}
--- a/kernel/jobs/record.go
+++ b/kernel/jobs/record.go
@@ -206,6 +206,12 @@
 	Leaving bool
 	// Address accepts calls from other instances.
 	Address ident.Address
+	// Start orders the starts of an instance: it is the offset of a record of this start whose
+	// append was acknowledged before this heartbeat was written. An instance that starts after
+	// another start of it has ended has the greater one, however late the records of the other
+	// are appended. It is 0 until a record was acknowledged; such a start neither supersedes
+	// others nor is superseded.
+	Start ident.Offset
 }
 
 // Hold makes an instance the holder of a role, provided that Replaces is the offset of
--- a/kernel/jobs/state.go
+++ b/kernel/jobs/state.go
@@ -13,7 +13,9 @@
 	Zone    ident.Zone
 	Address ident.Address
 	Leaving bool
-	// Superseded reports whether the same instance has restarted under a new name.
+	// Start is that of the member's heartbeats; 0 if none was read with one.
+	Start ident.Offset
+	// Superseded reports whether the same instance has started later under another name.
 	Superseded bool
 	// LastHeard is when this reader last read a record that is a sign of life.
 	LastHeard clock.Millis
