Roster: an instance posts itself again once a late post of its ended start is read

Now it posts as soon as it reads the other.

TestLatePostOfEndedStart fails before (no post is due) and passes now.

--- a/croftmoor/roster/roster.go
+++ b/croftmoor/roster/roster.go
@@ -320,6 +320,10 @@
 		fresh[name] = m
 		if p.Name != r.Self.Name && name == r.Self.Name.ListName() {
 			r.restarted = true
+			if before := old[name]; before.Name == r.Self.Name {
+				// The post of a start that has ended was written late and replaces this one's.
+				r.Announce()
+			}
 		}
 	}
 	r.scopes[of].members = fresh
--- a/croftmoor/roster/roster_test.go
+++ b/croftmoor/roster/roster_test.go
@@ -200,6 +200,34 @@
 	})
 }
 
+// Guards against a living instance that is listed as its ended start until its next post is due.
+func TestLatePostOfEndedStart(t *testing.T) {
+	r, _ := rosterOf("front-0~2")
+	posted := followerPosts(2)
+	posted[0].Name = r.Self.Name
+	load(r, posted)
+	wantPostDue(t, r, false)
+	posted[0].Name, posted[0].Offset = "front-0~1", 9
+	load(r, posted)
+	wantPostDue(t, r, true)
+	load(r, posted)
+	wantPostDue(t, r, false)
+}
+
+// wantPostDue checks whether the instance posts itself soon, and takes that as done.
+func wantPostDue(t *testing.T, r *Roster, want bool) {
+	t.Helper()
+	due := false
+	select {
+	case <-r.postNow:
+		due = true
+	default:
+	}
+	if due != want {
+		t.Errorf("a post is due: %v, want %v", due, want)
+	}
+}
+
 func TestInstances(t *testing.T) {
 	r, _ := rosterOf("front-x~1")
 	posted := followerPosts(4)
