--- a/croftmoor/batch/dealer.go
+++ b/croftmoor/batch/dealer.go
@@ -144,7 +144,7 @@
 		r.Trail.Add(trail.Decision{
 			ID: string(s.item(d.Item).ID), Action: trail.Place, Choice: string(d.Engine),
 			Reason: fmt.Sprintf("job %s, expects %d tokens, %s, load %d, run by %s, service %s, configuration %d, ledger %d",
-				d.Item.Job, d.Item.Expect, d.Item.Rank, s.state.Loads[d.Engine].Items, s.actor[d.Engine], d.Item.Service, s.table.Version, s.state.Next),
+				d.Item.Job, d.Item.Expect, d.Item.Rank, s.state.Loads[d.Engine].Items, s.actor[d.Engine], s.describeService(d.Item), s.table.Version, s.state.Next),
 		})
 	}
 	return claims
--- a/croftmoor/batch/meter.go
+++ b/croftmoor/batch/meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/deal"
@@ -166,10 +167,14 @@
 }
 
 // fastestOtherPace returns the shortest expected time of an event, in milliseconds, at
-// another engine that could continue the item; 0 if there is none. only is the version that
+// another engine that could continue the item, of the service at which it runs; 0 if there is
+// none. only is the version that
 // the text takes, or 0.
 func (r *Runner) fastestOtherPace(state *jobs.State, c claimed, of terms.Terms, only ident.Version) float64 {
-	service := of.Service(c.item.ItemSpec)
+	service := of.Preferred(c.item.ItemSpec)
+	if engine, listed := r.engineOf(c); listed && slices.Contains(of.Services(), engine.Service) {
+		service = engine.Service
+	}
 	now := r.Clock.Mono()
 	abandoned := state.ClaimedBy(state.GoneOwners(r.Ledger.QuietSince()))
 	best := 0.0
--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -71,6 +71,8 @@
 	// service's last line.
 	lastQueueCheck   clock.Millis
 	standstillLogged map[ident.Service]clock.Millis
+	// servedAt is when each service last had an engine that may get items.
+	servedAt map[ident.Service]clock.Millis
 	// prefetched are the open jobs whose prefetch is scheduled or done.
 	prefetched map[ident.Job]bool
 	actors     actors
@@ -90,6 +92,7 @@
 	r.idleSince = map[ident.BackendName]clock.Millis{}
 	r.lastIdleCheck, r.lastQueueCheck = -idleCheckPeriod, -queueCheckPeriod
 	r.standstillLogged = map[ident.Service]clock.Millis{}
+	r.servedAt = map[ident.Service]clock.Millis{}
 	r.prefetched = map[ident.Job]bool{}
 	r.wakeups = make(chan struct{}, 1)
 }
--- a/croftmoor/batch/standstill.go
+++ b/croftmoor/batch/standstill.go
@@ -46,8 +46,10 @@
 }
 
 // queuesOf returns the queue of each service that runs open jobs by the routing table, which
-// may be nil.
-func queuesOf(state *jobs.State, table *paths.Table, gone map[ident.InstanceName]bool, now clock.Millis) map[ident.Service]*Queue {
+// may be nil; serviceOf returns the service of an item.
+func queuesOf(
+	state *jobs.State, table *paths.Table, gone map[ident.InstanceName]bool, now clock.Millis, serviceOf func(*jobs.Job, *jobs.Item) ident.Service,
+) map[ident.Service]*Queue {
 	queues := map[ident.Service]*Queue{}
 	for _, id := range state.JobOrder {
 		job := state.Jobs[id]
@@ -66,7 +68,7 @@
 		for i := range job.Items {
 			item := &job.Items[i]
 			if !item.Done {
-				queues[of.Service(item.ItemSpec)].add(job, item, gone, now)
+				queues[serviceOf(job, item)].add(job, item, gone, now)
 			}
 		}
 	}
@@ -98,11 +100,17 @@
 	}
 }
 
-// Queue returns the queue of all services; its Still is the longest of a service.
+// Queue returns the queue of all services; its Still is the longest of a service. Items count for
+// the service that they prefer.
 func (r *Runner) Queue() Queue {
 	var all Queue
+	table := r.Routes()
+	preferred := func(job *jobs.Job, item *jobs.Item) ident.Service {
+		of := terms.Of(job.Accept, table)
+		return of.Preferred(item.ItemSpec)
+	}
 	r.Ledger.View(func(state *jobs.State) {
-		for _, q := range queuesOf(state, r.Routes(), state.GoneOwners(r.Ledger.QuietSince()), r.Clock.Mono()) {
+		for _, q := range queuesOf(state, table, state.GoneOwners(r.Ledger.QuietSince()), r.Clock.Mono(), preferred) {
 			all.Waiting += q.Waiting
 			all.Abandoned += q.Abandoned
 			all.Vain += q.Vain
@@ -119,7 +127,7 @@
 		return
 	}
 	r.lastQueueCheck = s.now
-	for service, q := range queuesOf(s.state, s.table, s.gone, s.now) {
+	for service, q := range queuesOf(s.state, s.table, s.gone, s.now, s.serviceOf) {
 		if (q.Still < standstillAfter && q.Vain == 0) || s.now < r.standstillLogged[service]+standstillAfter {
 			continue
 		}
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -31,6 +31,10 @@
 	versions map[jobs.EngineModel]ident.Version
 	services map[ident.BackendName]ident.Service
 	terms    map[ident.Job]terms.Terms
+	// serving are the services that have had an engine that may get items, of whichever model,
+	// within absenceTerm. abilities caches what services can do for jobs.
+	serving   map[ident.Service]bool
+	abilities map[serviceJob]terms.Ability
 	// table is the routing table from which terms were made.
 	table *paths.Table
 	now   clock.Millis
@@ -67,8 +71,7 @@
 
 // demand returns what an item demands of its engine.
 func (s *snapshot) demand(job *jobs.Job, item *jobs.Item) deal.Demand {
-	of := s.terms[job.Job]
-	return deal.Demand{Job: job.Job, Service: of.Service(item.ItemSpec), TextVersion: item.Partial.OnlyVersion(job.SingleVersion)}
+	return deal.Demand{Job: job.Job, Service: s.serviceOf(job, item), TextVersion: item.Partial.OnlyVersion(job.SingleVersion)}
 }
 
 // takeSnapshot returns the jobs that have waiting items and the engines that may get them, or
@@ -78,6 +81,7 @@
 	s := &snapshot{
 		state: state, versions: map[jobs.EngineModel]ident.Version{}, services: map[ident.BackendName]ident.Service{},
 		terms: map[ident.Job]terms.Terms{}, table: table, gone: state.GoneOwners(since), now: r.Clock.Mono(), toggles: r.Without,
+		abilities: map[serviceJob]terms.Ability{},
 	}
 	open := s.jobsWithWaitingItems()
 	if len(open) == 0 {
@@ -88,6 +92,7 @@
 	}
 	s.actor = r.actors.refresh(state, r.Fleet.View(), r.Clock.Mono(), since)
 	r.addEngines(s, table)
+	s.serving = r.noteServing(s)
 	return s
 }
 
--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -8,12 +8,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 
 	"croftmoor.dev/croftmoor/pool"
 	"croftmoor.dev/kernel/admit"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/conf"
 	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/httpc"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/paths"
@@ -132,7 +134,7 @@
 	if r.Route.Timeout > 0 {
 		r.Deadline = min(r.Deadline, p.Clock.Mono()+r.Route.Timeout)
 	}
-	state := &callState{service: r.Route.Service(newRandom())}
+	state := &callState{service: p.drawService(&r.Route)}
 	defer func() { p.recordUsage(r, state) }()
 	leave, err := p.enter(ctx, r, state)
 	if err != nil {
@@ -160,8 +162,21 @@
 	return nil, p.giveUp(ctx, r, state)
 }
 
-func newRandom() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+// drawService draws the service of a call by the weights of its route, among the services that
+// have a server which is not leaving; among all if none has.
+func (p *Proxy) drawService(route *paths.Route) ident.Service {
+	drawn := route.DrawServices(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if usable := slices.IndexFunc(drawn, p.hasServers); usable > 0 {
+		return drawn[usable]
+	}
+	return drawn[0]
+}
+
+// hasServers reports whether a service has a server that is not leaving.
+func (p *Proxy) hasServers(service ident.Service) bool {
+	return slices.ContainsFunc(p.Pool.Fleet.View().Backends[service], func(m fleet.Member) bool {
+		return m.State != fleet.Leaving && !p.Pool.Fleet.MarkedLeaving(m.Name)
+	})
 }
 
 // callState is the progress of a call.
--- a/croftmoor/proxy/stream.go
+++ b/croftmoor/proxy/stream.go
@@ -45,7 +45,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (r.Deadline - p.Clock.Mono()).Duration())
 	defer cancel()
-	s := &streamState{callState: callState{service: r.Route.Service(newRandom())}, sink: sink}
+	s := &streamState{callState: callState{service: p.drawService(&r.Route)}, sink: sink}
 	defer func() { p.recordUsage(r, &s.callState) }()
 	for s.hasAttempts(r.Route) && ctx.Err() == nil && !p.refuseIfHeld(&r, &s.callState) {
 		server := p.pick(r, &s.callState)
--- a/croftmoor/scaler/scaler.go
+++ b/croftmoor/scaler/scaler.go
@@ -155,7 +155,7 @@
 	s.Ledger.View(func(b *jobs.State) {
 		for _, id := range b.JobOrder {
 			if job := b.Jobs[id]; job.Open() {
-				countUnfinished(items, job, table)
+				s.countUnfinished(items, job, table)
 			}
 		}
 	})
@@ -172,15 +172,25 @@
 }
 
 // countUnfinished adds the items of a job that have no result to those of their services.
-func countUnfinished(items map[ident.Service]int, job *jobs.Job, table *paths.Table) {
+func (s *Scaler) countUnfinished(items map[ident.Service]int, job *jobs.Job, table *paths.Table) {
 	of := terms.Of(job.Accept, table)
+	ability := func(service ident.Service) terms.Ability { return s.ability(service, table) }
 	for i := range job.Items {
 		if item := &job.Items[i]; !item.Done {
-			items[of.Service(item.ItemSpec)]++
+			items[of.Service(item.ItemSpec, 0, ability)]++
 		}
 	}
 }
 
+// ability returns whether a service has engines, or may get them by an order.
+func (s *Scaler) ability(service ident.Service, table *paths.Table) terms.Ability {
+	listed := func(m fleet.Member) bool { return m.State != fleet.Leaving }
+	if table.Services[service].Scaling != nil || slices.ContainsFunc(s.Engines(service), listed) {
+		return terms.Busy
+	}
+	return terms.Absent
+}
+
 // orderFor gives the orders that a service's need asks for.
 func (s *Scaler) orderFor(ctx context.Context, service paths.Service, fence ident.Fence) {
 	engines := s.Engines(service.Name)
--- a/kernel/paths/paths.go
+++ b/kernel/paths/paths.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 
 	"croftmoor.dev/kernel/access"
@@ -15,6 +16,9 @@
 	"croftmoor.dev/kernel/scale"
 )
 
+// hexadecimal is the base of a drawn key.
+const hexadecimal = 16
+
 // RouteKind is how the requests of a route are run.
 type RouteKind string
 
@@ -130,25 +134,6 @@
 	return Route{}, false
 }
 
-// Service picks a service at random by the weights of the route's shares. Negative
-// weights count as 0; if all are 0 it picks the first.
-func (r *Route) Service(random *rand.Rand) ident.Service {
-	total := 0
-	for _, s := range r.Shares {
-		total += max(s.Weight, 0)
-	}
-	if total == 0 {
-		return r.Shares[0].Service
-	}
-	remaining := random.IntN(total)
-	for _, s := range r.Shares {
-		if remaining -= max(s.Weight, 0); remaining < 0 {
-			return s.Service
-		}
-	}
-	return r.Shares[len(r.Shares)-1].Service
-}
-
 // Services returns the services that get requests of the route, those with a positive
 // weight; it is the first one alone if there is none.
 func (r *Route) Services() []ident.Service {
@@ -169,18 +154,27 @@
 	return slices.MaxFunc(r.Shares, func(a, b Share) int { return cmp.Compare(a.Weight, b.Weight) }).Service
 }
 
-// ServiceFor picks a service for a key by weighted rendezvous hashing: the same one on
-// every instance, and after a change of the weights another one only for the keys that they
-// move.
-func (r *Route) ServiceFor(key string) ident.Service {
-	best, score := r.Services()[0], 0.0
+// ServicesFor returns the services that get requests of the route in the order in which they
+// should serve a key, by weighted rendezvous hashing: the same order on every instance. A change
+// of the weights changes the first one only for the keys that it moves.
+func (r *Route) ServicesFor(key string) []ident.Service {
+	services := r.Services()
+	if len(services) == 1 {
+		return services
+	}
+	scores := map[ident.Service]float64{}
 	for _, s := range r.Shares {
 		hash := ident.UnitInterval(ident.Hash(key), ident.Hash(string(s.Service)))
-		if own := float64(s.Weight) / -math.Log(hash); own > score {
-			best, score = s.Service, own
-		}
+		scores[s.Service] = max(scores[s.Service], float64(s.Weight)/-math.Log(hash))
 	}
-	return best
+	slices.SortStableFunc(services, func(a, b ident.Service) int { return cmp.Compare(scores[b], scores[a]) })
+	return services
+}
+
+// DrawServices returns the services that get requests of the route in a random order, in which
+// each comes first as often as its weight says.
+func (r *Route) DrawServices(random *rand.Rand) []ident.Service {
+	return r.ServicesFor(strconv.FormatUint(random.Uint64(), hexadecimal))
 }
 
 // RequiresSingleVersion reports whether a route that sends requests to the service
--- a/kernel/paths/paths_test.go
+++ b/kernel/paths/paths_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"croftmoor.dev/kernel/ident"
@@ -30,7 +31,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	counts := map[ident.Service]int{}
 	for range 1000 {
-		counts[route.Service(random)]++
+		counts[route.DrawServices(random)[0]]++
 	}
 	if counts["a"] < 850 || counts["b"] < 50 || counts["c"] != 0 {
 		t.Errorf("requests per service %v, want about 900, 100 and none", counts)
@@ -44,7 +45,7 @@
 	count := func(route Route, service ident.Service) int {
 		n := 0
 		for key := range 1000 {
-			if route.ServiceFor(fmt.Sprint("g", key)) == service {
+			if route.ServicesFor(fmt.Sprint("g", key))[0] == service {
 				n++
 			}
 		}
@@ -65,10 +66,18 @@
 			t.Errorf("%d of 1,000 keys at the first service", n)
 		}
 	})
+	t.Run("each service with a weight stands in the order once", func(t *testing.T) {
+		route := Route{Shares: []Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}, {Service: "a", Weight: 5}}}
+		for key := range 100 {
+			if order := route.ServicesFor(fmt.Sprint("g", key)); len(order) != 2 || !slices.Contains(order, "a") || !slices.Contains(order, "b") {
+				t.Fatalf("order %v, want a and b", order)
+			}
+		}
+	})
 	t.Run("a change of weights moves no other keys", func(t *testing.T) {
 		before, after := split(50, 50), split(30, 50)
 		for key := range 1000 {
-			if name := fmt.Sprint("g", key); before.ServiceFor(name) == "b" && after.ServiceFor(name) != "b" {
+			if name := fmt.Sprint("g", key); before.ServicesFor(name)[0] == "b" && after.ServicesFor(name)[0] != "b" {
 				t.Fatalf("%s moved to the service that lost weight", name)
 			}
 		}
--- a/kernel/terms/terms.go
+++ b/kernel/terms/terms.go
@@ -42,13 +42,57 @@
 // Services returns the services that run the job's items.
 func (t *Terms) Services() []ident.Service { return t.services }
 
-// Service returns the service that runs an item. The items of a group, which share their
-// prompt, run at one service, in whichever job they come.
-func (t *Terms) Service(item jobs.ItemSpec) ident.Service {
+// Ability is what a service can do for a job's items now.
+type Ability int
+
+// Abilities, from the least to the greatest.
+const (
+	// Absent services have no engine that could run the items, now or soon.
+	Absent Ability = iota
+	// Busy services have engines for them, but none with room and the weights that they need.
+	Busy
+	// Free services can run one now.
+	Free
+)
+
+// PreferenceTerm is how long after its acceptance a job's items wait for their own service while
+// that is busy and others are free. A step is late some seconds after it.
+const PreferenceTerm = 3 * clock.Second
+
+// Service returns the service that an item should run at now, by the age of its job and what the
+// services are able to do. The items of a group, which share their prompt, prefer one service,
+// in whichever job they come: a share of the groups by the route's weights. Where that service
+// is absent, or stays busy for PreferenceTerm while another is free, the next in the group's own
+// order takes them.
+func (t *Terms) Service(item jobs.ItemSpec, age clock.Millis, ability func(ident.Service) Ability) ident.Service {
 	if len(t.services) == 1 {
 		return t.services[0]
 	}
-	return t.route.ServiceFor(cmp.Or(string(item.Group), string(item.ID)))
+	order := t.order(item)
+	if age >= PreferenceTerm {
+		for _, service := range order {
+			if ability(service) == Free {
+				return service
+			}
+		}
+	}
+	for _, service := range order {
+		if ability(service) != Absent {
+			return service
+		}
+	}
+	return order[0]
+}
+
+// Preferred returns the service at which an item runs as long as that has engines for it.
+func (t *Terms) Preferred(item jobs.ItemSpec) ident.Service { return t.order(item)[0] }
+
+// order returns the services in the order in which they should run an item.
+func (t *Terms) order(item jobs.ItemSpec) []ident.Service {
+	if len(t.services) == 1 {
+		return t.services
+	}
+	return t.route.ServicesFor(cmp.Or(string(item.Group), string(item.ID)))
 }
 
 // Attempts returns the number of failed runs after which an item is terminated, at least 1.
