--- a/croftmoor/batch/actors.go
+++ b/croftmoor/batch/actors.go
@@ -11,34 +11,38 @@
 )
 
 // silentZonePause is how long after the last heartbeat from an availability zone its
-// engines get no items. A zone without live instances is probably cut off, and its engines
-// would fail each item only after a timeout.
+// engines get no items, unless one of them answers. A zone without live instances may be cut
+// off, and its engines would fail each item only after a timeout.
 const silentZonePause = 10 * clock.Second
 
 // actors maps each engine to its actor, the instance that runs its items. The map costs
 // one hash for each pair of engine and instance, so it is computed again only when the
-// instances, the silent zones or the view of the fleet change.
+// instances, the cut zones or the view of the fleet change.
 type actors struct {
 	view     *fleet.View
 	live     map[ident.InstanceName]ident.Zone
-	silent   map[ident.Zone]bool
+	cut      map[ident.Zone]bool
 	byEngine map[ident.BackendName]ident.InstanceName
 	// dealers caches the dealer of each service; see Runner.dealer.
 	dealers map[ident.Service]ident.InstanceName
 }
 
-// refresh returns the actor of each engine in view, without the engines of silent zones.
-// Instances whose last heartbeat is before since count as gone.
-func (a *actors) refresh(state *jobs.State, view *fleet.View, now, since clock.Millis) map[ident.BackendName]ident.InstanceName {
+// liveZones returns the live instances with their zones. Instances whose last heartbeat is
+// before since count as gone.
+func liveZones(state *jobs.State, since clock.Millis) map[ident.InstanceName]ident.Zone {
 	live := map[ident.InstanceName]ident.Zone{}
 	for _, m := range state.Live(since) {
 		live[m.Name] = m.Zone
 	}
-	silent := silentZones(state, live, now-silentZonePause, since)
-	if a.view == view && maps.Equal(a.live, live) && maps.Equal(a.silent, silent) {
+	return live
+}
+
+// refresh returns the actor of each engine in view, without the engines of the zones in cut.
+func (a *actors) refresh(view *fleet.View, live map[ident.InstanceName]ident.Zone, cut map[ident.Zone]bool) map[ident.BackendName]ident.InstanceName {
+	if a.view == view && maps.Equal(a.live, live) && maps.Equal(a.cut, cut) {
 		return a.byEngine
 	}
-	a.view, a.live, a.silent, a.dealers = view, live, silent, nil
+	a.view, a.live, a.cut, a.dealers = view, live, cut, nil
 	a.byEngine = map[ident.BackendName]ident.InstanceName{}
 	var all []views.Member
 	sameZone := map[ident.Zone][]views.Member{}
@@ -49,7 +53,7 @@
 	}
 	for _, engines := range view.Backends {
 		for _, engine := range engines {
-			if actor := actorFor(engine, sameZone[engine.Zone], all); !silent[engine.Zone] {
+			if actor := actorFor(engine, sameZone[engine.Zone], all); !cut[engine.Zone] {
 				a.byEngine[ident.BackendName(engine.Name)] = actor
 			}
 		}
--- a/croftmoor/batch/anew_test.go
+++ b/croftmoor/batch/anew_test.go
@@ -19,7 +19,8 @@
 	from []int
 }
 
-func (*versionedEngines) Ended(context.Context, fleet.Member) bool { return false }
+func (*versionedEngines) Ended(context.Context, fleet.Member) bool     { return false }
+func (*versionedEngines) Reachable(context.Context, fleet.Member) bool { return false }
 
 func (e *versionedEngines) Run(_ context.Context, _ fleet.Member, _ work.Item, from int) (Events, error) {
 	e.from = append(e.from, from)
--- a/croftmoor/batch/away_test.go
+++ b/croftmoor/batch/away_test.go
@@ -31,7 +31,8 @@
 	begunAt map[ident.Item][]ident.BackendName
 }
 
-func (*blockingEngines) Ended(context.Context, fleet.Member) bool { return false }
+func (*blockingEngines) Ended(context.Context, fleet.Member) bool     { return false }
+func (*blockingEngines) Reachable(context.Context, fleet.Member) bool { return false }
 
 func (e *blockingEngines) Run(ctx context.Context, engine fleet.Member, item work.Item, _ int) (Events, error) {
 	e.mu.Lock()
--- a/croftmoor/batch/back_test.go
+++ b/croftmoor/batch/back_test.go
@@ -26,7 +26,8 @@
 // busyEngines reject every item as Busy.
 type busyEngines struct{}
 
-func (busyEngines) Ended(context.Context, fleet.Member) bool { return false }
+func (busyEngines) Ended(context.Context, fleet.Member) bool     { return false }
+func (busyEngines) Reachable(context.Context, fleet.Member) bool { return false }
 
 func (busyEngines) Run(context.Context, fleet.Member, work.Item, int) (Events, error) {
 	return nil, fault.New("t", Busy, "full")
--- a/croftmoor/batch/batch.go
+++ b/croftmoor/batch/batch.go
@@ -69,6 +69,8 @@
 	Run(ctx context.Context, engine fleet.Member, item work.Item, from int) (Events, error)
 	// Ended reports whether nothing listens at the engine's address any more.
 	Ended(ctx context.Context, engine fleet.Member) bool
+	// Reachable reports whether the engine's machine answers before ctx ends.
+	Reachable(ctx context.Context, engine fleet.Member) bool
 }
 
 // Guard tracks requests that crash servers, as seen by all instances. Items are never such
--- a/croftmoor/batch/move_test.go
+++ b/croftmoor/batch/move_test.go
@@ -108,7 +108,8 @@
 // unusedEngines fails the test when an item is sent to an engine.
 type unusedEngines struct{ t *testing.T }
 
-func (unusedEngines) Ended(context.Context, fleet.Member) bool { return false }
+func (unusedEngines) Ended(context.Context, fleet.Member) bool     { return false }
+func (unusedEngines) Reachable(context.Context, fleet.Member) bool { return false }
 
 func (n unusedEngines) Run(_ context.Context, engine fleet.Member, _ work.Item, _ int) (Events, error) {
 	n.t.Errorf("an item was sent to %s", engine.Name)
--- a/croftmoor/batch/runner.go
+++ b/croftmoor/batch/runner.go
@@ -76,7 +76,9 @@
 	// prefetched are the open jobs whose prefetch is scheduled or done.
 	prefetched map[ident.Job]bool
 	actors     actors
-	starts     engineStarts
+	// probes are those of the zones that are silent now.
+	probes map[ident.Zone]*zoneProbe
+	starts engineStarts
 	// leaving is set once nothing more is claimed, givenBack once all runs are stopped
 	// and yielded as well.
 	leaving   bool
@@ -94,6 +96,7 @@
 	r.standstillLogged = map[ident.Service]clock.Millis{}
 	r.servedAt = map[ident.Service]clock.Millis{}
 	r.prefetched = map[ident.Job]bool{}
+	r.probes = map[ident.Zone]*zoneProbe{}
 	r.wakeups = make(chan struct{}, 1)
 }
 
--- a/croftmoor/batch/survey.go
+++ b/croftmoor/batch/survey.go
@@ -90,7 +90,9 @@
 	for _, job := range open {
 		s.terms[job.Job] = terms.Of(job.Accept, table)
 	}
-	s.actor = r.actors.refresh(state, r.Fleet.View(), r.Clock.Mono(), since)
+	live := liveZones(state, since)
+	cut := r.cutZones(silentZones(state, live, s.now-silentZonePause, since), r.Fleet.View())
+	s.actor = r.actors.refresh(r.Fleet.View(), live, cut)
 	r.addEngines(s, table)
 	s.serving = r.noteServing(s)
 	return s
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -296,6 +296,17 @@
 	return false
 }
 
+// Reachable reports whether the host of address answers a dial, also if it refuses the
+// connection, before ctx ends. It does not keep the connection.
+func (c *Client) Reachable(ctx context.Context, address ident.Address) bool {
+	l, err := c.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	l.finish()
+	return true
+}
+
 // closeIdleOnTimeout closes the idle connections to address if ctx passed its deadline. When a
 // network drops one open connection without a reset, it often drops the others as well, while
 // new connections work.
--- a/kernel/trail/trail.go
+++ b/kernel/trail/trail.go
@@ -41,6 +41,8 @@
 	Standstill Action = "Standstill"
 	// Ended records that a server ended while it ran a request.
 	Ended Action = "Ended"
+	// Probe records what an instance has found out of an availability zone that is silent.
+	Probe Action = "Probe"
 )
 
 // Decision is a decision and its reason.
