--- a/croftmoor/lease/lease.go
+++ b/croftmoor/lease/lease.go
@@ -1,8 +1,8 @@
 // Package lease has one instance at a time hold a role. A role is taken by a record
 // of the ledger that names the hold which it replaces; the record's offset is the
 // fencing number, so that no two holders ever have the same one and later holders
-// have higher ones. A hold needs no renewals of its own: it stands while the holder's
-// signs of life are acknowledged.
+// have higher ones. A hold stands while the holder's signs of life are acknowledged, and its
+// heartbeats tell of it to those that start after the log has dropped its record.
 package lease
 
 import (
@@ -28,6 +28,9 @@
 	Heard() clock.Millis
 	// Since is the time since which a member must have been heard to count as alive.
 	Since() clock.Millis
+	// Gap reports whether the log has dropped records before they were read here, and when that
+	// was last found. It is called within View only.
+	Gap() (at clock.Millis, found bool)
 }
 
 // Decisions takes a line for each decision.
@@ -44,6 +47,9 @@
 	// come before it: one that has just died or is cut off still counts as alive.
 	// Of several that take the role at once the ledger's order decides.
 	turnTerm = 300 * clock.Millis(1)
+	// unknownTerm is how long a role of which nothing was read is left alone after records were
+	// found missing: a holder that lives has told of it by then.
+	unknownTerm = 3 * clock.Second
 )
 
 // Lease is this instance's part in one role. Set the exported fields before use; Hold
@@ -111,7 +117,7 @@
 		s.holding = b.RoleHolders[l.Role]
 		since := l.Ledger.Since()
 		holder := b.Members[s.holding.By]
-		s.vacant = !b.Alive(s.holding.By, since) || holder.Leaving
+		s.vacant = !l.unknown(s.holding) && (!b.Alive(s.holding.By, since) || holder.Leaving)
 		if holder != nil {
 			s.heard = holder.LastHeard
 		}
@@ -124,6 +130,13 @@
 	return s
 }
 
+// unknown tells that the role may have a holder whose record the log has dropped. It is called
+// within View.
+func (l *Lease) unknown(holding jobs.RoleHolder) bool {
+	at, missing := l.Ledger.Gap()
+	return holding.Fence == 0 && missing && l.Clock.Mono()-at < unknownTerm
+}
+
 // take writes a hold of this instance that replaces the one that was seen.
 func (l *Lease) take(ctx context.Context, s state) {
 	callCtx, cancel := context.WithTimeout(ctx, appendTerm.Duration())
--- a/croftmoor/lease/lease_test.go
+++ b/croftmoor/lease/lease_test.go
@@ -26,6 +26,8 @@
 	clock   *clock.Clock
 	silence clock.Millis
 	since   clock.Millis
+	// gap is when records were found missing; 0 is never.
+	gap clock.Millis
 }
 
 func newOne(c *clock.Clock, names ...ident.InstanceName) *oneLedger {
@@ -54,6 +56,7 @@
 func (l *oneLedger) Await(context.Context, ident.Offset) error { return nil }
 func (l *oneLedger) Heard() clock.Millis                       { return l.silence }
 func (l *oneLedger) Since() clock.Millis                       { return l.since }
+func (l *oneLedger) Gap() (clock.Millis, bool)                 { return l.gap, l.gap > 0 }
 
 func wantHeld(t *testing.T, l *Lease, want bool) ident.Fence {
 	t.Helper()
@@ -180,3 +183,34 @@
 		t.Errorf("fence %d after %d, want a higher one", second, first)
 	}
 }
+
+// Guards against a second holder beside one that lives: the log has dropped the record of its hold,
+// and what tells of it otherwise is not read yet.
+func TestRoleOfWhichNothingWasRead(t *testing.T) {
+	c := clock.NewManual(clock.Minute)
+	book := newOne(c, "a~1", "b~1")
+	book.gap = c.Mono()
+	l := &Lease{Role: role, Self: "b~1", Ledger: book, Clock: c, Trail: noDecisions{}}
+	c.Advance(unknownTerm - 1)
+	wantHeld(t, l, false)
+	wantHeld(t, l, false)
+	t.Run("is its holder's once that tells of it", func(t *testing.T) {
+		book.write(jobs.Heartbeat{By: "a~1", Zone: "z", Start: 1, Roles: []jobs.HeldRole{{Role: role, Fence: 7}}})
+		c.Advance(unknownTerm)
+		wantHeld(t, l, false)
+		if by := book.book.RoleHolders[role].By; by != "a~1" {
+			t.Errorf("held by %q, want a~1", by)
+		}
+	})
+	t.Run("is taken if nobody does", func(t *testing.T) {
+		other := newOne(c, "b~1")
+		other.gap = c.Mono()
+		l.Ledger = other
+		c.Advance(unknownTerm)
+		wantHeld(t, l, false)
+		wantHeld(t, l, true)
+	})
+	if unknownTerm < ledger.RoleRenewal+clock.Second {
+		t.Errorf("a role is taken after %d ms, holders tell of theirs each %d ms", unknownTerm, ledger.RoleRenewal)
+	}
+}
--- a/croftmoor/lease/model_test.go
+++ b/croftmoor/lease/model_test.go
@@ -103,6 +103,8 @@
 func (m *member) Heard() clock.Millis { return m.clock.Mono() - m.beaten }
 func (m *member) Since() clock.Millis { return m.clock.Mono() - ledger.DeadAfter }
 
+func (m *member) Gap() (clock.Millis, bool) { return 0, false }
+
 func (m *member) inTouch() bool {
 	return !m.cut && !m.frozen && m.world.clock.Mono()-m.trouble >= touchTerm
 }
--- a/croftmoor/ledger/heartbeat.go
+++ b/croftmoor/ledger/heartbeat.go
@@ -38,6 +38,7 @@
 func (l *Ledger) sendHeartbeat(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout.Duration())
 	defer cancel()
+	sentAt := l.Clock.Mono()
 	offset, err := l.Append(callCtx, l.heartbeat())
 	if err != nil {
 		if ctx.Err() == nil {
@@ -47,6 +48,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.lastHeartbeat = sentAt
 	if l.start == 0 {
 		l.start = offset
 		l.Log.Info().Int64("Offset", int64(offset)).Msg("joined the ledger")
@@ -77,12 +79,13 @@
 }
 
 // waitUntilDue waits until this instance has written no sign of life for a period; other
-// records count as signs of life too. It returns false if ctx ended.
+// records count as signs of life too, but only heartbeats tell who it is and what it holds. It
+// returns false if ctx ended.
 func (l *Ledger) waitUntilDue(ctx context.Context, period clock.Millis) bool {
 	if !l.Clock.Sleep(ctx, period) {
 		return false
 	}
-	for remaining := period - l.Heard(); remaining > 0; remaining = period - l.Heard() {
+	for remaining := l.untilDue(period); remaining > 0; remaining = l.untilDue(period) {
 		if !l.Clock.Sleep(ctx, remaining) {
 			return false
 		}
@@ -90,12 +93,24 @@
 	return true
 }
 
+// untilDue returns how long the next heartbeat may wait.
+func (l *Ledger) untilDue(period clock.Millis) clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	renewal := max(MemberRenewal, period)
+	if len(l.state.RolesOf(l.Self)) > 0 {
+		renewal = max(RoleRenewal, period)
+	}
+	now := l.Clock.Mono()
+	return min(period-(now-l.lastSignOfLife), renewal-(now-l.lastHeartbeat))
+}
+
 func (l *Ledger) canAct() bool { return l.CanAct == nil || l.CanAct() }
 
 func (l *Ledger) heartbeat() jobs.Heartbeat {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return jobs.Heartbeat{By: l.Self, Zone: l.Zone, Address: l.Address, Leaving: l.leaving || !l.caughtUp || l.start == 0 || !l.canAct(), Start: l.start}
+	return jobs.Heartbeat{By: l.Self, Zone: l.Zone, Address: l.Address, Leaving: l.leaving || !l.caughtUp || l.start == 0 || !l.canAct(), Start: l.start, Roles: l.state.RolesOf(l.Self)}
 }
 
 // Leave announces to other instances that this one accepts no more work.
--- a/croftmoor/ledger/ledger.go
+++ b/croftmoor/ledger/ledger.go
@@ -29,6 +29,11 @@
 	// an instance: about three heartbeats are overdue. A shorter time repeats runs of live
 	// instances, a longer one delays the step.
 	QuietAfter = 1200 * clock.Millis(1)
+	// MemberRenewal is how long an instance that writes other records may send no heartbeat, and
+	// RoleRenewal the same for one that holds a role: the log drops old records, and who starts
+	// later must learn from the rest who lives and holds what.
+	MemberRenewal = 10 * clock.Second
+	RoleRenewal   = 2 * clock.Second
 	// readWait is how long a read waits for new records, and so the longest time between
 	// two responses. readTimeout is when a read without a response has failed.
 	readWait    = 500 * clock.Millis(1)
@@ -102,6 +107,7 @@
 	caughtUp       bool
 	unreachable    bool
 	lastSignOfLife clock.Millis
+	lastHeartbeat  clock.Millis
 	leaving        bool
 	// start is that of this instance's heartbeats.
 	start ident.Offset
--- a/croftmoor/ledger/ledger_test.go
+++ b/croftmoor/ledger/ledger_test.go
@@ -161,3 +161,30 @@
 		}
 	})
 }
+
+// Guards against an instance of which the log keeps no heartbeat, since it writes other records all
+// the time: who starts later knows neither its zone nor what it holds.
+func TestHeartbeatsBesideOtherRecords(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		holds   bool
+		renewal clock.Millis
+	}{{"a holder", true, RoleRenewal}, {"any other", false, MemberRenewal}} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newLedger()
+			l.Clock = clock.NewManual(clock.Minute)
+			l.apply(batch(1, 2, jobs.Hold{Role: "r", By: map[bool]ident.InstanceName{true: l.Self, false: "b~1"}[tc.holds]}))
+			l.sendHeartbeat(t.Context())
+			for waited := clock.Millis(0); waited < tc.renewal; waited += heartbeatPeriod / 2 {
+				if due := l.untilDue(heartbeatPeriod); due <= 0 {
+					t.Fatalf("a heartbeat is due after %d ms, want %d", waited, tc.renewal)
+				}
+				l.Clock.Advance(heartbeatPeriod / 2)
+				_, _ = l.Append(t.Context(), jobs.Finish{By: l.Self})
+			}
+			if due := l.untilDue(heartbeatPeriod); due > 0 {
+				t.Errorf("no heartbeat is due for %d ms more, after %d without one", due, tc.renewal)
+			}
+		})
+	}
+}
--- a/croftmoor/scaler/scaler.go
+++ b/croftmoor/scaler/scaler.go
@@ -61,6 +61,7 @@
 	Fresh() bool
 	Heard() clock.Millis
 	Since() clock.Millis
+	Gap() (at clock.Millis, found bool)
 }
 
 // Decisions takes a line for each decision.
--- a/croftmoor/scaler/scaler_test.go
+++ b/croftmoor/scaler/scaler_test.go
@@ -42,6 +42,7 @@
 func (l *oneLedger) Fresh() bool                               { return true }
 func (l *oneLedger) Heard() clock.Millis                       { return l.silence }
 func (l *oneLedger) Since() clock.Millis                       { return 0 }
+func (l *oneLedger) Gap() (clock.Millis, bool)                 { return 0, false }
 
 // cloud holds spot engines by zone, starts what is ordered after a time, and refuses
 // orders for zones that are dry.
--- a/croftmoor/swaps/hold_test.go
+++ b/croftmoor/swaps/hold_test.go
@@ -38,6 +38,7 @@
 func (l *bookLedger) Fresh() bool                               { return true }
 func (l *bookLedger) Heard() clock.Millis                       { return l.silence }
 func (l *bookLedger) Since() clock.Millis                       { return -clock.Second }
+func (l *bookLedger) Gap() (clock.Millis, bool)                 { return 0, false }
 
 // lone is an engine service with two models of which newer versions were named,
 // kept by one instance whose ledger applies what it appends at once.
--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -84,6 +84,7 @@
 	Fresh() bool
 	Heard() clock.Millis
 	Since() clock.Millis
+	Gap() (at clock.Millis, found bool)
 }
 
 const (
--- a/kernel/jobs/codec.go
+++ b/kernel/jobs/codec.go
@@ -35,6 +35,11 @@
 		w.flag(v.Leaving)
 		w.text(string(v.Address))
 		w.int(int64(v.Start))
+		w.length(len(v.Roles))
+		for _, held := range v.Roles {
+			w.text(held.Role)
+			w.int(int64(held.Fence))
+		}
 	case Hold:
 		w.text(v.Role)
 		w.text(string(v.By))
--- a/kernel/jobs/decode.go
+++ b/kernel/jobs/decode.go
@@ -59,6 +59,19 @@
 	return r.int()
 }
 
+// optionalRoles is the same for the roles of a heartbeat.
+func (r *reader) optionalRoles() []HeldRole {
+	if _, err := r.decoder.PeekCode(); err != nil {
+		return nil
+	}
+	n := r.length()
+	var roles []HeldRole
+	for range n {
+		roles = append(roles, HeldRole{Role: r.text(), Fence: ident.Fence(r.int())})
+	}
+	return roles
+}
+
 func (r *reader) int() int64 {
 	if r.err != nil {
 		return 0
@@ -150,7 +163,7 @@
 	case heartbeatKind:
 		return Heartbeat{
 			By: ident.InstanceName(r.text()), Zone: ident.Zone(r.text()), Leaving: r.flag(), Address: ident.Address(r.text()),
-			Start: ident.Offset(r.optionalInt()),
+			Start: ident.Offset(r.optionalInt()), Roles: r.optionalRoles(),
 		}
 	case holdKind:
 		return Hold{Role: r.text(), By: ident.InstanceName(r.text()), Replaces: ident.Offset(r.int())}
--- a/kernel/jobs/jobs_test.go
+++ b/kernel/jobs/jobs_test.go
@@ -48,6 +48,7 @@
 		SavePartial{Job: "j", By: "i", Index: 1, Partial: partial},
 		Finish{Job: "j", By: "i", Index: 1, Outcome: Completed, Versions: []ident.Version{3}, Score: "s", Texts: partial.Texts, Events: 7, Timing: timing},
 		End{Job: "j"}, Heartbeat{By: "i", Zone: "z", Leaving: true, Address: "1.2.3.4:5"}, Heartbeat{By: "i", Zone: "z", Start: 9},
+		Heartbeat{By: "i", Zone: "z", Start: 9, Roles: []HeldRole{{Role: "r", Fence: 5}, {Role: "q", Fence: 7}}},
 		Hold{Role: "r", By: "i", Replaces: 5}, LoadOrder{Role: "r", Fence: 5, Engine: "e", Model: "m", Version: 6},
 		LoadOrder{Role: "r", Fence: 5, Engine: "e", Model: "m", Version: 6, Within: 7}, OrderSettled{Engine: "e", Order: 8},
 		Loaded{Engine: "e", Model: "m", Version: 6}, Avoid{By: "i", Engine: "e", Millis: 7}, Defer{Job: "j", By: "i", Index: 2, Millis: 7},
--- a/kernel/jobs/member.go
+++ b/kernel/jobs/member.go
@@ -1,6 +1,9 @@
 package jobs
 
 import (
+	"cmp"
+	"slices"
+
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/ident"
 )
@@ -13,6 +16,27 @@
 		m.Start = r.Start
 		s.supersede(m)
 	}
+	if m.Superseded {
+		return
+	}
+	for _, held := range r.Roles {
+		// A reader that has read all holds knows this one or a later one.
+		if held.Fence > s.RoleHolders[held.Role].Fence {
+			s.RoleHolders[held.Role] = RoleHolder{By: r.By, Fence: held.Fence}
+		}
+	}
+}
+
+// RolesOf returns the roles that an instance holds, by name.
+func (s *State) RolesOf(name ident.InstanceName) []HeldRole {
+	var roles []HeldRole
+	for role, holder := range s.RoleHolders {
+		if holder.By == name {
+			roles = append(roles, HeldRole{Role: role, Fence: holder.Fence})
+		}
+	}
+	slices.SortFunc(roles, func(a, b HeldRole) int { return cmp.Compare(a.Role, b.Role) })
+	return roles
 }
 
 // IsSignOfLife reports whether a record proves that the instance that wrote it is alive.
--- a/kernel/jobs/record.go
+++ b/kernel/jobs/record.go
@@ -212,6 +212,15 @@
 	// are appended. It is 0 until a record was acknowledged; such a start neither supersedes
 	// others nor is superseded.
 	Start ident.Offset
+	// Roles are those that the instance holds. They tell them to readers for which the log has
+	// dropped the Hold.
+	Roles []HeldRole
+}
+
+// HeldRole is a role with the fencing token under which its holder acts.
+type HeldRole struct {
+	Role  string
+	Fence ident.Fence
 }
 
 // Hold makes an instance the holder of a role, provided that Replaces is the offset of
