--- a/croftmoor/ledger/ledger.go
+++ b/croftmoor/ledger/ledger.go
@@ -29,11 +29,11 @@
 	// an instance: about three heartbeats are overdue. A shorter time repeats runs of live
 	// instances, a longer one delays the step.
 	QuietAfter = 1200 * clock.Millis(1)
-	// MemberRenewal is how long an instance that writes other records may send no heartbeat, and
-	// RoleRenewal the same for one that holds a role: the log drops old records, and who starts
-	// later must learn from the rest who lives and holds what.
+	// MemberRenewal is how long an instance that writes other records may send no heartbeat: the
+	// log drops old records, and who starts later must learn from the rest who lives.
 	MemberRenewal = 10 * clock.Second
-	RoleRenewal   = 2 * clock.Second
+	// RoleRenewal is the same for an instance that holds a role.
+	RoleRenewal = 2 * clock.Second
 	// readWait is how long a read waits for new records, and so the longest time between
 	// two responses. readTimeout is when a read without a response has failed.
 	readWait    = 500 * clock.Millis(1)
--- a/croftmoor/scaler/scaler.go
+++ b/croftmoor/scaler/scaler.go
@@ -55,13 +55,8 @@
 
 // Ledger is the shared state as this package uses it.
 type Ledger interface {
-	View(look func(*jobs.State))
-	Append(ctx context.Context, records ...jobs.Record) (ident.Offset, error)
-	Await(ctx context.Context, next ident.Offset) error
+	lease.Ledger
 	Fresh() bool
-	Heard() clock.Millis
-	Since() clock.Millis
-	Gap() (at clock.Millis, found bool)
 }
 
 // Decisions takes a line for each decision.
--- a/croftmoor/swaps/swaps.go
+++ b/croftmoor/swaps/swaps.go
@@ -78,13 +78,8 @@
 
 // Ledger is the shared state as this package uses it.
 type Ledger interface {
-	View(look func(*jobs.State))
-	Append(ctx context.Context, records ...jobs.Record) (ident.Offset, error)
-	Await(ctx context.Context, next ident.Offset) error
+	lease.Ledger
 	Fresh() bool
-	Heard() clock.Millis
-	Since() clock.Millis
-	Gap() (at clock.Millis, found bool)
 }
 
 const (
--- a/croftmoor/usage/usage.go
+++ b/croftmoor/usage/usage.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 
+	"croftmoor.dev/croftmoor/lease"
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/ident"
@@ -46,17 +47,10 @@
 
 // Ledger is the shared state as this package uses it.
 type Ledger interface {
-	View(look func(*jobs.State))
-	Append(ctx context.Context, records ...jobs.Record) (ident.Offset, error)
-	Await(ctx context.Context, next ident.Offset) error
+	lease.Ledger
 	Fresh() bool
-	Heard() clock.Millis
-	Since() clock.Millis
 	// Steady is for how long the log has answered without a gap.
 	Steady() clock.Millis
-	// Gap tells whether records were dropped before they were read, and when that was
-	// last found.
-	Gap() (at clock.Millis, found bool)
 }
 
 // Wall tells true time.
--- a/kernel/jobs/member.go
+++ b/kernel/jobs/member.go
@@ -1,9 +1,6 @@
 package jobs
 
 import (
-	"cmp"
-	"slices"
-
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/ident"
 )
@@ -16,27 +13,9 @@
 		m.Start = r.Start
 		s.supersede(m)
 	}
-	if m.Superseded {
-		return
-	}
-	for _, held := range r.Roles {
-		// A reader that has read all holds knows this one or a later one.
-		if held.Fence > s.RoleHolders[held.Role].Fence {
-			s.RoleHolders[held.Role] = RoleHolder{By: r.By, Fence: held.Fence}
-		}
-	}
-}
-
-// RolesOf returns the roles that an instance holds, by name.
-func (s *State) RolesOf(name ident.InstanceName) []HeldRole {
-	var roles []HeldRole
-	for role, holder := range s.RoleHolders {
-		if holder.By == name {
-			roles = append(roles, HeldRole{Role: role, Fence: holder.Fence})
-		}
+	if !m.Superseded {
+		s.adoptRoles(r)
 	}
-	slices.SortFunc(roles, func(a, b HeldRole) int { return cmp.Compare(a.Role, b.Role) })
-	return roles
 }
 
 // IsSignOfLife reports whether a record proves that the instance that wrote it is alive.
@@ -132,13 +111,3 @@
 		m.LastHeard += span
 	}
 }
-
-// hold makes the writer the holder of a role. A superseded start takes none: it has ended, and
-// its record was appended late.
-func (s *State) hold(offset ident.Offset, h Hold, now clock.Millis) {
-	s.markHeard(h.By, now)
-	if s.Members[h.By].Superseded || ident.Offset(s.RoleHolders[h.Role].Fence) != h.Replaces {
-		return
-	}
-	s.RoleHolders[h.Role] = RoleHolder{By: h.By, Fence: ident.Fence(offset)}
-}
