--- a/croftmoor/batch/meter.go
+++ b/croftmoor/batch/meter.go
@@ -167,9 +167,8 @@
 }
 
 // fastestOtherPace returns the shortest expected time of an event, in milliseconds, at
-// another engine that could continue the item, of the service at which it runs; 0 if there is
-// none. only is the version that
-// the text takes, or 0.
+// another engine, of the service at which the item runs, that could continue it; 0 if there is
+// none. only is the version that the text takes, or 0.
 func (r *Runner) fastestOtherPace(state *jobs.State, c claimed, of terms.Terms, only ident.Version) float64 {
 	service := of.Preferred(c.item.ItemSpec)
 	if engine, listed := r.engineOf(c); listed && slices.Contains(of.Services(), engine.Service) {
--- a/croftmoor/ledger/heartbeat.go
+++ b/croftmoor/ledger/heartbeat.go
@@ -63,8 +63,8 @@
 	return l.start
 }
 
-// Superseded returns a channel that is closed once the state shows that this instance has
-// started later under another name. The others then take this start for ended.
+// Superseded returns a channel that is closed once the state shows a later start of this
+// instance. The others then take this one for ended.
 func (l *Ledger) Superseded() <-chan struct{} { return l.superseded }
 
 // noteSuperseded closes the channel of Superseded. The caller holds mu.
@@ -110,7 +110,10 @@
 func (l *Ledger) heartbeat() jobs.Heartbeat {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return jobs.Heartbeat{By: l.Self, Zone: l.Zone, Address: l.Address, Leaving: l.leaving || !l.caughtUp || l.start == 0 || !l.canAct(), Start: l.start, Roles: l.state.RolesOf(l.Self)}
+	return jobs.Heartbeat{
+		By: l.Self, Zone: l.Zone, Address: l.Address, Start: l.start, Roles: l.state.RolesOf(l.Self),
+		Leaving: l.leaving || !l.caughtUp || l.start == 0 || !l.canAct(),
+	}
 }
 
 // Leave announces to other instances that this one accepts no more work.
