Connections of callers are bounded from their first byte on

What callers saw: an instance before 300 callers with heads without end took 240 to 383 MB of its 96 and was killed where limits are enforced; before 600 connections that send little or stay open it had up to 685 descriptors where its settings allow 200 sockets, so that store, engines and new callers were out of reach.

Cause: nothing counted a connection until its head had been read. net/http takes 1 MB a head on each port; MaxFds, HeaderTimeoutMs and IdleTimeoutMs were not read; the kernel kept 110 KB and more unread for each socket.

Lines are bounded to 20 a second; counter and gauges tell the rest.

--- a/croftmoor/metric/metric.go
+++ b/croftmoor/metric/metric.go
@@ -35,6 +35,7 @@
 	pages    *prometheus.HistogramVec
 	texts    prometheus.Counter
 	vain     *prometheus.HistogramVec
+	givenUp  *prometheus.CounterVec
 }
 
 // New returns a set with all metrics registered.
@@ -95,11 +96,14 @@
 			Name: "croftmoor_store_unanswered_seconds", Help: "Time after which calls to the platform's store ended without an answer, of those that took a second or more, by call.",
 			Buckets: prometheus.LinearBuckets(1, 0.5, 14),
 		}, []string{"call"}),
+		givenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "croftmoor_connections_given_up_total", Help: "Connections of callers that were closed for others' sake, by reason.",
+		}, []string{"reason"}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "croftmoor_log_lines_dropped_total", Help: "Log lines that no reader took in time.",
 		}),
 	}
-	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.windows, s.ends, s.skipped, s.dropped, s.rate, s.waiting, s.noRoom, s.saved, s.asks, s.pages, s.texts, s.vain, collectors.NewGoCollector(),
+	s.registry.MustRegister(s.refused, s.served, s.handed, s.stored, s.bytes, s.items, s.windows, s.ends, s.skipped, s.dropped, s.rate, s.waiting, s.noRoom, s.saved, s.asks, s.pages, s.texts, s.vain, s.givenUp, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
@@ -119,6 +123,11 @@
 	s.refused.WithLabelValues(kind).Inc()
 }
 
+// GivenUp counts a connection that was closed for others' sake.
+func (s *Set) GivenUp(reason string) {
+	s.givenUp.WithLabelValues(reason).Inc()
+}
+
 // Served notes the time of a request.
 func (s *Set) Served(service string, ok bool, took clock.Millis) {
 	s.served.WithLabelValues(service, strconv.FormatBool(ok)).Observe(took.Duration().Seconds())
--- a/kernel/paths/paths.go
+++ b/kernel/paths/paths.go
@@ -77,10 +77,13 @@
 	Scaling *scale.Limits
 }
 
-// Limits bounds the size of callers' requests.
+// Limits bounds callers' requests and connections; 0 is no limit.
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	// HeaderTimeout is how long a header may take, IdleTimeout how long a connection may be idle.
+	HeaderTimeout clock.Millis
+	IdleTimeout   clock.Millis
 }
 
 // Table is one version of the routing table. It is immutable once in use.
--- a/kernel/trail/trail.go
+++ b/kernel/trail/trail.go
@@ -68,6 +68,9 @@
 	sampleInterval = 16
 )
 
+// boundedPerSecond is the number of lines of AddBounded in a second.
+const boundedPerSecond = 20
+
 // Trail writes decisions to Log and keeps recent ones in memory. Set Log and Clock before
 // use. Ids are divided into shards, each with its own lock.
 type Trail struct {
@@ -77,8 +80,9 @@
 	// sampleInterval is written; 0 writes all. Refusals and standstills are always written.
 	SampleAbove int64
 
-	rate   rate
-	shards [shards]shard
+	rate    rate
+	bounded bounded
+	shards  [shards]shard
 }
 
 type shard struct {
@@ -96,6 +100,33 @@
 	count  int64
 }
 
+// bounded counts the decisions of AddBounded in the current second, and those that were not written
+// since the last one that was; mu guards the fields.
+type bounded struct {
+	mu     sync.Mutex
+	second clock.Millis
+	count  int
+	missed int
+}
+
+// AddBounded is Add for decisions whose number callers set: of more than boundedPerSecond only the
+// number is written, with the next one.
+func (t *Trail) AddBounded(d Decision) {
+	d.At = t.Clock.Now()
+	t.remember(d)
+	t.bounded.mu.Lock()
+	defer t.bounded.mu.Unlock()
+	if second := d.At / clock.Second; second != t.bounded.second {
+		t.bounded.second, t.bounded.count = second, 0
+	}
+	if t.bounded.count++; t.bounded.count > boundedPerSecond {
+		t.bounded.missed++
+		return
+	}
+	t.write(d, t.bounded.missed)
+	t.bounded.missed = 0
+}
+
 // Add sets the decision's time, keeps it in memory, and writes it unless it is sampled out.
 func (t *Trail) Add(d Decision) {
 	d.At = t.Clock.Now()
@@ -103,8 +134,17 @@
 	if !t.shouldLog(d) {
 		return
 	}
-	t.Log.Info().Str("ID", d.ID).Str("Action", string(d.Action)).Str("Choice", d.Choice).
-		Str("RunnerUp", d.RunnerUp).Str("Reason", d.Reason).Msg("decision")
+	t.write(d, 0)
+}
+
+// write writes a decision, and how many like it were not written before it.
+func (t *Trail) write(d Decision, missed int) {
+	line := t.Log.Info().Str("ID", d.ID).Str("Action", string(d.Action)).Str("Choice", d.Choice).
+		Str("RunnerUp", d.RunnerUp).Str("Reason", d.Reason)
+	if missed > 0 {
+		line = line.Int("Unwritten", missed)
+	}
+	line.Msg("decision")
 }
 
 // shouldLog reports whether a decision is written. It counts the decision towards
