--- a/croftmoor/calls/guard.go
+++ b/croftmoor/calls/guard.go
@@ -8,6 +8,7 @@
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/poison"
+	"croftmoor.dev/kernel/rope"
 	"croftmoor.dev/kernel/trail"
 )
 
@@ -29,7 +30,7 @@
 // fingerprint identifies calls with the same service, method, path and body. A
 // service belongs to one team, so calls of different teams never share a fingerprint.
 func (r *Request) fingerprint() poison.Fingerprint {
-	return poison.Subject{Host: string(r.Service.Name), Method: r.Method, Target: r.Path, Body: r.Body}.Fingerprint()
+	return poison.Subject{Host: string(r.Service.Name), Method: r.Method, Target: r.Path, Body: rope.Of(r.Body)}.Fingerprint()
 }
 
 // checkGuard returns a NotRun error if the guard holds the call because servers
--- a/croftmoor/conns/conn.go
+++ b/croftmoor/conns/conn.go
@@ -96,7 +96,7 @@
 		return false
 	}
 	c.charge(int64(headFactor * n))
-	for l.bytes > l.MaxBytes {
+	for l.overMemory(0) {
 		victim := l.victim(now, c)
 		if victim == nil {
 			break
--- a/croftmoor/conns/conns.go
+++ b/croftmoor/conns/conns.go
@@ -59,7 +59,7 @@
 	net.Listener
 	Clock *clock.Clock
 	// MaxConns bounds the connections, MaxBytes the memory that they take until their requests
-	// are served.
+	// are served; 0 is no limit.
 	MaxConns int
 	MaxBytes int64
 	// Limits returns the limits in force.
@@ -116,7 +116,7 @@
 	if l.conns == nil {
 		l.conns = map[*Conn]struct{}{}
 	}
-	for len(l.conns) >= l.MaxConns || l.bytes+connBytes > l.MaxBytes {
+	for l.full(connBytes) {
 		victim := l.victim(now, nil)
 		if victim == nil {
 			return nil, false
@@ -128,6 +128,14 @@
 	return c, true
 }
 
+// full reports whether there is no room for a connection that takes so much memory. The caller holds
+// mu.
+func (l *Listener) full(bytes int64) bool {
+	return l.MaxConns > 0 && len(l.conns) >= l.MaxConns || l.overMemory(bytes)
+}
+
+func (l *Listener) overMemory(bytes int64) bool { return l.MaxBytes > 0 && l.bytes+bytes > l.MaxBytes }
+
 // victim returns the connection to be closed first, but for one, or nil if none may be. While a
 // request is served its connection is closed only if its caller has sent on without an answer, and
 // no other can be. The caller holds mu.
--- a/croftmoor/proxy/harm_test.go
+++ b/croftmoor/proxy/harm_test.go
@@ -15,6 +15,7 @@
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/paths"
 	"croftmoor.dev/kernel/poison"
+	"croftmoor.dev/kernel/rope"
 )
 
 // fakeGuard records the calls of the guard's methods and holds requests while left is set.
@@ -79,7 +80,7 @@
 func call(t *testing.T, p *Proxy, id string, attempts int) error {
 	t.Helper()
 	_, err := p.Do(t.Context(), Request{
-		ID: ident.RequestID(id), Method: http.MethodPost, Target: "/x", Body: []byte("b"), Deadline: p.Clock.Mono() + clock.Second,
+		ID: ident.RequestID(id), Method: http.MethodPost, Target: "/x", Body: rope.Of([]byte("b")), Deadline: p.Clock.Mono() + clock.Second,
 		Route: paths.Route{Kind: paths.Repeatable, MaxAttempts: attempts, Shares: []paths.Share{{Service: "plain", Weight: 1}}},
 	})
 	return err
--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/paths"
 	"croftmoor.dev/kernel/poison"
+	"croftmoor.dev/kernel/rope"
 	"croftmoor.dev/kernel/route"
 	"croftmoor.dev/kernel/trail"
 )
@@ -51,7 +52,7 @@
 	Method  string
 	Target  string
 	Headers []httpc.Header
-	Body    []byte
+	Body    rope.Rope
 	// Organisation is the caller's organisation; empty if it has none.
 	Organisation ident.Organisation
 	// Internal is true for calls of the system itself, on behalf of items. Where capacity is
@@ -286,7 +287,7 @@
 		defer server.OnRestart(cancel)()
 	}
 	call := &httpc.Call{
-		Address: server.Address(), Method: r.Method, Path: r.Target, Body: r.Body, FreshConn: !repeatable,
+		Address: server.Address(), Method: r.Method, Path: r.Target, LongBody: r.Body, FreshConn: !repeatable,
 		Headers: p.Protocol.Headers(&r, server.Name, left),
 		Accept:  func(a *httpc.Answer) bool { return p.Protocol.Own(&r, a) },
 	}
--- a/croftmoor/proxy/stream.go
+++ b/croftmoor/proxy/stream.go
@@ -150,7 +150,7 @@
 		headers = p.Protocol.Resume(headers, s.lastID)
 	}
 	return &httpc.Call{
-		Address: server.Address(), Method: r.Method, Path: r.Target, Body: r.Body, Headers: headers,
+		Address: server.Address(), Method: r.Method, Path: r.Target, LongBody: r.Body, Headers: headers,
 		FreshConn: r.Route.Kind != paths.Repeatable && !r.Route.Resumable,
 		Accept:    func(a *httpc.Answer) bool { return p.Protocol.Own(&r, a) },
 	}
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -21,6 +21,7 @@
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/gone"
 	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/rope"
 )
 
 // Kind classifies the errors of this package.
@@ -49,7 +50,9 @@
 	Method  string
 	Path    string
 	Headers []Header
-	Body    []byte
+	// Body is what is sent, LongBody if there is no Body.
+	Body     []byte
+	LongBody rope.Rope
 	// FreshConn demands a new connection, which is closed after the response. Requests that
 	// must not be sent twice need it: if a reused connection closes, the client cannot know
 	// whether the server ran the request.
@@ -66,7 +69,9 @@
 type Answer struct {
 	Status  int
 	Headers []Header
-	Body    []byte
+	// Body is what is sent, LongBody if there is no Body.
+	Body     []byte
+	LongBody rope.Rope
 	// Resent reports whether the call was sent before on a reused connection that broke. The
 	// server may have run that one, whatever it responded to this one.
 	Resent bool
@@ -358,7 +363,14 @@
 	for _, h := range call.Headers {
 		request.Header.Set(h.Name, h.Value)
 	}
-	request.SetBodyRaw(call.Body)
+	switch {
+	case call.Body != nil:
+		request.SetBodyRaw(call.Body)
+	case call.LongBody.Segments() <= 1:
+		request.SetBodyRaw(call.LongBody.Bytes())
+	default:
+		request.SetBodyStream(&rope.Reader{Rope: &call.LongBody}, call.LongBody.Len())
+	}
 	writer := bufio.NewWriter(l)
 	err := request.Write(writer)
 	if err == nil {
--- a/kernel/poison/print.go
+++ b/kernel/poison/print.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 
 	"croftmoor.dev/kernel/ident"
+	"croftmoor.dev/kernel/rope"
 )
 
 // Fingerprint identifies requests with equal content, in hex. Request ids do not serve,
@@ -27,7 +28,7 @@
 	Host         string
 	Method       string
 	Target       string
-	Body         []byte
+	Body         rope.Rope
 }
 
 // Fingerprint returns the truncated SHA-256 hash of the subject in hex.
@@ -38,6 +39,6 @@
 		_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
 		_, _ = hash.Write([]byte(part))
 	}
-	_, _ = hash.Write(s.Body)
+	_, _ = s.Body.WriteTo(hash)
 	return Fingerprint(hex.EncodeToString(hash.Sum(nil)[:fingerprintBytes]))
 }
--- a/kernel/poison/print_test.go
+++ b/kernel/poison/print_test.go
@@ -1,9 +1,13 @@
 package poison
 
-import "testing"
+import (
+	"testing"
+
+	"croftmoor.dev/kernel/rope"
+)
 
 func TestFingerprint(t *testing.T) {
-	subject := Subject{Organisation: "o", Host: "h", Method: "POST", Target: "/a?b", Body: []byte("x")}
+	subject := Subject{Organisation: "o", Host: "h", Method: "POST", Target: "/a?b", Body: rope.Of([]byte("x"))}
 	wantSame := func(t *testing.T, other Subject, same bool) {
 		t.Helper()
 		if got := subject.Fingerprint() == other.Fingerprint(); got != same {
@@ -16,8 +20,8 @@
 		"host":                                   func(s *Subject) { s.Host = "i" },
 		"method":                                 func(s *Subject) { s.Method = "PUT" },
 		"target":                                 func(s *Subject) { s.Target = "/a?c" },
-		"body":                                   func(s *Subject) { s.Body = []byte("y") },
-		"a byte moved from one part to the next": func(s *Subject) { s.Target, s.Body = "/a?bx", nil },
+		"body":                                   func(s *Subject) { s.Body = rope.Of([]byte("y")) },
+		"a byte moved from one part to the next": func(s *Subject) { s.Target, s.Body = "/a?bx", rope.Rope{} },
 	}
 	for name, change := range changes {
 		t.Run("another "+name+" has another", func(t *testing.T) {
