--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -287,7 +287,7 @@
 		defer server.OnRestart(cancel)()
 	}
 	call := &httpc.Call{
-		Address: server.Address(), Method: r.Method, Path: r.Target, LongBody: r.Body, FreshConn: !repeatable,
+		Address: server.Address(), Method: r.Method, Path: r.Target, LongBody: r.Body, InSegments: true, FreshConn: !repeatable,
 		Headers: p.Protocol.Headers(&r, server.Name, left),
 		Accept:  func(a *httpc.Answer) bool { return p.Protocol.Own(&r, a) },
 	}
--- a/kernel/admit/memory.go
+++ b/kernel/admit/memory.go
@@ -204,6 +204,19 @@
 	r.add(size - r.size)
 }
 
+// Fit sets the reservation to the size of a response that was received. It returns false, and leaves
+// the reservation as it is, if that is not small and there is no room.
+func (r *Reservation) Fit(size int64) bool {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	more := size - r.size
+	if size > alwaysAllowedBytes && more > 0 && !r.budget.allowsAnswer(r, more) {
+		return false
+	}
+	r.add(more)
+	return true
+}
+
 // Release gives the reserved memory back.
 func (r *Reservation) Release() {
 	r.Received()
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -57,6 +57,8 @@
 	// must not be sent twice need it: if a reused connection closes, the client cannot know
 	// whether the server ran the request.
 	FreshConn bool
+	// InSegments has the body of the response returned as LongBody, which is not copied.
+	InSegments bool
 	// MaxBytes bounds the body that Do reads; 0 means Client.MaxAnswerBytes.
 	MaxBytes int
 	// Accept reports whether a response belongs to this call; nil accepts every response. If
@@ -69,7 +71,7 @@
 type Answer struct {
 	Status  int
 	Headers []Header
-	// Body is what is sent, LongBody if there is no Body.
+	// Body is the body; LongBody is, if the call asked for segments.
 	Body     []byte
 	LongBody rope.Rope
 	// Resent reports whether the call was sent before on a reused connection that broke. The
@@ -343,13 +345,18 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := stream.ReadAll()
+	answer := &Answer{Status: stream.Status, Headers: stream.Headers}
+	if call.InSegments {
+		answer.LongBody, err = stream.readRope()
+	} else {
+		answer.Body, err = stream.ReadAll()
+	}
 	if err != nil {
 		stream.stop()
 		return nil, err
 	}
 	stream.Close()
-	return &Answer{Status: stream.Status, Headers: stream.Headers, Body: body}, nil
+	return answer, nil
 }
 
 func send(call *Call, l *link) error {
--- a/kernel/httpc/memory.go
+++ b/kernel/httpc/memory.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/rope"
 )
 
 // errTooLong is in the chain of the error of an exchange whose response is longer than it may
@@ -175,6 +176,16 @@
 	return whole
 }
 
+// rope returns all that was added, without a copy: the collector keeps nothing of it.
+func (c *collector) rope() rope.Rope {
+	body := rope.Of(c.small)
+	for _, segment := range c.large {
+		body.Append(*segment)
+	}
+	c.large = nil
+	return body
+}
+
 // release gives the segments back.
 func (c *collector) release() {
 	for _, segment := range c.large {
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/rope"
 )
 
 // Stream is a response whose body is read as it arrives. Close must be called.
@@ -102,10 +103,29 @@
 // ReadAll reads the rest of the body, whose length is bounded by Client.MaxAnswerBytes or
 // Call.MaxBytes. The stream is complete then; after an error, of kind Lost, it is closed.
 func (s *Stream) ReadAll() ([]byte, error) {
-	collected := collector{link: s.link, limit: cmp.Or(s.call.MaxBytes, s.client.MaxAnswerBytes, defaultAnswerBytes)}
+	collected, err := s.collect()
 	defer collected.release()
+	if err != nil {
+		return nil, err
+	}
+	return collected.body(), nil
+}
+
+// readRope is ReadAll without a copy of the body.
+func (s *Stream) readRope() (rope.Rope, error) {
+	collected, err := s.collect()
+	defer collected.release()
+	if err != nil {
+		return rope.Rope{}, err
+	}
+	return collected.rope(), nil
+}
+
+// collect reads the rest of the body. The caller must release what it returns.
+func (s *Stream) collect() (*collector, error) {
+	collected := &collector{link: s.link, limit: cmp.Or(s.call.MaxBytes, s.client.MaxAnswerBytes, defaultAnswerBytes)}
 	if s.length() > collected.limit {
-		return nil, lostError(s.call, s.link, errTooLong)
+		return collected, lostError(s.call, s.link, errTooLong)
 	}
 	for {
 		part, err := s.nextPart()
@@ -114,10 +134,10 @@
 		}
 		if errors.Is(err, io.EOF) {
 			s.MarkComplete()
-			return collected.body(), nil
+			return collected, nil
 		}
 		if err != nil {
-			return nil, lostError(s.call, s.link, err)
+			return collected, lostError(s.call, s.link, err)
 		}
 	}
 }
