Lint: tests of ropes and of arriving requests in smaller functions

The linter found an error compared with != and two test functions that were too long; they are split, their checks are the same. make lint is clean.

--- a/croftmoor/conns/conn.go
+++ b/croftmoor/conns/conn.go
@@ -188,7 +188,7 @@
 // linger reads on and then closes.
 func (c *Conn) linger() {
 	_ = c.CloseWrite()
-	_ = c.Conn.SetReadDeadline((c.listener.Clock.Now() + lingerTerm).Time())
+	_ = c.SetReadDeadline((c.listener.Clock.Now() + lingerTerm).Time())
 	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 	l := c.listener
 	l.mu.Lock()
--- a/kernel/admit/receive_test.go
+++ b/kernel/admit/receive_test.go
@@ -69,7 +69,11 @@
 			t.Errorf("%d bytes reserved", b.Reserved())
 		}
 	})
-	t.Run("a slow request that makes progress does not", func(t *testing.T) {
+}
+
+func TestProgress(t *testing.T) {
+	const start = 10 * clock.Second
+	t.Run("a slow request that makes progress does not give way", func(t *testing.T) {
 		b := &MemoryBudget{Limit: 2 * mib}
 		slow := receive(t, b, start, "")
 		assertGrow(t, slow, start, 64<<10, true)
@@ -82,7 +86,7 @@
 		assertGrow(t, other, now, 2*mib, false)
 		assertGivenUp(t, slow, false)
 	})
-	t.Run("one that trickles while it holds much does", func(t *testing.T) {
+	t.Run("one that trickles while it holds much gives way", func(t *testing.T) {
 		b := &MemoryBudget{Limit: 2 * mib}
 		trickling := receive(t, b, start, "")
 		assertGrow(t, trickling, start, mib, true)
@@ -95,7 +99,7 @@
 		assertGrow(t, other, now, 2*mib, true)
 		assertGivenUp(t, trickling, true)
 	})
-	t.Run("one that was received does not", func(t *testing.T) {
+	t.Run("one that was received does not give way", func(t *testing.T) {
 		b := &MemoryBudget{Limit: 2 * mib}
 		whole := receive(t, b, start, "")
 		assertGrow(t, whole, start, 2*mib, true)
--- a/kernel/rope/rope_test.go
+++ b/kernel/rope/rope_test.go
@@ -1,6 +1,7 @@
 package rope
 
 import (
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -31,16 +32,21 @@
 			}
 		}
 	})
-	t.Run("consumed", func(t *testing.T) {
-		r := r
+}
+
+func TestReader(t *testing.T) {
+	t.Run("a rope is emptied as it is read", func(t *testing.T) {
+		var r Rope
+		r.Append([]byte("one "))
+		r.Append([]byte("two"))
 		data, err := io.ReadAll(&Reader{Rope: &r, Consume: true})
-		if err != nil || string(data) != want || r.Len() != 0 {
+		if err != nil || string(data) != "one two" || r.Len() != 0 {
 			t.Errorf("%q, %v, %d bytes are left", data, err, r.Len())
 		}
 	})
 	t.Run("empty", func(t *testing.T) {
 		none := Of(nil)
-		if n, err := (&Reader{Rope: &none}).Read(make([]byte, 1)); n != 0 || err != io.EOF || none.Len() != 0 {
+		if n, err := (&Reader{Rope: &none}).Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) || none.Len() != 0 {
 			t.Errorf("%d bytes, %v", n, err)
 		}
 	})
