--- a/croftmoor/conns/conn.go
+++ b/croftmoor/conns/conn.go
@@ -5,9 +5,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
@@ -232,20 +229,3 @@
 	}
 	return r, true
 }
-
-// unreadBytes returns how much of what has come is still in the kernel; 0 if that is not known.
-func unreadBytes(conn net.Conn) int {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	unread := 0
-	if raw.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }) != nil || err != nil {
-		return 0
-	}
-	return unread
-}
--- a/croftmoor/conns/conns.go
+++ b/croftmoor/conns/conns.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"croftmoor.dev/kernel/clock"
+	"croftmoor.dev/kernel/gone"
 )
 
 // Reason is why a connection was closed by the instance.
@@ -156,7 +157,7 @@
 	}
 	most := 0
 	for c := range l.conns {
-		if unread := unreadBytes(c.Conn); c != except && unread > most {
+		if unread := gone.UnreadBytes(c.Conn); c != except && unread > most {
 			first, most = c, unread
 		}
 	}
--- a/kernel/admit/memory.go
+++ b/kernel/admit/memory.go
@@ -205,12 +205,16 @@
 }
 
 // Fit sets the reservation to the size of a response that was received. It returns false, and leaves
-// the reservation as it is, if that is not small and there is no room.
+// the reservation as it is, if that is not small and there is no room: a call that has run is given
+// more than one that has not.
 func (r *Reservation) Fit(size int64) bool {
-	r.budget.mu.Lock()
-	defer r.budget.mu.Unlock()
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	more := size - r.size
-	if size > alwaysAllowedBytes && more > 0 && !r.budget.allowsAnswer(r, more) {
+	limit := cmp.Or(b.AnswerLimit, b.Limit)
+	alone := b.reserved == r.size
+	if b.Limit > 0 && size > alwaysAllowedBytes && more > 0 && !alone && b.reserved+more > limit {
 		return false
 	}
 	r.add(more)
--- a/kernel/admit/receive_test.go
+++ b/kernel/admit/receive_test.go
@@ -121,3 +121,25 @@
 		assertGivenUp(t, large, true)
 	})
 }
+
+func TestFit(t *testing.T) {
+	const start = 10 * clock.Second
+	b := &MemoryBudget{Limit: 4 * mib, AnswerLimit: 2 * mib}
+	first, second, third := receive(t, b, start, ""), receive(t, b, start, ""), receive(t, b, start, "")
+	for _, a := range []*arrival{first, second} {
+		if !a.Fit(mib) {
+			t.Fatal("a response does not fit that has room")
+		}
+	}
+	if third.Fit(mib) || b.Reserved() != 2*mib {
+		t.Errorf("a response fits that has no room; %d bytes reserved", b.Reserved())
+	}
+	if !third.Fit(alwaysAllowedBytes) {
+		t.Error("a small response does not fit")
+	}
+	first.Release()
+	second.Release()
+	if !third.Fit(3 * mib) {
+		t.Error("the only response does not fit")
+	}
+}
--- a/kernel/gone/gone.go
+++ b/kernel/gone/gone.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"croftmoor.dev/kernel/clock"
 )
 
@@ -142,3 +144,25 @@
 	})
 	return reusable && err == nil
 }
+
+// UnackedBytes returns how many bytes written to conn its peer has not acknowledged; 0 if that is not
+// known.
+func UnackedBytes(conn net.Conn) int { return queuedBytes(conn, unix.SIOCOUTQ) }
+
+// UnreadBytes returns how many bytes that have arrived on conn were not read; 0 if that is not known.
+func UnreadBytes(conn net.Conn) int { return queuedBytes(conn, unix.SIOCINQ) }
+
+// queuedBytes returns the length of a queue of the kernel.
+func queuedBytes(conn net.Conn, queue uint) int {
+	socket := socketOf(conn)
+	if socket == nil {
+		return 0
+	}
+	queued := 0
+	var queueErr error
+	err := socket.Control(func(fd uintptr) { queued, queueErr = unix.IoctlGetInt(int(fd), queue) })
+	if err != nil || queueErr != nil {
+		return 0
+	}
+	return queued
+}
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -185,7 +185,7 @@
 		}
 		l := links[n-1]
 		c.idle[address] = links[:n-1]
-		if c.now() < l.idleUntil && gone.Reusable(l.Conn) && unackedBytes(l.Conn) == 0 {
+		if c.now() < l.idleUntil && gone.Reusable(l.Conn) && gone.UnackedBytes(l.Conn) == 0 {
 			l.idleUntil = 0
 			return l
 		}
--- a/kernel/httpc/link.go
+++ b/kernel/httpc/link.go
@@ -13,6 +13,7 @@
 
 	"croftmoor.dev/kernel/clock"
 	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/gone"
 	"croftmoor.dev/kernel/ident"
 )
 
@@ -105,7 +106,7 @@
 // gets nothing more of the request.
 func (l *link) abandon() {
 	l.abandoning.Do(func() {
-		l.unacked = unackedBytes(l.Conn)
+		l.unacked = gone.UnackedBytes(l.Conn)
 		_ = l.Close()
 		if l.unacked > 0 {
 			l.client.countUnackedCall()
@@ -144,24 +145,6 @@
 	c.unackedCalls++
 }
 
-// unackedBytes returns how many bytes written to conn its peer has not acknowledged; 0 if that
-// is not known.
-func unackedBytes(conn net.Conn) int {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	unacked := 0
-	if raw.Control(func(fd uintptr) { unacked, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) != nil || err != nil {
-		return 0
-	}
-	return unacked
-}
-
 // lostError abandons the exchange that failed with err and returns its error, which tells how
 // many bytes of the request the peer has not acknowledged.
 func lostError(call *Call, l *link, err error) error {
