--- a/croftmoor/conns/conn.go
+++ b/croftmoor/conns/conn.go
@@ -107,7 +107,7 @@
 func (c *Conn) refuseHead() {
 	c.listener.tell(LongHead, c.Conn)
 	const text = "the header is too large\n"
-	_, _ = io.WriteString(c.Conn, "HTTP/1.1 431 "+http.StatusText(http.StatusRequestHeaderFieldsTooLarge)+
+	_, _ = io.WriteString(c, "HTTP/1.1 431 "+http.StatusText(http.StatusRequestHeaderFieldsTooLarge)+
 		"\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "+strconv.Itoa(len(text))+"\r\nConnection: close\r\n\r\n"+text)
 }
 
