Answers whose first line is no status line are refused: status 000 reached clients as a 200

What callers saw: an engine in trouble answered with status 000, and the client got 200 with its body, on idempotent, unrepeatable and stream routes; items were listed as completed with the engine's text. The same with a first line of another protocol; statuses of 600 and more were passed on, and so was a 101.

Cause: the head was read by fasthttp, whose status 0 means "not set" and is 200 when asked for; the first word is not compared with anything, and a status may have any number of digits.

Evidence: TestBrokenAnswers plays servers that send such bytes under calls, streams and items of a whole program, TestStatusLinesThatAreNone the forms before the client. Before the change 19 of 36 of the former's calls and its items failed (status 000: 200 on all four routes), and 30 of 30 forms of the latter: taken, or refused with the head quoted in the error. TestNoResponseOnAnOpenConnection: eight bytes that begin no answer held the call until its deadline.

Why it works: the status line is checked byte by byte against RFC 9112 section 4 and RFC 9110 section 15 before anything is decoded from it; what is no status line has the defect Malformed, of kind Lost, so that all readers treat it as a request that may have run.

--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -89,11 +89,13 @@
 // readHead reads the head of the response, after those of interim responses.
 func (s *Stream) readHead() error {
 	for range maxInterimHeads {
+		if err := s.link.checkStatusLine(); err != nil {
+			return err
+		}
 		if err := s.head.Read(s.link.reader); err != nil {
 			return err
 		}
-		status := s.head.StatusCode()
-		if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+		if s.head.StatusCode() >= http.StatusOK {
 			return nil
 		}
 	}
