A head with a line that is no field is refused: its length was overlooked, and the client got another body

What callers saw: a blank in the name of Content-Length, or before its colon, and the client got a 200 with a body that ran until the close; a line feed before a name, and the rest of the head came as the body ("Content-Length: 15\r\n\r\n..."); a blank in another name, and the answer came without that field; a folded line was joined to the field before. On idempotent, unrepeatable and stream routes alike; items completed.

Cause: the client asked whether fasthttp can read a head, and it lets blanks in names through without taking the name for what it says. Its errors also quoted the head and what follows it into lines.

Why it works: the client reads heads itself, line by line, and checks each by the grammar of RFC 9112 section 5 (httpguts) before anything is decoded from it. One reader for all that use the client: calls, streams, items, reward calls, reports, orders, the store, the platform's API, the own interface.

Lines that end in a line feed alone are refused as before.

--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -225,11 +225,11 @@
 
 // idleTimeout returns how long a connection may stay idle after a response with this header.
 // If it is not positive, the connection must be closed.
-func idleTimeout(head *fasthttp.ResponseHeader) clock.Millis {
-	if head.ConnectionClose() {
+func idleTimeout(head *responseHead) clock.Millis {
+	if head.closesConnection() {
 		return 0
 	}
-	for part := range strings.SplitSeq(string(head.Peek("Keep-Alive")), ",") {
+	for part := range strings.SplitSeq(head.header("Keep-Alive"), ",") {
 		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if seconds, err := strconv.Atoi(value); ok && err == nil {
 			return clock.Millis(seconds)*clock.Second - idleTimeoutMargin
@@ -386,14 +386,6 @@
 	return err
 }
 
-func headers(head *fasthttp.ResponseHeader) []Header {
-	var list []Header
-	for name, value := range head.All() {
-		list = append(list, Header{Name: string(name), Value: string(value)})
-	}
-	return list
-}
-
 // shownBytes is how much of a body an error tells.
 const shownBytes = 200
 
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -10,8 +10,6 @@
 	"net/http"
 	"net/http/httputil"
 
-	"github.com/valyala/fasthttp"
-
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/rope"
 )
@@ -27,7 +25,7 @@
 	link   *link
 	// stop detaches link from the context of Open. It returns false if that context has ended.
 	stop func() bool
-	head fasthttp.ResponseHeader
+	head *responseHead
 	// buffered is what ReadLine and ReadEvent read last.
 	buffered buffer
 	complete bool
@@ -72,9 +70,8 @@
 		stop()
 		return nil, lostError(call, l, err)
 	}
-	stream.Status = stream.head.StatusCode()
+	stream.Status, stream.Headers = stream.head.status, stream.head.fields
 	l.lengthKnown = stream.length() >= 0
-	stream.Headers = headers(&stream.head)
 	if call.Accept != nil && !call.Accept(&Answer{Status: stream.Status, Headers: stream.Headers}) {
 		stream.Close()
 		return nil, fault.New("httpc.Open", Lost, string(call.Address)+" sent the answer of another call")
@@ -89,13 +86,12 @@
 // readHead reads the head of the response, after those of interim responses.
 func (s *Stream) readHead() error {
 	for range maxInterimHeads {
-		if err := s.link.checkStatusLine(); err != nil {
-			return err
-		}
-		if err := s.head.Read(s.link.reader); err != nil {
+		head, err := readHead(s.link.reader)
+		if err != nil {
 			return err
 		}
-		if s.head.StatusCode() >= http.StatusOK {
+		if head.status >= http.StatusOK {
+			s.head = head
 			return nil
 		}
 	}
@@ -219,22 +215,18 @@
 	}
 }
 
-// length returns the length of the body, or a negative number if it is not known before its
-// end.
+// length returns the length of the body, or chunked or untilClose if it is not known before its end
+// (RFC 9112 section 6.3).
 func (s *Stream) length() int {
 	switch status := s.Status; {
 	case s.call.Method == http.MethodHead, status < http.StatusOK, status == http.StatusNoContent, status == http.StatusNotModified:
 		return 0
 	default:
-		return s.head.ContentLength()
+		return s.head.length
 	}
 }
 
-// untilClose is fasthttp's content length of a body that ends when its connection closes.
-const untilClose = -2
-
 // body returns a reader that reaches io.EOF only if the body is complete or has no length.
-// fasthttp's own reader also returns io.EOF if the connection closes between two chunks.
 func (s *Stream) body() io.Reader {
 	length := s.length()
 	switch {
@@ -316,7 +308,7 @@
 		return
 	}
 	if s.complete && !s.call.FreshConn && s.reusable() && s.stop() {
-		s.client.putIdle(s.call.Address, s.link, idleTimeout(&s.head))
+		s.client.putIdle(s.call.Address, s.link, idleTimeout(s.head))
 		return
 	}
 	s.stop()
