Lengths and codings that contradict each other, or that nobody knows, are refused

What callers saw: an engine told two lengths, or a length and a coding, or a coding that we don't know, and the client got a 200 whose end was a guess: the later length, chunks for whatever wasn't "identity".

Cause: as in fasthttp, the last field that told the body's end replaced those before, and any coding but identity counted as chunks.

Why it works: a body has one length, or the coding chunked alone, or neither (RFC 9112 sections 6.1, 6.3 and 7); HTTP/1.0 has no codings. The same length told in two fields is taken still, as net/http does; in one field, as a list, it isn't (either is allowed by RFC 9110 section 8.6). TestSoundFramings: chunk extensions, trailers, capital letters.

--- a/kernel/httpc/head.go
+++ b/kernel/httpc/head.go
@@ -188,9 +188,7 @@
 	case "Content-Length":
 		return h.addLength(field.Value)
 	case "Transfer-Encoding":
-		if !strings.EqualFold(field.Value, "identity") {
-			h.length = chunked
-		}
+		return h.addCoding(field.Value)
 	case "Connection":
 		for option := range strings.SplitSeq(field.Value, ",") {
 			option = strings.Trim(option, blanks)
@@ -201,14 +199,31 @@
 	return nil
 }
 
+// addLength takes over a length. The same one may be told twice (RFC 9110 section 8.6).
 func (h *responseHead) addLength(value string) error {
 	length, err := strconv.ParseUint(value, 10, strconv.IntSize-1)
 	if err != nil {
 		return malformed("its length is not a number")
 	}
-	if h.length != chunked {
-		h.length = int(length)
+	if h.length != untilClose && h.length != int(length) {
+		return malformed("it tells two lengths, or a length and a coding")
 	}
+	h.length = int(length)
+	return nil
+}
+
+// addCoding takes over the coding of the body, which can only be chunked: no call asks for another
+// one, and HTTP/1.0 has none (RFC 9112 sections 6.1 and 7).
+func (h *responseHead) addCoding(value string) error {
+	switch {
+	case !strings.EqualFold(value, "chunked"):
+		return malformed("its transfer coding is not known")
+	case h.minor == 0:
+		return malformed("it has a transfer coding, which HTTP/1.0 has not")
+	case h.length != untilClose:
+		return malformed("it tells a length and a coding, or two codings")
+	}
+	h.length = chunked
 	return nil
 }
 
