An answer is whole with its last chunk: no call is held for an end that does not come

What callers saw: an engine sent its last chunk but not the empty line behind it, and kept the connection open.

Cause: to know whether the connection can be used again, Stream.reusable waited for two bytes, before the answer was returned; nothing but the deadline ended that.

Why it works: a body in chunks is complete with its last chunk (RFC 9112 section 8). What stands behind it is read as far as it has arrived, and nothing is waited for; the connection is kept only if the trailers' end has arrived too. The reading of bodies moves into a file of its own.

--- /dev/null
+++ b/kernel/httpc/body.go
@@ -0,0 +1,118 @@
+package httpc
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+
+	"croftmoor.dev/kernel/gone"
+)
+
+// length returns the length of the body, or chunked or untilClose if it is not known before its end
+// (RFC 9112 section 6.3).
+func (s *Stream) length() int {
+	switch status := s.Status; {
+	case s.call.Method == http.MethodHead, status < http.StatusOK, status == http.StatusNoContent, status == http.StatusNotModified:
+		return 0
+	default:
+		return s.head.length
+	}
+}
+
+// bodyReader reads the body of a response. It returns io.EOF only if the body is complete.
+type bodyReader struct {
+	stream *Stream
+	framed io.Reader
+}
+
+func (s *Stream) body() io.Reader {
+	reader := &bodyReader{stream: s, framed: s.link.reader}
+	switch length := s.length(); length {
+	case untilClose:
+	case chunked:
+		reader.framed = httputil.NewChunkedReader(s.link.reader)
+	default:
+		reader.framed = &exactReader{reader: s.link.reader, remaining: length}
+	}
+	return reader
+}
+
+// Read returns an error with the defect Malformed if the framing of the body is none.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	n, err := r.framed.Read(p)
+	var connErr net.Error
+	switch {
+	case err == nil, errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &connErr):
+		return n, err
+	case errors.Is(err, io.EOF):
+		return n, r.stream.endBody()
+	default:
+		return n, malformed("its chunks are none")
+	}
+}
+
+// exactReader reads a body of a known length.
+type exactReader struct {
+	reader    io.Reader
+	remaining int
+}
+
+// Read returns io.ErrUnexpectedEOF if the connection ends before the body does.
+func (r *exactReader) Read(p []byte) (int, error) {
+	if r.remaining == 0 {
+		return 0, io.EOF
+	}
+	n, err := r.reader.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	if err == io.EOF && r.remaining > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// endBody reads what has arrived behind the body, and returns io.EOF. It waits
+// for nothing: a body in chunks is complete with its last chunk (RFC 9112 section 8), but the
+// connection is used again only if the end of the trailers has arrived as well.
+func (s *Stream) endBody() error {
+	if s.ended || s.length() == untilClose {
+		s.ended = true
+		return io.EOF
+	}
+	framed := true
+	if s.length() == chunked {
+		var err error
+		if framed, err = s.link.skipTrailers(); err != nil {
+			return err
+		}
+	}
+	behind := s.link.arrived()
+	s.ended, s.reusable = true, framed && len(behind) == 0
+	return io.EOF
+}
+
+// skipTrailers consumes the trailers behind the last chunk (RFC 9112 section 7.1.2), as far as whole
+// lines of them have arrived. It reports whether that was all, up to the empty line.
+func (l *link) skipTrailers() (all bool, err error) {
+	for {
+		line, _, whole := bytes.Cut(l.arrived(), []byte(lineEnd))
+		if !whole {
+			return false, nil
+		}
+		if _, err := l.reader.Discard(len(line) + len(lineEnd)); err != nil || len(line) == 0 {
+			return err == nil, err
+		}
+	}
+}
+
+// arrived returns the unread bytes that have arrived, as many as the read buffer holds, without
+// waiting for more. They are valid until the next read.
+func (l *link) arrived() []byte {
+	if gone.UnreadBytes(l.Conn) > 0 {
+		_, _ = l.reader.Peek(l.reader.Buffered() + 1)
+	}
+	unread, _ := l.reader.Peek(l.reader.Buffered())
+	return unread
+}
--- /dev/null
+++ b/kernel/httpc/body_test.go
@@ -0,0 +1,59 @@
+package httpc
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"croftmoor.dev/kernel/fault"
+	"croftmoor.dev/kernel/ident"
+)
+
+// Chunks that are none must break the body off.
+func TestChunksThatAreNone(t *testing.T) {
+	const coded = ok + "Transfer-Encoding: chunked\r\n\r\n"
+	for name, body := range map[string]string{
+		"no size":                  "\r\n" + secret + "\r\n0\r\n\r\n",
+		"a size that is no number": "g\r\n" + secret + "\r\n0\r\n\r\n",
+		"a size with a sign":       "+6\r\n" + secret + "\r\n0\r\n\r\n",
+		"a blank before the size":  " 6\r\n" + secret + "\r\n0\r\n\r\n",
+		"a size beyond all bounds": "ffffffffffffffffff\r\n" + secret + "\r\n0\r\n\r\n",
+		"a chunk that is longer":   "5\r\n" + secret + "\r\n0\r\n\r\n",
+		"a line feed alone":        "6\n" + secret + "\r\n0\r\n\r\n",
+		"text":                     secret + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { wantMalformed(t, coded+body) })
+	}
+}
+
+// serveHeld answers one request with response, and closes only after the client has.
+func serveHeld(t *testing.T, response string) ident.Address {
+	t.Helper()
+	return listen(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, response)
+		_, _ = io.Copy(io.Discard, conn)
+	})
+}
+
+// A response whose last chunk has come must not hold the call for an end that does not come.
+func TestChunksWithoutTheirEnd(t *testing.T) {
+	const coded = ok + "Transfer-Encoding: chunked\r\n\r\n6\r\n" + secret + "\r\n0\r\n"
+	for name, response := range map[string]string{"nothing": coded, "half of it": coded + "\r", "a trailer": coded + "A: b\r\n", "half a trailer": coded + "A"} {
+		for how, read := range readings {
+			t.Run(name+", read "+how, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), shortTerm)
+				defer cancel()
+				client, call := &Client{}, &Call{Address: serveHeld(t, response), Method: "GET", Path: "/"}
+				err := read(ctx, client, call)
+				if ctx.Err() != nil || fault.KindOf[Defect](err) != "" {
+					t.Errorf("error %v, want the whole body before the deadline", err)
+				}
+				if client.HasIdle(call.Address) {
+					t.Error("the connection is kept")
+				}
+			})
+		}
+	}
+}
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -8,7 +8,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httputil"
 
 	"croftmoor.dev/kernel/fault"
 	"croftmoor.dev/kernel/rope"
@@ -29,8 +28,10 @@
 	// buffered is what ReadLine and ReadEvent read last.
 	buffered buffer
 	complete bool
-	// ended is set once Body has returned io.EOF.
-	ended bool
+	// ended is set once Body has returned io.EOF; reusable is whether the connection's next byte
+	// begins the next response then.
+	ended    bool
+	reusable bool
 }
 
 // Header returns the named header's value, or "".
@@ -76,7 +77,7 @@
 		stream.Close()
 		return nil, fault.New("httpc.Open", Lost, string(call.Address)+" sent the answer of another call")
 	}
-	stream.Body = bufio.NewReader(&endReader{reader: stream.body(), ended: &stream.ended})
+	stream.Body = bufio.NewReader(stream.body())
 	return stream, nil
 }
 
@@ -215,83 +216,6 @@
 	}
 }
 
-// length returns the length of the body, or chunked or untilClose if it is not known before its end
-// (RFC 9112 section 6.3).
-func (s *Stream) length() int {
-	switch status := s.Status; {
-	case s.call.Method == http.MethodHead, status < http.StatusOK, status == http.StatusNoContent, status == http.StatusNotModified:
-		return 0
-	default:
-		return s.head.length
-	}
-}
-
-// body returns a reader that reaches io.EOF only if the body is complete or has no length.
-func (s *Stream) body() io.Reader {
-	length := s.length()
-	switch {
-	case length == untilClose:
-		return s.link.reader
-	case length >= 0:
-		return &exactReader{reader: s.link.reader, remaining: length}
-	default:
-		return httputil.NewChunkedReader(s.link.reader)
-	}
-}
-
-// endReader sets ended when reader returns io.EOF.
-type endReader struct {
-	reader io.Reader
-	ended  *bool
-}
-
-// Read reads from the reader.
-func (r *endReader) Read(p []byte) (int, error) {
-	n, err := r.reader.Read(p)
-	if err == io.EOF {
-		*r.ended = true
-	}
-	return n, err
-}
-
-// exactReader reads a body of a known length.
-type exactReader struct {
-	reader    io.Reader
-	remaining int
-}
-
-// Read returns io.ErrUnexpectedEOF if the connection ends before the body does.
-func (r *exactReader) Read(p []byte) (int, error) {
-	if r.remaining == 0 {
-		return 0, io.EOF
-	}
-	n, err := r.reader.Read(p[:min(len(p), r.remaining)])
-	r.remaining -= n
-	if err == io.EOF && r.remaining > 0 {
-		err = io.ErrUnexpectedEOF
-	}
-	return n, err
-}
-
-// trailerEnd ends a chunked body. The reader of httputil does not consume it.
-const trailerEnd = "\r\n"
-
-// reusable reports whether the connection's next byte begins the next response, provided that
-// the body was read to its end. It consumes the end of a chunked body.
-func (s *Stream) reusable() bool {
-	switch length := s.length(); {
-	case length == untilClose:
-		return false
-	case length >= 0:
-		return true
-	}
-	end, err := s.link.reader.Peek(len(trailerEnd))
-	if err == nil {
-		_, err = s.link.reader.Discard(len(end))
-	}
-	return err == nil && string(end) == trailerEnd
-}
-
 // MarkComplete records that the body was read to its end, so that Close may keep the
 // connection for reuse.
 func (s *Stream) MarkComplete() {
@@ -307,7 +231,7 @@
 		s.link.abandon()
 		return
 	}
-	if s.complete && !s.call.FreshConn && s.reusable() && s.stop() {
+	if s.complete && !s.call.FreshConn && s.reusable && s.stop() {
 		s.client.putIdle(s.call.Address, s.link, idleTimeout(s.head))
 		return
 	}
