An answer with more bytes behind it than its length tells is not passed on

What callers saw: "Content-Length: 2" before five bytes came as a 200 with two, though the other three had been read with them; the same behind the last chunk, and behind trailers that are no fields.

Cause: nothing looked at what stands behind a body; the connection was closed for it, and the body returned.

Why it works: when a body has ended, what has arrived by then is looked at, in the buffer and in the kernel, without waiting. Bytes that don't begin a response show that the end was told wrongly: the defect Malformed, in place of the end of the body, so that a call is 502 and a stream breaks off.

--- a/kernel/httpc/body.go
+++ b/kernel/httpc/body.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"strings"
 
 	"croftmoor.dev/kernel/gone"
 )
@@ -22,7 +23,8 @@
 	}
 }
 
-// bodyReader reads the body of a response. It returns io.EOF only if the body is complete.
+// bodyReader reads the body of a response. It returns io.EOF only if the body is complete, and nothing
+// that has arrived behind it shows that its end was told wrongly.
 type bodyReader struct {
 	stream *Stream
 	framed io.Reader
@@ -73,7 +75,7 @@
 	return n, err
 }
 
-// endBody reads what has arrived behind the body, and returns io.EOF. It waits
+// endBody checks what has arrived behind the body, and returns io.EOF if the body is complete. It waits
 // for nothing: a body in chunks is complete with its last chunk (RFC 9112 section 8), but the
 // connection is used again only if the end of the trailers has arrived as well.
 func (s *Stream) endBody() error {
@@ -89,6 +91,9 @@
 		}
 	}
 	behind := s.link.arrived()
+	if framed && len(behind) > 0 && !beginsResponse(behind) {
+		return malformed("more follows than its length tells")
+	}
 	s.ended, s.reusable = true, framed && len(behind) == 0
 	return io.EOF
 }
@@ -101,6 +106,11 @@
 		if !whole {
 			return false, nil
 		}
+		if len(line) > 0 {
+			if _, err := parseField(line); err != nil {
+				return false, err
+			}
+		}
 		if _, err := l.reader.Discard(len(line) + len(lineEnd)); err != nil || len(line) == 0 {
 			return err == nil, err
 		}
@@ -116,3 +126,9 @@
 	unread, _ := l.reader.Peek(l.reader.Buffered())
 	return unread
 }
+
+// beginsResponse reports whether bytes behind a body may be another response. A server may send one
+// that belongs to no request; the body before it is complete all the same.
+func beginsResponse(behind []byte) bool {
+	return strings.HasPrefix(protocolName, string(behind[:min(len(behind), len(protocolName))]))
+}
--- a/kernel/httpc/body_test.go
+++ b/kernel/httpc/body_test.go
@@ -27,6 +27,37 @@
 	}
 }
 
+// More bytes than the length tells must not be cut off silently: the length is wrong then.
+func TestMoreBytesThanTold(t *testing.T) {
+	for name, response := range map[string]string{
+		"behind a short length":        ok + "Content-Length: 2\r\n\r\n" + secret,
+		"behind no body":               ok + "Content-Length: 0\r\n\r\n" + secret,
+		"behind 204":                   "HTTP/1.1 204 No Content\r\n\r\n" + secret,
+		"behind 304":                   "HTTP/1.1 304 Not Modified\r\nContent-Length: 6\r\n\r\n" + secret,
+		"behind chunks":                ok + "Transfer-Encoding: chunked\r\n\r\n" + chunks + secret,
+		"a line end":                   ok + sound + "\r\n",
+		"trailers that are none":       ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + secret + "\r\n\r\n",
+		"behind more than a buffer":    ok + "Content-Length: 100000\r\n\r\n" + string(make([]byte, 100_000)) + secret,
+		"a second body without a head": ok + sound + secret,
+	} {
+		t.Run(name, func(t *testing.T) { wantMalformed(t, response) })
+	}
+}
+
+// A response that nobody asked for must not spoil the one before it, nor be read as the next one.
+func TestSecondResponse(t *testing.T) {
+	for name, response := range map[string]string{
+		"whole":         ok + sound + ok + sound,
+		"begun":         ok + sound + "HT",
+		"behind chunks": ok + "Transfer-Encoding: chunked\r\n\r\n" + chunks + ok + sound,
+	} {
+		t.Run(name, func(t *testing.T) {
+			wantBody(t, response, secret)
+			wantKept(t, response, false)
+		})
+	}
+}
+
 // serveHeld answers one request with response, and closes only after the client has.
 func serveHeld(t *testing.T, response string) ident.Address {
 	t.Helper()
