A call whose answer was broken on a kept connection is not sent to that server again

What callers saw: an engine that answers nonsense got a second run of a call that may be repeated, beyond the attempts of its route, if the connection had been used before.

Cause: any failure on a reused connection counted as a connection that the server had closed meanwhile; only answers that are too long were exempt.

Evidence: TestBrokenAnswerIsNotResent, six forms (malformed, none, cut off in the head, the body and between chunks, more than told): each was sent twice before, once now.

Why it works: only a connection that broke before a byte of the answer may have been closed while idle. As soon as one has arrived, the failure goes to the caller, who counts the attempt and picks another server. The answer of an earlier call that comes late tells nothing of this one: it is sent again as before (TestUnansweredCallIsResent).

--- a/kernel/httpc/head.go
+++ b/kernel/httpc/head.go
@@ -19,8 +19,12 @@
 // may have run the request.
 type Defect string
 
-// Malformed means that the server sent something that is not a response by the protocol.
-const Malformed Defect = "Malformed"
+const (
+	// Malformed means that the server sent something that is not a response by the protocol.
+	Malformed Defect = "Malformed"
+	// OfOtherCall means that the response belongs to another call.
+	OfOtherCall Defect = "OfOtherCall"
+)
 
 // malformed returns an error with the defect Malformed. what says what is wrong; it must quote
 // nothing of the response, which may hold a body or a key.
@@ -65,11 +69,11 @@
 
 // readHead reads a head up to its empty line. It checks each line before anything is decoded from it:
 // what is no head by RFC 9112 has the defect Malformed, whatever it could mean.
-func readHead(reader *bufio.Reader) (*responseHead, error) {
-	if err := awaitProtocolName(reader); err != nil {
+func (l *link) readHead() (*responseHead, error) {
+	if err := l.awaitProtocolName(); err != nil {
 		return nil, err
 	}
-	lines := &lineReader{reader: reader, left: maxHeadBytes}
+	lines := &lineReader{reader: l.reader, left: maxHeadBytes}
 	line, err := lines.next()
 	if err != nil {
 		return nil, err
@@ -98,9 +102,10 @@
 
 // awaitProtocolName returns once the name of the protocol has arrived, or something that can't
 // become it. It consumes nothing.
-func awaitProtocolName(reader *bufio.Reader) error {
+func (l *link) awaitProtocolName() error {
 	for n := 1; n <= len(protocolName); n++ {
-		begin, err := reader.Peek(n)
+		begin, err := l.reader.Peek(n)
+		l.answered = l.answered || len(begin) > 0
 		if !strings.HasPrefix(protocolName, string(begin)) {
 			return malformed("it does not begin with HTTP/1")
 		}
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -238,8 +238,8 @@
 	return defaultIdleTimeout
 }
 
-// Do sends a call and reads the complete response. ctx bounds the whole exchange. If the
-// exchange fails on a reused connection before ctx ends, Do sends the call once more on a new
+// Do sends a call and reads the complete response. ctx bounds the whole exchange. If a reused
+// connection breaks before a byte of the response has arrived, Do sends the call once more on a new
 // connection; calls that must not be sent twice set FreshConn.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
 	l, reused, err := c.acquire(ctx, call)
@@ -250,7 +250,7 @@
 	if err == nil || !reused {
 		return answer, err
 	}
-	if !c.mayResend(ctx, call, err) {
+	if !c.mayResend(ctx, l, call, err) {
 		return answer, err
 	}
 	retry := *call
@@ -263,14 +263,15 @@
 	return retried, nil
 }
 
-// mayResend reports whether a call that failed on a reused connection is sent once more. It is
-// not after its context has ended, nor if its server sent too much.
-func (c *Client) mayResend(ctx context.Context, call *Call, err error) bool {
+// mayResend reports whether a call that failed on a reused connection is sent once more: its context
+// has not ended, and no byte of its response has arrived. What had arrived may be the response of an
+// earlier call.
+func (c *Client) mayResend(ctx context.Context, l *link, call *Call, err error) bool {
 	if ctx.Err() != nil {
 		c.closeIdleOnTimeout(ctx, call.Address)
 		return false
 	}
-	return !TooLong(err)
+	return !l.answered || fault.KindOf[Defect](err) == OfOtherCall
 }
 
 // wrapRetryError returns the error of a call that was sent a second time after its reused
--- a/kernel/httpc/link.go
+++ b/kernel/httpc/link.go
@@ -34,6 +34,8 @@
 	// lengthKnown is whether the response has told the length of its body. It is set before its
 	// memory is counted.
 	lengthKnown bool
+	// answered is whether a byte of the response to the current call has arrived.
+	answered bool
 	// givenUp is set once the exchange was given up for the memory that its response took.
 	givenUp atomic.Bool
 	// abandoning guards unacked, which is how many bytes of the request the peer had not
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -41,7 +41,7 @@
 
 // Open sends a call and returns once the response header has arrived. ctx bounds the stream
 // until Close. Like Do, Open sends the call once more on a new connection if a reused one
-// fails.
+// breaks.
 func (c *Client) Open(ctx context.Context, call *Call) (*Stream, error) {
 	l, reused, err := c.acquire(ctx, call)
 	if err != nil {
@@ -51,7 +51,7 @@
 	if err == nil || !reused {
 		return stream, err
 	}
-	if !c.mayResend(ctx, call, err) {
+	if !c.mayResend(ctx, l, call, err) {
 		return stream, err
 	}
 	retry := *call
@@ -61,6 +61,7 @@
 }
 
 func (c *Client) open(ctx context.Context, call *Call, l *link) (*Stream, error) {
+	l.answered = false
 	stop := context.AfterFunc(ctx, l.abandon)
 	stream := &Stream{client: c, call: call, link: l, stop: stop}
 	if err := send(call, l); err != nil {
@@ -75,7 +76,8 @@
 	l.lengthKnown = stream.length() >= 0
 	if call.Accept != nil && !call.Accept(&Answer{Status: stream.Status, Headers: stream.Headers}) {
 		stream.Close()
-		return nil, fault.New("httpc.Open", Lost, string(call.Address)+" sent the answer of another call")
+		other := fault.New("httpc.accept", OfOtherCall, string(call.Address)+" sent the answer of another call")
+		return nil, fault.Wrap("httpc.Open", Lost, other, "to "+call.Method+" "+call.Path)
 	}
 	stream.Body = bufio.NewReader(stream.body())
 	return stream, nil
@@ -87,7 +89,7 @@
 // readHead reads the head of the response, after those of interim responses.
 func (s *Stream) readHead() error {
 	for range maxInterimHeads {
-		head, err := readHead(s.link.reader)
+		head, err := s.link.readHead()
 		if err != nil {
 			return err
 		}
