A success without its seal, and other answers that contradict themselves, are not passed on

A 200 or a refusal of two ids with Not-Executed was taken for a promise that the request has not run (503 to a request that must not be repeated).

Cause: only the first id was compared; nothing looked at the other fields that make an answer count. A spoilt name makes any of these.

--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -85,6 +85,9 @@
 	Resume(headers []httpc.Header, lastID string) []httpc.Header
 	// Own reports whether an answer belongs to the call.
 	Own(r *Request, a *httpc.Answer) bool
+	// Check returns what is wrong with an answer that belongs to the call, as an error with an
+	// httpc.Defect, or nil.
+	Check(a *httpc.Answer) error
 	// Judge returns the meaning of an answer.
 	Judge(a *httpc.Answer) Verdict
 }
@@ -290,6 +293,7 @@
 		Address: server.Address(), Method: r.Method, Path: r.Target, LongBody: r.Body, InSegments: true, FreshConn: !repeatable,
 		Headers: p.Protocol.Headers(&r, server.Name, left),
 		Accept:  func(a *httpc.Answer) bool { return p.Protocol.Own(&r, a) },
+		Check:   p.Protocol.Check,
 	}
 	began := p.Clock.Mono()
 	answer, err := p.Client.Do(tryCtx, call)
--- a/croftmoor/proxy/proxy_test.go
+++ b/croftmoor/proxy/proxy_test.go
@@ -25,6 +25,7 @@
 func (plainProtocol) Headers(*Request, ident.BackendName, clock.Millis) []httpc.Header { return nil }
 func (plainProtocol) Resume(h []httpc.Header, _ string) []httpc.Header                 { return h }
 func (plainProtocol) Own(*Request, *httpc.Answer) bool                                 { return true }
+func (plainProtocol) Check(*httpc.Answer) error                                        { return nil }
 func (plainProtocol) Judge(a *httpc.Answer) Verdict {
 	return Verdict{Failed: a.Status == http.StatusInternalServerError}
 }
--- a/croftmoor/proxy/stream.go
+++ b/croftmoor/proxy/stream.go
@@ -153,6 +153,7 @@
 		Address: server.Address(), Method: r.Method, Path: r.Target, LongBody: r.Body, Headers: headers,
 		FreshConn: r.Route.Kind != paths.Repeatable && !r.Route.Resumable,
 		Accept:    func(a *httpc.Answer) bool { return p.Protocol.Own(&r, a) },
+		Check:     p.Protocol.Check,
 	}
 }
 
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -65,6 +65,9 @@
 	// it returns false, the connection is closed and the call fails with Lost. It is called
 	// before the body is read, with an empty Body.
 	Accept func(*Answer) bool
+	// Check returns what is wrong with a response that belongs to this call, as an error with a
+	// Defect; nil checks nothing. It is called like Accept, after it.
+	Check func(*Answer) error
 }
 
 // Answer is a complete response.
@@ -89,6 +92,17 @@
 	return ""
 }
 
+// Values returns the values of all fields of a name.
+func (a *Answer) Values(name string) []string {
+	var values []string
+	for _, h := range a.Headers {
+		if h.Name == name {
+			values = append(values, h.Value)
+		}
+	}
+	return values
+}
+
 const (
 	// DefaultDialTimeout bounds a dial; an earlier deadline of the context still applies.
 	DefaultDialTimeout = 2 * clock.Second
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -74,11 +74,18 @@
 	}
 	stream.Status, stream.Headers = stream.head.status, stream.head.fields
 	l.lengthKnown = stream.length() >= 0
-	if call.Accept != nil && !call.Accept(&Answer{Status: stream.Status, Headers: stream.Headers}) {
+	answer := &Answer{Status: stream.Status, Headers: stream.Headers}
+	if call.Accept != nil && !call.Accept(answer) {
 		stream.Close()
 		other := fault.New("httpc.accept", OfOtherCall, string(call.Address)+" sent the answer of another call")
 		return nil, fault.Wrap("httpc.Open", Lost, other, "to "+call.Method+" "+call.Path)
 	}
+	if call.Check != nil {
+		if err := call.Check(answer); err != nil {
+			stream.Close()
+			return nil, lostError(call, l, err)
+		}
+	}
 	stream.Body = bufio.NewReader(stream.body())
 	return stream, nil
 }
