A server whose streams turn out malformed is left like one that fails; malformed answers are counted

What callers saw: an engine spoilt the chunks of its streams, or sent more than told, and each further stream could go to it: it kept its place beside a sound one. Operators saw no counter.

Cause: a stream whose body breaks counted as a failure of its server only if it was too long. A server that was ejected before its head had come had no line either.

Malformed heads held already.

--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -316,8 +316,8 @@
 		p.logDecision(r, trail.Retry, server, "the server has not run it")
 		return nil, true
 	}
-	if verdict.Failed && server.Breaker.RecordFailure(p.Clock.Mono()) {
-		p.logDecision(r, trail.Hold, server, "ejected after answers of failure")
+	if verdict.Failed {
+		p.recordFailure(r, server, "ejected after answers of failure")
 	}
 	if verdict.Failed && repeatable && s.hasAttempts(r.Route) {
 		s.mayHaveRun, s.usesRetryBudget = true, true
@@ -364,13 +364,18 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if server.Breaker.RecordFailure(p.Clock.Mono()) {
-		p.logDecision(r, trail.Hold, server, "ejected after failures")
-	}
+	p.recordFailure(r, server, "ejected after failures")
 	p.logDecision(r, trail.Retry, server, err.Error())
 	return repeatable || !sent
 }
 
+// recordFailure records a failure at a server's breaker. If that ejects the server, reason is logged.
+func (p *Proxy) recordFailure(r Request, server *pool.Server, reason string) {
+	if server.Breaker.RecordFailure(p.Clock.Mono()) {
+		p.logDecision(r, trail.Hold, server, reason)
+	}
+}
+
 // logDecision adds a decision about a server to the decision log.
 func (p *Proxy) logDecision(r Request, action trail.Action, server *pool.Server, reason string) {
 	p.Trail.Add(trail.Decision{ID: string(r.ID), Action: action, Choice: string(server.Name), Reason: reason})
--- a/croftmoor/proxy/stream.go
+++ b/croftmoor/proxy/stream.go
@@ -101,7 +101,7 @@
 	stream, err := p.Client.Open(ctx, p.streamCall(r, server, s))
 	if err != nil {
 		s.recordNoAnswer(err, began)
-		server.Breaker.RecordFailure(p.Clock.Mono())
+		p.recordFailure(r, server, "ejected after failures")
 		if fault.KindOf[httpc.Kind](err) == httpc.Lost {
 			p.detectServerExit(ctx, &r, &s.callState, server, p.Clock.Mono()-began)
 		}
@@ -126,14 +126,14 @@
 	if stream.Status != http.StatusOK {
 		p.reportAnswered(&r, &s.callState)
 		body, err := stream.ReadAll()
-		p.recordEndless(r, server, err)
+		p.recordBadAnswer(r, server, err)
 		if err == nil {
 			err = s.pass(body)
 		}
 		return err == nil, err
 	}
 	err = p.copyEvents(r, stream, s, cancel)
-	p.recordEndless(r, server, err)
+	p.recordBadAnswer(r, server, err)
 	complete = err == nil
 	if complete {
 		p.reportAnswered(&r, &s.callState)
@@ -168,10 +168,13 @@
 	return pump(stream, s, func() {})
 }
 
-// recordEndless records a failure of a server whose answer was longer than it may be.
-func (p *Proxy) recordEndless(r Request, server *pool.Server, err error) {
-	if httpc.TooLong(err) && server.Breaker.RecordFailure(p.Clock.Mono()) {
-		p.logDecision(r, trail.Hold, server, "ejected: its answer is too long")
+// recordBadAnswer records a failure of a server whose answer was longer than it may be, or malformed.
+func (p *Proxy) recordBadAnswer(r Request, server *pool.Server, err error) {
+	switch {
+	case httpc.TooLong(err):
+		p.recordFailure(r, server, "ejected: its answer is too long")
+	case fault.KindOf[httpc.Defect](err) == httpc.Malformed:
+		p.recordFailure(r, server, "ejected: its answer is malformed")
 	}
 }
 
--- a/kernel/httpc/body.go
+++ b/kernel/httpc/body.go
@@ -28,6 +28,8 @@
 type bodyReader struct {
 	stream *Stream
 	framed io.Reader
+	// err is what all further reads return, if it is set.
+	err error
 }
 
 func (s *Stream) body() io.Reader {
@@ -44,15 +46,27 @@
 
 // Read returns an error with the defect Malformed if the framing of the body is none.
 func (r *bodyReader) Read(p []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
 	n, err := r.framed.Read(p)
+	if err != nil {
+		r.err = r.classify(err)
+		r.stream.client.countMalformed(r.err)
+	}
+	return n, r.err
+}
+
+// classify returns the error of the body for one of its framing or its connection.
+func (r *bodyReader) classify(err error) error {
 	var connErr net.Error
 	switch {
-	case err == nil, errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &connErr):
-		return n, err
 	case errors.Is(err, io.EOF):
-		return n, r.stream.endBody()
+		return r.stream.endBody()
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &connErr):
+		return err
 	default:
-		return n, malformed("its chunks are none")
+		return malformed("its chunks are none")
 	}
 }
 
@@ -79,7 +93,7 @@
 // for nothing: a body in chunks is complete with its last chunk (RFC 9112 section 8), but the
 // connection is used again only if the end of the trailers has arrived as well.
 func (s *Stream) endBody() error {
-	if s.ended || s.length() == untilClose {
+	if s.length() == untilClose {
 		s.ended = true
 		return io.EOF
 	}
--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -136,6 +136,7 @@
 	dialed    int64
 	// unackedCalls counts abandoned exchanges whose requests were not fully acknowledged.
 	unackedCalls int64
+	malformed    int64
 }
 
 // Dialed returns the number of connections opened so far.
@@ -153,6 +154,23 @@
 	return c.unackedCalls
 }
 
+// MalformedResponses returns how many responses had the defect Malformed so far.
+func (c *Client) MalformedResponses() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.malformed
+}
+
+// countMalformed counts a response whose error has the defect Malformed.
+func (c *Client) countMalformed(err error) {
+	if fault.KindOf[Defect](err) != Malformed {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.malformed++
+}
+
 // HasIdle reports whether an idle connection to address is kept that has not expired.
 func (c *Client) HasIdle(address ident.Address) bool {
 	c.mu.Lock()
--- a/kernel/httpc/stream.go
+++ b/kernel/httpc/stream.go
@@ -69,6 +69,7 @@
 		return nil, lostError(call, l, err)
 	}
 	if err := stream.readHead(); err != nil {
+		c.countMalformed(err)
 		stop()
 		return nil, lostError(call, l, err)
 	}
@@ -82,6 +83,7 @@
 	}
 	if call.Check != nil {
 		if err := call.Check(answer); err != nil {
+			c.countMalformed(err)
 			stream.Close()
 			return nil, lostError(call, l, err)
 		}
