--- a/croftmoor/proxy/left_test.go
+++ b/croftmoor/proxy/left_test.go
@@ -3,14 +3,10 @@
 import (
 	"errors"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"croftmoor.dev/kernel/clock"
-	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/httpc"
-	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/paths"
 )
 
@@ -24,18 +20,10 @@
 // newStreamBackend returns a server whose answers have the given status and two events.
 func newStreamBackend(t *testing.T, name string, status int) *backend {
 	t.Helper()
-	b := &backend{}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		b.calls.Add(1)
+	return serveBackend(t, name, func(w http.ResponseWriter) {
 		w.WriteHeader(status)
 		_, _ = w.Write([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
-	}))
-	t.Cleanup(server.Close)
-	b.member = fleet.Member{
-		Name: name, Kind: fleet.Backend, Service: "plain", State: fleet.Live, Slots: 4,
-		Address: ident.Address(strings.TrimPrefix(server.URL, "http://")),
-	}
-	return b
+	})
 }
 
 func TestNoFurtherServerForACallerThatLeft(t *testing.T) {
--- a/croftmoor/proxy/malformed_test.go
+++ b/croftmoor/proxy/malformed_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"strconv"
-	"strings"
 	"testing"
 
 	"croftmoor.dev/kernel/clock"
-	"croftmoor.dev/kernel/fleet"
 	"croftmoor.dev/kernel/httpc"
 	"croftmoor.dev/kernel/ident"
 	"croftmoor.dev/kernel/paths"
@@ -23,9 +20,7 @@
 // newMalformedBackend returns a server that answers with the bytes of response.
 func newMalformedBackend(t *testing.T, name, response string) *backend {
 	t.Helper()
-	b := &backend{}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		b.calls.Add(1)
+	return serveBackend(t, name, func(w http.ResponseWriter) {
 		conn, buffer, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			t.Error(err)
@@ -34,13 +29,7 @@
 		_, _ = buffer.WriteString(response)
 		_ = buffer.Flush()
 		_ = conn.Close()
-	}))
-	t.Cleanup(server.Close)
-	b.member = fleet.Member{
-		Name: name, Kind: fleet.Backend, Service: "plain", State: fleet.Live, Slots: 4,
-		Address: ident.Address(strings.TrimPrefix(server.URL, "http://")),
-	}
-	return b
+	})
 }
 
 // A server whose answers are malformed must be left like one that fails, whatever is wrong with them.
--- a/croftmoor/proxy/proxy.go
+++ b/croftmoor/proxy/proxy.go
@@ -328,54 +328,6 @@
 	return answer, false
 }
 
-// recordAnswer records a server's answer to a call that was sent at the time at.
-func (p *Proxy) recordAnswer(r *Request, s *callState, v Verdict, at clock.Millis) {
-	if v.NotRun {
-		return
-	}
-	s.answered, s.sentAt = true, at
-	p.reportAnswered(r, s)
-}
-
-// recordNoAnswer records an attempt without an answer that was sent at the time at.
-func (s *callState) recordNoAnswer(err error, at clock.Millis) {
-	if fault.KindOf[httpc.Kind](err) == httpc.NotSent {
-		s.unreached = min(s.unreached+1, maxUnreached)
-		return
-	}
-	s.mayHaveRun, s.usesRetryBudget = true, true
-	if !s.answered {
-		s.sentAt = at
-	}
-}
-
-// recordLoad passes the load that a server reported with an answer to the pool.
-func (p *Proxy) recordLoad(server *pool.Server, v Verdict) {
-	if v.HasLoad {
-		server.RecordLoad(v.Load, p.Clock.Mono())
-	}
-}
-
-// recordFailedAttempt records an attempt without an answer at its server and in the decision
-// log. It reports whether the call may be retried.
-func (p *Proxy) recordFailedAttempt(ctx context.Context, r Request, server *pool.Server, s *callState, repeatable bool, err error) bool {
-	s.lastErr = err
-	sent := fault.KindOf[httpc.Kind](err) != httpc.NotSent
-	if ctx.Err() != nil {
-		return false
-	}
-	p.recordFailure(r, server, "ejected after failures")
-	p.logDecision(r, trail.Retry, server, err.Error())
-	return repeatable || !sent
-}
-
-// recordFailure records a failure at a server's breaker. If that ejects the server, reason is logged.
-func (p *Proxy) recordFailure(r Request, server *pool.Server, reason string) {
-	if server.Breaker.RecordFailure(p.Clock.Mono()) {
-		p.logDecision(r, trail.Hold, server, reason)
-	}
-}
-
 // logDecision adds a decision about a server to the decision log.
 func (p *Proxy) logDecision(r Request, action trail.Action, server *pool.Server, reason string) {
 	p.Trail.Add(trail.Decision{ID: string(r.ID), Action: action, Choice: string(server.Name), Reason: reason})
--- a/croftmoor/proxy/proxy_test.go
+++ b/croftmoor/proxy/proxy_test.go
@@ -37,11 +37,17 @@
 }
 
 func newBackend(t *testing.T, name string, status int) *backend {
+	t.Helper()
+	return serveBackend(t, name, func(w http.ResponseWriter) { w.WriteHeader(status) })
+}
+
+// serveBackend returns a server that answers each call by answer.
+func serveBackend(t *testing.T, name string, answer func(http.ResponseWriter)) *backend {
 	t.Helper()
 	b := &backend{}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		b.calls.Add(1)
-		w.WriteHeader(status)
+		answer(w)
 	}))
 	t.Cleanup(server.Close)
 	b.member = fleet.Member{
--- a/croftmoor/proxy/stream.go
+++ b/croftmoor/proxy/stream.go
@@ -168,16 +168,6 @@
 	return pump(stream, s, func() {})
 }
 
-// recordBadAnswer records a failure of a server whose answer was longer than it may be, or malformed.
-func (p *Proxy) recordBadAnswer(r Request, server *pool.Server, err error) {
-	switch {
-	case httpc.TooLong(err):
-		p.recordFailure(r, server, "ejected: its answer is too long")
-	case fault.KindOf[httpc.Defect](err) == httpc.Malformed:
-		p.recordFailure(r, server, "ejected: its answer is malformed")
-	}
-}
-
 // pump passes on each event once it is complete, since a server may stop in the middle of
 // one. onEvent is called for each event.
 func pump(stream *httpc.Stream, s *streamState, onEvent func()) error {
--- a/kernel/httpc/field_test.go
+++ b/kernel/httpc/field_test.go
@@ -82,11 +82,11 @@
 	}
 }
 
-// tokenBytes are the bytes that a name can have beside letters and digits (RFC 9110 section 5.6.2).
-const tokenBytes = "!#$%&'*+-.^_`|~"
+// nameBytes are the bytes that a name can have beside letters and digits (RFC 9110 section 5.6.2).
+const nameBytes = "!#$%&'*+-.^_`|~"
 
 func isTokenByte(b byte) bool {
-	return strings.IndexByte(tokenBytes, b) >= 0 || ('0' <= b && b <= '9') || ('a' <= b|0x20 && b|0x20 <= 'z')
+	return strings.IndexByte(nameBytes, b) >= 0 || ('0' <= b && b <= '9') || ('a' <= b|0x20 && b|0x20 <= 'z')
 }
 
 // wantBody checks that a response is taken, with its body.
@@ -110,7 +110,7 @@
 		"HTTP/1.0 with a length":            "HTTP/1.0 200 OK\r\nContent-Length: 6" + body,
 		"after 100":                         "HTTP/1.1 100 Continue\r\n\r\n" + ok + sound,
 		"after 103 with fields":             "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok + sound,
-		"all bytes of a name":               ok + "aZ09" + tokenBytes + ": b\r\n" + sound,
+		"all bytes of a name":               ok + "aZ09" + nameBytes + ": b\r\n" + sound,
 		"a tab and bytes over 127":          ok + "A: \tb\tc\x80\xff\t\r\n" + sound,
 		"an empty value":                    ok + "A:\r\nB: \t \r\n" + sound,
 		"a value of separators":             ok + "A: \"(),/:;<=>?@[\\]{}\r\n" + sound,
--- a/kernel/httpc/fuzz_test.go
+++ b/kernel/httpc/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -64,7 +65,7 @@
 		}
 		defer func() { _ = other.Body.Close() }()
 		otherBody, err := io.ReadAll(other.Body)
-		if err != nil && !strings.Contains(err.Error(), "trailer") && err != io.ErrUnexpectedEOF {
+		if err != nil && !strings.Contains(err.Error(), "trailer") && !errors.Is(err, io.ErrUnexpectedEOF) {
 			t.Fatalf("net/http refuses the body of %q: %v", data, err)
 		}
 		fields := headerOf(head.fields)
