httpc: the package's comment says who writes requests and who reads responses

It named fasthttp for both; responses are read by the package itself since heads are checked by their grammar. Comment only; the tests of kernel/httpc pass.

--- a/kernel/httpc/httpc.go
+++ b/kernel/httpc/httpc.go
@@ -1,7 +1,7 @@
-// Package httpc is the HTTP/1.1 client for backend servers and the platform. It uses
-// fasthttp's messages over its own connections, because croftmoor must know whether any byte
-// of a request may have left the process: only if none has may the caller be told that the
-// request did not run.
+// Package httpc is the HTTP/1.1 client for backend servers and the platform. It has connections of
+// its own, because croftmoor must know whether any byte of a request may have left the process: only
+// if none has may the caller be told that the request did not run. It writes requests with fasthttp,
+// and reads responses itself: what is not one by the protocol is refused, whatever it could mean.
 package httpc
 
 import (
