A stream's refusal promises that it has not run only if it is whole

What callers saw: an engine answered a stream with 503 and Not-Executed, and broke the body off; the caller got a 503, which promises that the request has not run and never will.

Cause: a stream looked at the head of a refusal alone.

Evidence: "a refusal that is cut off" in TestBrokenAnswers: 503 on both stream routes before (502 on the others), 502 on all four now.

Why it works: the body is read before the promise is passed on; if that fails, the call may have run, and the server counts as having failed.

--- a/croftmoor/proxy/stream.go
+++ b/croftmoor/proxy/stream.go
@@ -112,7 +112,7 @@
 	verdict := p.Protocol.Judge(head)
 	p.recordLoad(server, verdict)
 	if verdict.NotRun {
-		return false, fault.New("proxy.flow", NotRun, http.StatusText(stream.Status))
+		return false, p.refused(r, server, s, stream, began)
 	}
 	s.mayHaveRun = true
 	s.answered, s.sentAt = true, began
@@ -144,6 +144,17 @@
 	return complete, err
 }
 
+// refused returns the error of an answer which says that its server has not run the call, of kind NotRun
+// only if it is whole: a broken answer promises nothing.
+func (p *Proxy) refused(r Request, server *pool.Server, s *streamState, stream *httpc.Stream, sentAt clock.Millis) error {
+	if _, err := stream.ReadAll(); err != nil {
+		s.recordNoAnswer(err, sentAt)
+		p.recordBadAnswer(r, server, err)
+		return err
+	}
+	return fault.New("proxy.flow", NotRun, http.StatusText(stream.Status))
+}
+
 func (p *Proxy) streamCall(r Request, server *pool.Server, s *streamState) *httpc.Call {
 	headers := p.Protocol.Headers(&r, server.Name, r.Deadline-p.Clock.Mono())
 	if s.lastID != "" {
