Trailers without an end hold no call: they are read as far as a head may be long

What callers would have seen: a call held until its deadline.

Why it works: at most as many bytes as a head may have are read behind the last chunk; beyond them the body is whole and the connection is closed, as with trailers that have not all arrived.

--- a/kernel/httpc/body.go
+++ b/kernel/httpc/body.go
@@ -113,11 +113,12 @@
 }
 
 // skipTrailers consumes the trailers behind the last chunk (RFC 9112 section 7.1.2), as far as whole
-// lines of them have arrived. It reports whether that was all, up to the empty line.
+// lines of them have arrived, and no more than a head may have. It reports whether that was all, up to
+// the empty line.
 func (l *link) skipTrailers() (all bool, err error) {
-	for {
+	for left := maxHeadBytes; ; {
 		line, _, whole := bytes.Cut(l.arrived(), []byte(lineEnd))
-		if !whole {
+		if left -= len(line) + len(lineEnd); !whole || left < 0 {
 			return false, nil
 		}
 		if len(line) > 0 {
--- a/kernel/httpc/body_test.go
+++ b/kernel/httpc/body_test.go
@@ -88,3 +88,15 @@
 		}
 	}
 }
+
+// Trailers without an end must not hold a call whose body is whole.
+func TestTrailerLinesWithoutEnd(t *testing.T) {
+	server := newEndlessServer(t, ok+"Transfer-Encoding: chunked\r\n\r\n6\r\n"+secret+"\r\n0\r\n", "A: b\r\n")
+	ctx, cancel := context.WithTimeout(t.Context(), shortTerm)
+	defer cancel()
+	answer, err := boundedClient().Do(ctx, &Call{Address: server.address, Method: "GET", Path: "/"})
+	if err != nil || string(answer.Body) != secret || ctx.Err() != nil {
+		t.Errorf("%+v, %v, want the body before the deadline", answer, err)
+	}
+	server.wantReset(t)
+}
